Workspace, shared types and the interfaces between the slices

The packages of coord are state machines that are handed events and the time; their interfaces and messages are fixed here so that the slices can be built side by side.

--- /dev/null
+++ b/coord/fleet/fleet.go
@@ -0,0 +1,74 @@
+// Package fleet holds the identifiers that every coordination package shares.
+//
+// It has no behaviour of its own: a value of these types names an instance, one
+// life of an instance, a service, an upstream endpoint or a client account.
+package fleet
+
+import "strconv"
+
+// InstanceID names an entry instance for as long as its address is in use.
+type InstanceID string
+
+// Zone names an availability zone.
+type Zone string
+
+// Region names a region, which holds one or more availability zones.
+type Region string
+
+// Service names a service that upstreams offer.
+type Service string
+
+// Account names a client account.
+type Account string
+
+// Endpoint is the IP number and port of one upstream endpoint, as "192.0.2.7:8080".
+type Endpoint string
+
+// Revision numbers the accepted configurations of a fleet, starting at 1.
+type Revision uint64
+
+// Incarnation numbers the lives of an instance: each start takes a higher one.
+type Incarnation uint64
+
+// Ref names one life of one instance.
+type Ref struct {
+	ID          InstanceID  `cbor:"1,keyasint" json:"id"`
+	Incarnation Incarnation `cbor:"2,keyasint" json:"incarnation"`
+}
+
+// String returns the reference as "id#incarnation".
+func (r Ref) String() string {
+	return string(r.ID) + "#" + strconv.FormatUint(uint64(r.Incarnation), 10)
+}
+
+// IsZero reports whether r names nothing.
+func (r Ref) IsZero() bool {
+	return r == Ref{}
+}
+
+// Instance describes one life of an entry instance.
+type Instance struct {
+	Ref       Ref    `cbor:"1,keyasint" json:"ref"`
+	Zone      Zone   `cbor:"2,keyasint" json:"zone"`
+	Region    Region `cbor:"3,keyasint" json:"region"`
+	EntryAddr string `cbor:"4,keyasint" json:"entry_addr"` // IP number and port for callers.
+	PeerAddr  string `cbor:"5,keyasint" json:"peer_addr"`  // IP number and port for other instances.
+}
+
+// UpstreamState is what the platform's list says of an upstream endpoint.
+type UpstreamState uint8
+
+// States of an upstream endpoint in the platform's list.
+const (
+	UpstreamCold    UpstreamState = iota + 1 // Started, not warm yet.
+	UpstreamReady                            // Takes work.
+	UpstreamLeaving                          // Finishes what it has, takes no new work.
+)
+
+// Upstream is one upstream endpoint of a service.
+type Upstream struct {
+	Endpoint Endpoint      `cbor:"1,keyasint" json:"endpoint"`
+	Zone     Zone          `cbor:"2,keyasint" json:"zone"`
+	Slots    int           `cbor:"3,keyasint" json:"slots"` // Requests it can run at once.
+	State    UpstreamState `cbor:"4,keyasint" json:"state"`
+}
--- /dev/null
+++ b/coord/membership/message.go
@@ -0,0 +1,4 @@
+package membership
+
+// Message is one message of the membership protocol.
+type Message struct{}
--- /dev/null
+++ b/coord/rollout/message.go
@@ -0,0 +1,4 @@
+package rollout
+
+// Message is one message between instances about configuration.
+type Message struct{}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,63 @@
+// Package exchange holds a caller's request and its answer as they pass between the
+// entry, the claims, the relays and the dispatcher of an instance, and between instances.
+//
+// Both own their bytes: nothing in them points into a buffer of the HTTP libraries.
+package exchange
+
+import (
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/result"
+)
+
+// Header is one header field. Order and repeats are kept.
+type Header struct {
+	Name  string `cbor:"1,keyasint"`
+	Value string `cbor:"2,keyasint"`
+}
+
+// Request is a caller's request without hop-by-hop headers.
+type Request struct {
+	Service     fleet.Service `cbor:"1,keyasint"`
+	Account     fleet.Account `cbor:"2,keyasint"`
+	Method      string        `cbor:"3,keyasint"`
+	URI         string        `cbor:"4,keyasint"` // Path and query as the caller sent them.
+	Headers     []Header      `cbor:"5,keyasint,omitempty"`
+	Body        []byte        `cbor:"6,keyasint,omitempty"`
+	Idempotent  bool          `cbor:"7,keyasint"`
+	Key         string        `cbor:"8,keyasint,omitempty"` // Idempotency-Key as sent; empty without one.
+	TraceParent string        `cbor:"9,keyasint,omitempty"` // W3C trace context of the hop before.
+	// Remaining is the time left at sending; each hop turns it into Deadline by its own clock.
+	Remaining time.Duration `cbor:"10,keyasint"`
+	Deadline  time.Time     `cbor:"-"`
+}
+
+// Answer is what the caller receives.
+type Answer struct {
+	Status    int              `cbor:"1,keyasint"`
+	Headers   []Header         `cbor:"2,keyasint,omitempty"`
+	Body      []byte           `cbor:"3,keyasint,omitempty"`
+	Code      result.Code      `cbor:"4,keyasint"`
+	Execution result.Execution `cbor:"5,keyasint"`
+}
+
+// Refusal returns the answer for a code of the table, with the code's own status and execution.
+// The body is one line of text that ends with detail.
+func Refusal(code result.Code, detail string) Answer {
+	entry, ok := result.Lookup(code)
+	if !ok {
+		entry = result.Entry{Code: code, Name: "unlisted", Status: 500, Execution: result.Unknown, Text: "Unlisted code."}
+	}
+	body := entry.Name + ": " + entry.Text
+	if detail != "" {
+		body += " " + detail
+	}
+	return Answer{
+		Status:    entry.Status,
+		Headers:   []Header{{Name: "Content-Type", Value: "text/plain; charset=utf-8"}},
+		Body:      []byte(body + "\n"),
+		Code:      code,
+		Execution: entry.Execution,
+	}
+}
