--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,118 @@
+// Package operator serves the operators' endpoints of an instance on an address of
+// their own: health, status, metrics and an explanation of where a request would go.
+//
+// Every path but api.PathHealth wants "Authorization: Bearer <token>".
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/operator/api"
+)
+
+// readHeaderTimeout bounds the time in which an operator's request must begin.
+const readHeaderTimeout = 5 * time.Second
+
+// Source is what the endpoints show.
+type Source interface {
+	Status() api.Status
+	Explain(method, path string, account fleet.Account) api.Explanation
+}
+
+// Server answers operators.
+type Server struct {
+	source   Source
+	token    [sha256.Size]byte
+	listener net.Listener
+	server   *http.Server
+}
+
+// New listens on address, an IP number and port.
+func New(address, token string, source Source) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for operators on %q: %w", address, err)
+	}
+	s := &Server{source: source, token: sha256.Sum256([]byte(token)), listener: listener}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+api.PathHealth, s.health)
+	mux.HandleFunc("GET "+api.PathStatus, s.guard(s.status))
+	mux.HandleFunc("GET "+api.PathExplain, s.guard(s.explain))
+	mux.HandleFunc("GET "+api.PathMetrics, s.guard(expvar.Handler().ServeHTTP))
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	return s, nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string {
+	return s.listener.Addr().String()
+}
+
+// Run serves operators until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	defer stop()
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve operators on %q: %w", s.Addr(), err)
+}
+
+// guard refuses requests without the token. Digests are compared so that the time
+// taken tells nothing of the token's length.
+func (s *Server) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		got := sha256.Sum256([]byte(token))
+		if subtle.ConstantTimeCompare(got[:], s.token[:]) != 1 {
+			refuse(w)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func refuse(w http.ResponseWriter) {
+	entry, _ := result.Lookup(result.CodeNotAuthorized)
+	http.Error(w, fmt.Sprintf("%d %s: %s", entry.Code, entry.Name, entry.Text), entry.Status)
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	phase := s.source.Status().Phase
+	if phase != api.PhaseServing {
+		http.Error(w, string(phase), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, phase)
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.source.Status())
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	method := q.Get(api.ParamMethod)
+	if method == "" {
+		method = http.MethodGet
+	}
+	writeJSON(w, s.source.Explain(method, q.Get(api.ParamPath), fleet.Account(q.Get(api.ParamAccount))))
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
