--- /dev/null
+++ b/internal/entry/server_test.go
@@ -0,0 +1,211 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/damaskcove/damaskcove/client"
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/internal/exchange"
+)
+
+// echoBackend answers with what it was asked.
+type echoBackend struct {
+	router *Router
+	last   exchange.Request
+	answer exchange.Answer
+}
+
+func (b *echoBackend) Router() *Router { return b.router }
+
+func (b *echoBackend) Serve(_ context.Context, r exchange.Request) exchange.Answer {
+	b.last = r
+	return b.answer
+}
+
+func (b *echoBackend) Outcome(_ context.Context, key string) exchange.Answer {
+	return exchange.Refusal(result.CodeKeyUnknown, key)
+}
+
+func (b *echoBackend) Discover(service fleet.Service, _ fleet.Account, _ fleet.Zone) (client.Discovery, result.Code) {
+	if service != "stock" {
+		return client.Discovery{}, result.CodeNoRoute
+	}
+	return client.Discovery{Entries: []client.Entry{{Address: "127.0.0.1:1", Zone: "z1"}}, Ticket: "t"}, result.CodeAnswered
+}
+
+func testConfig() *rollout.Config {
+	return &rollout.Config{
+		Revision: 3,
+		Services: map[fleet.Service]rollout.ServiceTemplate{
+			"stock": {Name: "stock", MaxBodyBytes: 10, Routes: []rollout.Route{
+				{Method: "GET", PathPrefix: "/stock", Idempotent: true},
+				{Method: "HEAD", PathPrefix: "/stock", Idempotent: true},
+				{Method: "POST", PathPrefix: "/stock/notes"},
+			}},
+			"drums": {Name: "drums", Routes: []rollout.Route{{PathPrefix: "/drums"}}},
+		},
+		Accounts: map[fleet.Account]rollout.AccountTemplate{
+			"brewer": {Name: "brewer", Services: []fleet.Service{"stock"}},
+		},
+	}
+}
+
+func startServer(t *testing.T) (*Server, *echoBackend, string) {
+	t.Helper()
+	b := &echoBackend{router: NewRouter(testConfig())}
+	b.answer = exchange.Answer{Status: 200, Body: []byte("whole"), Code: result.CodeAnswered, Execution: result.Ran}
+	s, err := New(Config{
+		Listen: "127.0.0.1:0", MaxBodyBytes: 100,
+		Tracer: noop.NewTracerProvider().Tracer("test"), Log: slog.New(slog.DiscardHandler),
+	}, b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Run() }()
+	t.Cleanup(func() {
+		if err := s.Shutdown(context.Background()); err != nil {
+			t.Error(err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, b, "http://" + s.Addr()
+}
+
+func call(t *testing.T, method, url string, body []byte, headers map[string]string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(client.HeaderAccount, "brewer")
+	for name, value := range headers {
+		r.Header.Set(name, value)
+	}
+	transport := &http.Transport{DisableKeepAlives: false}
+	defer transport.CloseIdleConnections()
+	response, err := (&http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse
+	}}).Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(data)
+}
+
+func TestCodesOfRefusedRequests(t *testing.T) {
+	_, _, base := startServer(t)
+	cases := []struct {
+		name, method, path string
+		body               int
+		account            string
+		status             int
+		code               string
+	}{
+		{"unknown account", "GET", "/stock/1", 0, "nobody", 403, "1002"},
+		{"account not allowed", "GET", "/drums/1", 0, "brewer", 403, "1003"},
+		{"no route", "GET", "/nothing", 0, "brewer", 404, "1001"},
+		{"method without route", "DELETE", "/stock/1", 0, "brewer", 404, "1001"},
+		{"prefix is by whole segments", "GET", "/stocks", 0, "brewer", 404, "1001"},
+		{"body over the service's bound", "POST", "/stock/notes", 11, "brewer", 413, "1004"},
+		{"body over the instance's bound", "POST", "/stock/notes", 101, "brewer", 413, "1004"},
+		{"outcome of an unknown key", "GET", client.OutcomePath, 0, "brewer", 404, "1112"},
+		{"discovery of an unknown service", "GET", client.DiscoverPath + "?service=none", 0, "brewer", 404, "1001"},
+	}
+	for _, c := range cases {
+		response, _ := call(t, c.method, base+c.path, make([]byte, c.body), map[string]string{client.HeaderAccount: c.account})
+		if response.StatusCode != c.status || response.Header.Get(client.HeaderCode) != c.code {
+			t.Errorf("%s: status %d code %s, want %d %s", c.name, response.StatusCode, response.Header.Get(client.HeaderCode), c.status, c.code)
+		}
+	}
+}
+
+func TestRequestPassesWholeWithoutHopByHopHeaders(t *testing.T) {
+	_, b, base := startServer(t)
+	call(t, "POST", base+"/stock/notes?lot=7&q=a%20b", []byte("0123456789"), map[string]string{
+		"Connection": "X-Private", "X-Private": "1", "X-Kept": "2", "Te": "trailers", client.HeaderDeadline: "1500",
+	})
+	if b.last.URI != "/stock/notes?lot=7&q=a%20b" || string(b.last.Body) != "0123456789" || b.last.Method != "POST" {
+		t.Errorf("request passed on as %s %q with body %q", b.last.Method, b.last.URI, b.last.Body)
+	}
+	names := map[string]string{}
+	for _, h := range b.last.Headers {
+		names[strings.ToLower(h.Name)] = h.Value
+	}
+	if names["x-kept"] != "2" {
+		t.Errorf("header X-Kept did not pass: %v", names)
+	}
+	for _, dropped := range []string{"connection", "x-private", "te", "content-length"} {
+		if _, ok := names[dropped]; ok {
+			t.Errorf("header %s passed", dropped)
+		}
+	}
+}
+
+func TestAnswersPassAsTheUpstreamGaveThem(t *testing.T) {
+	_, b, base := startServer(t)
+	b.answer = exchange.Answer{Status: 302, Code: result.CodeAnswered, Execution: result.Ran, Headers: []exchange.Header{
+		{Name: "Location", Value: "/elsewhere"}, {Name: "Set-Cookie", Value: "a=1"}, {Name: "Set-Cookie", Value: "b=2"},
+	}}
+	response, _ := call(t, "GET", base+"/stock/1", nil, nil)
+	if response.StatusCode != 302 || response.Header.Get("Location") != "/elsewhere" {
+		t.Errorf("redirect passed as %d to %q", response.StatusCode, response.Header.Get("Location"))
+	}
+	if cookies := response.Header.Values("Set-Cookie"); len(cookies) != 2 {
+		t.Errorf("repeated header passed as %v", cookies)
+	}
+	if response.Header.Get(client.HeaderExecution) != "ran" {
+		t.Errorf("execution %q, want ran", response.Header.Get(client.HeaderExecution))
+	}
+	b.answer = exchange.Answer{Status: 200, Code: result.CodeAnswered, Execution: result.Ran,
+		Headers: []exchange.Header{{Name: "Content-Length", Value: "1234"}}}
+	response, body := call(t, "HEAD", base+"/stock/1", nil, nil)
+	if response.ContentLength != 1234 || body != "" {
+		t.Errorf("HEAD passed with length %d and body %q, want 1234 and none", response.ContentLength, body)
+	}
+}
+
+func TestDrainingServerAsksCallersToClose(t *testing.T) {
+	s, _, base := startServer(t)
+	s.Drain()
+	response, body := call(t, "GET", base+"/stock/1", nil, nil)
+	if !response.Close || body != "whole" {
+		t.Errorf("close %v body %q, want the whole answer and a close", response.Close, body)
+	}
+}
+
+func TestNotReadyBeforeTheFirstConfiguration(t *testing.T) {
+	_, b, base := startServer(t)
+	b.router = nil
+	response, _ := call(t, "GET", base+"/stock/1", nil, nil)
+	if response.StatusCode != 503 || response.Header.Get(client.HeaderExecution) != "not-run" {
+		t.Errorf("status %d execution %q, want 503 not-run", response.StatusCode, response.Header.Get(client.HeaderExecution))
+	}
+}
+
+func TestDiscoveryAnswersJSON(t *testing.T) {
+	_, _, base := startServer(t)
+	_, body := call(t, "GET", base+client.DiscoverPath+"?service=stock&account=brewer", nil, nil)
+	var d client.Discovery
+	if err := json.Unmarshal([]byte(body), &d); err != nil || len(d.Entries) != 1 {
+		t.Errorf("discovery %q: %v", body, err)
+	}
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,269 @@
+package peer
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"log/slog"
+	"math/big"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/wire"
+)
+
+// note is the body of the test messages.
+type note struct {
+	Number int `cbor:"1,keyasint"`
+}
+
+// book resolves the instances of one test.
+type book struct {
+	mu   sync.Mutex
+	byID map[fleet.Ref]fleet.Instance
+}
+
+func (b *book) resolve(r fleet.Ref) (fleet.Instance, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	in, ok := b.byID[r]
+	return in, ok
+}
+
+func (b *book) add(in fleet.Instance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.byID[in.Ref] = in
+}
+
+// startLinks runs links of one instance until the test ends. Delivered messages go to the channel.
+func startLinks(t *testing.T, b *book, id fleet.InstanceID, change func(*Config)) (*Links, chan fleet.Ref) {
+	t.Helper()
+	received := make(chan fleet.Ref, 100)
+	ref := fleet.Ref{ID: id, Incarnation: 1}
+	cfg := Config{
+		Self:    fleet.Instance{Ref: ref, Zone: "z1"},
+		Fleet:   "test",
+		Listen:  "127.0.0.1:0",
+		Resolve: b.resolve,
+		Deliver: func(from fleet.Ref, _ wire.Envelope) { received <- from },
+		Log:     slog.New(slog.DiscardHandler),
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	l, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.add(fleet.Instance{Ref: ref, Zone: "z1", PeerAddr: l.Addr()})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	for l.Offer(ref, wire.KindMembership, note{}) == false {
+		time.Sleep(time.Millisecond)
+	}
+	<-received
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return l, received
+}
+
+func TestMessagesArriveWithTheirSender(t *testing.T) {
+	b := &book{byID: map[fleet.Ref]fleet.Instance{}}
+	a, _ := startLinks(t, b, "a", nil)
+	other, received := startLinks(t, b, "b", nil)
+	a.Send(other.cfg.Self.Ref, wire.KindClaim, note{Number: 1})
+	if from := <-received; from != a.cfg.Self.Ref {
+		t.Fatalf("message from %s, want %s", from, a.cfg.Self.Ref)
+	}
+}
+
+func TestPeerOfAnotherFleetIsRefusedAndCounted(t *testing.T) {
+	b := &book{byID: map[fleet.Ref]fleet.Instance{}}
+	stranger, _ := startLinks(t, b, "a", func(c *Config) { c.Fleet = "other" })
+	other, received := startLinks(t, b, "b", nil)
+	for other.Stats().OtherFleet == 0 {
+		stranger.Send(other.cfg.Self.Ref, wire.KindClaim, note{})
+		time.Sleep(time.Millisecond)
+	}
+	if len(received) != 0 {
+		t.Fatal("a message of another fleet was delivered")
+	}
+}
+
+func TestMalformedMessageIsCountedAndTheLinkGoesOn(t *testing.T) {
+	b := &book{byID: map[fleet.Ref]fleet.Instance{}}
+	a, _ := startLinks(t, b, "a", nil)
+	other, received := startLinks(t, b, "b", nil)
+	to := other.cfg.Self.Ref
+	a.mu.Lock()
+	k := a.linkTo(to)
+	k.queue.push(item{kind: wire.KindClaim, data: []byte{0xff, 0x00}})
+	a.mu.Unlock()
+	a.Send(to, wire.KindClaim, note{Number: 2})
+	<-received
+	if got := other.Stats().Malformed; got != 1 {
+		t.Fatalf("malformed messages counted: %d, want 1", got)
+	}
+}
+
+func TestBlockedDirectionLosesMessagesAndTheOtherDirectionWorks(t *testing.T) {
+	b := &book{byID: map[fleet.Ref]fleet.Instance{}}
+	blocked := fleet.Ref{ID: "b", Incarnation: 1}
+	a, receivedByA := startLinks(t, b, "a", func(c *Config) {
+		c.Blocked = func(to fleet.Ref) bool { return to == blocked }
+	})
+	other, received := startLinks(t, b, "b", nil)
+	a.Send(blocked, wire.KindClaim, note{})
+	other.Send(a.cfg.Self.Ref, wire.KindClaim, note{})
+	<-receivedByA
+	for !a.Failing(blocked) {
+		time.Sleep(time.Millisecond)
+	}
+	if len(received) != 0 {
+		t.Fatal("a message crossed a blocked direction")
+	}
+}
+
+func TestPlaintextOutsideLoopbackIsRefused(t *testing.T) {
+	_, err := New(Config{Listen: "192.0.2.1:0", Fleet: "test"})
+	if !errors.Is(err, ErrPlaintext) {
+		t.Fatalf("got %v, want %v", err, ErrPlaintext)
+	}
+}
+
+func TestQueueSupersedesStateAndKeepsRequests(t *testing.T) {
+	q := newQueue()
+	for i := range maxQueuedState + 3 {
+		q.push(item{kind: wire.KindEvidence, data: []byte{byte(i)}})
+		q.push(item{kind: wire.KindClaim, data: []byte{byte(i)}})
+	}
+	var evidence, claims []byte
+	for it, ok := q.pop(); ok; it, ok = q.pop() {
+		if it.kind == wire.KindEvidence {
+			evidence = append(evidence, it.data[0])
+		} else {
+			claims = append(claims, it.data[0])
+		}
+	}
+	if len(evidence) != maxQueuedState || evidence[0] != 3 {
+		t.Errorf("evidence left: %v, want the newest %d", evidence, maxQueuedState)
+	}
+	if len(claims) != maxQueuedState+3 {
+		t.Errorf("claims left: %d, want %d", len(claims), maxQueuedState+3)
+	}
+}
+
+// authority signs the certificates of one test.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	dir         string
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"},
+		NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &authority{certificate: certificate, key: key, dir: t.TempDir()}
+	a.write(t, "ca.pem", "CERTIFICATE", der)
+	return a
+}
+
+func (a *authority) write(t *testing.T, name, block string, der []byte) string {
+	t.Helper()
+	path := filepath.Join(a.dir, name)
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: block, Bytes: der}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func (a *authority) files(t *testing.T, name string) *TLSFiles {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &TLSFiles{
+		Certificate: a.write(t, name+".pem", "CERTIFICATE", der),
+		Key:         a.write(t, name+".key", "PRIVATE KEY", private),
+		Authority:   filepath.Join(a.dir, "ca.pem"),
+	}
+}
+
+func TestMutualTLSTakesPeersThatProveThemselves(t *testing.T) {
+	ca := newAuthority(t)
+	b := &book{byID: map[fleet.Ref]fleet.Instance{}}
+	a, _ := startLinks(t, b, "a", func(c *Config) { c.TLS = ca.files(t, "a") })
+	other, received := startLinks(t, b, "b", func(c *Config) { c.TLS = ca.files(t, "b") })
+	a.Send(other.cfg.Self.Ref, wire.KindClaim, note{})
+	if from := <-received; from != a.cfg.Self.Ref {
+		t.Fatalf("message from %s, want %s", from, a.cfg.Self.Ref)
+	}
+}
+
+func TestMutualTLSRefusesAnotherInstancesCertificate(t *testing.T) {
+	ca := newAuthority(t)
+	b := &book{byID: map[fleet.Ref]fleet.Instance{}}
+	good, received := startLinks(t, b, "b", func(c *Config) { c.TLS = ca.files(t, "b") })
+	impostor, err := New(Config{
+		Self: fleet.Instance{Ref: fleet.Ref{ID: "a", Incarnation: 1}}, Fleet: "test", Listen: "127.0.0.1:0",
+		TLS: ca.files(t, "mallory"), Resolve: b.resolve, Log: slog.New(slog.DiscardHandler),
+		Deliver: func(fleet.Ref, wire.Envelope) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- impostor.Run(ctx) }()
+	for good.Stats().Refused == 0 {
+		impostor.Send(good.cfg.Self.Ref, wire.KindClaim, note{})
+		time.Sleep(time.Millisecond)
+	}
+	if len(received) != 0 {
+		t.Fatal("a message of an instance that did not prove itself was delivered")
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
