--- a/coord/routing/api.go
+++ b/coord/routing/api.go
@@ -1,4 +1,3 @@
-// Package routing chooses the endpoint, the moment and the number of attempts for each request of a service.
 package routing
 
 import (
@@ -45,7 +44,8 @@
 	Attempt  int // Counts from 1 within the request.
 	Endpoint fleet.Endpoint
 	Deadline time.Time
-	Hedge    bool
+	Hedge    bool // Sent beside another attempt that is under way.
+	Trial    bool // On an endpoint with StandingTrial; it is never cancelled before its deadline.
 }
 
 // CancelAttempt asks for a running attempt to be cancelled; Finish still follows.
@@ -95,14 +95,3 @@
 	AttemptBroken                             // Sent; no whole answer.
 	AttemptCancelled                          // Cancelled by this side.
 )
-
-// Methods that the daemon calls; the caller serialises them, one balancer per service:
-//
-//	type Config struct{ QueueLimit int; RetryShare float64; HedgeQuantile float64; Zone fleet.Zone; ... }
-//	func NewBalancer(cfg Config, random *rand.Rand) *Balancer       // math/rand/v2
-//	func (b *Balancer) SetTargets(now time.Time, targets []Target) []Effect
-//	func (b *Balancer) Submit(now time.Time, r Request) []Effect
-//	func (b *Balancer) Finish(now time.Time, id uint64, attempt int, result AttemptResult, latency time.Duration) []Effect
-//	func (b *Balancer) Cancel(now time.Time, id uint64) []Effect    // the caller went away
-//	func (b *Balancer) Tick(now time.Time) []Effect                 // deadlines and hedges
-//	func (b *Balancer) NextWake(now time.Time) (time.Time, bool)    // when Tick is next needed
--- /dev/null
+++ b/coord/routing/model_test.go
@@ -0,0 +1,317 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"pgregory.net/rapid"
+)
+
+var testStart = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// attemptKey names one attempt.
+type attemptKey struct {
+	id     uint64
+	number int
+}
+
+// tracked is what the model knows of a request.
+type tracked struct {
+	Request
+	dispatched int
+	ends       int
+	results    []AttemptResult
+}
+
+// model checks the effects of a Balancer against its guarantees.
+type model struct {
+	t        *rapid.T
+	b        *Balancer
+	cfg      Config
+	now      time.Time
+	nextID   uint64
+	targets  map[fleet.Endpoint]Target
+	requests map[uint64]*tracked
+	running  map[attemptKey]Dispatch
+	first    int
+	extra    int
+	greatest float64 // Greatest of share*first - extra so far.
+}
+
+func newModel(t *rapid.T) *model {
+	cfg := Config{
+		QueueLimit:  rapid.IntRange(1, 6).Draw(t, "queue"),
+		RetryShare:  rapid.SampledFrom([]float64{0, 0.1, 0.5, 1}).Draw(t, "share"),
+		RetryBurst:  rapid.IntRange(1, 4).Draw(t, "burst"),
+		MaxAttempts: rapid.IntRange(1, 4).Draw(t, "attempts"),
+		Zone:        "a",
+		SlowStart:   time.Second,
+	}
+	return &model{
+		t:        t,
+		b:        NewBalancer(cfg, rand.New(rand.NewPCG(1, 2))),
+		cfg:      cfg,
+		now:      testStart,
+		targets:  make(map[fleet.Endpoint]Target),
+		requests: make(map[uint64]*tracked),
+		running:  make(map[attemptKey]Dispatch),
+	}
+}
+
+func (m *model) apply(effects []Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case Dispatch:
+			m.dispatched(e)
+		case CancelAttempt:
+			if _, ok := m.running[attemptKey{e.ID, e.Attempt}]; !ok {
+				m.t.Fatalf("cancelled attempt %d of %d, which is not under way", e.Attempt, e.ID)
+			}
+		case Deliver:
+			m.delivered(e)
+		case Reject:
+			m.rejected(e)
+		}
+	}
+	m.checkLimits()
+}
+
+func (m *model) dispatched(d Dispatch) {
+	r := m.requests[d.ID]
+	target, listed := m.targets[d.Endpoint]
+	if !listed || target.Standing == StandingAvoided || target.Standing == StandingLeaving {
+		m.t.Fatalf("attempt of %d to %s, listed %v, standing %d", d.ID, d.Endpoint, listed, target.Standing)
+	}
+	if target.Standing == StandingTrial && (!r.Idempotent || !d.Trial) {
+		m.t.Fatalf("attempt of %d to %s on trial: idempotent %v, trial %v", d.ID, d.Endpoint, r.Idempotent, d.Trial)
+	}
+	if d.Deadline.After(r.Deadline) {
+		m.t.Fatalf("attempt of %d has deadline %v after the request's %v", d.ID, d.Deadline, r.Deadline)
+	}
+	if r.ends > 0 {
+		m.t.Fatalf("attempt of %d after its end", d.ID)
+	}
+	if !m.now.Before(r.Deadline) {
+		m.t.Fatalf("attempt of %d at %v, after its deadline %v", d.ID, m.now, r.Deadline)
+	}
+	r.dispatched++
+	r.results = append(r.results, 0)
+	if d.Attempt != r.dispatched {
+		m.t.Fatalf("attempt of %d is numbered %d, want %d", d.ID, d.Attempt, r.dispatched)
+	}
+	m.checkRepeat(r)
+	m.countSent(d)
+	m.running[attemptKey{d.ID, d.Attempt}] = d
+}
+
+// checkRepeat holds that a request that is not idempotent is never sent twice.
+func (m *model) checkRepeat(r *tracked) {
+	if r.Idempotent {
+		return
+	}
+	for i, result := range r.results[:len(r.results)-1] {
+		if !result.neverRan() {
+			m.t.Fatalf("request %d is not idempotent; attempt %d ended with %d and another was sent", r.ID, i+1, result)
+		}
+	}
+}
+
+// countSent holds that over any window extra attempts stay within share*taken + burst.
+// Over the window since the point where share*first - extra was greatest, the fall of
+// that difference is extra - share*first of the window.
+func (m *model) countSent(d Dispatch) {
+	if d.Attempt == 1 {
+		m.first++
+	} else {
+		m.extra++
+	}
+	balance := m.cfg.RetryShare*float64(m.first) - float64(m.extra)
+	m.greatest = max(m.greatest, balance)
+	const rounding = 1e-6
+	if m.greatest-balance > float64(m.cfg.RetryBurst)+rounding {
+		m.t.Fatalf("extra attempts exceed the budget by %f in some window", m.greatest-balance-float64(m.cfg.RetryBurst))
+	}
+}
+
+func (m *model) delivered(d Deliver) {
+	r := m.requests[d.ID]
+	r.ends++
+	if r.ends > 1 {
+		m.t.Fatalf("request %d ended twice", d.ID)
+	}
+	if d.Attempt < 1 || d.Attempt > r.dispatched || r.results[d.Attempt-1] == 0 {
+		m.t.Fatalf("request %d delivered attempt %d, which has not ended", d.ID, d.Attempt)
+	}
+	for i, result := range r.results {
+		if result.worth() > r.results[d.Attempt-1].worth() {
+			m.t.Fatalf("request %d delivered attempt %d, but attempt %d tells more", d.ID, d.Attempt, i+1)
+		}
+	}
+}
+
+func (m *model) rejected(e Reject) {
+	r := m.requests[e.ID]
+	r.ends++
+	if r.ends > 1 {
+		m.t.Fatalf("request %d ended twice", e.ID)
+	}
+	if e.NotRun && r.dispatched > 0 {
+		m.t.Fatalf("request %d rejected as not run after %d attempts", e.ID, r.dispatched)
+	}
+}
+
+func (m *model) checkLimits() {
+	counts := make(map[fleet.Endpoint]int)
+	for _, d := range m.running {
+		counts[d.Endpoint]++
+	}
+	for name, e := range m.b.byName {
+		if counts[name] != e.outstanding {
+			m.t.Fatalf("endpoint %s counts %d attempts, %d are under way", name, e.outstanding, counts[name])
+		}
+	}
+}
+
+// checkNewLimit holds that an attempt that has just started is within the limit.
+func (m *model) checkNewLimit(before map[attemptKey]Dispatch) {
+	counts := make(map[fleet.Endpoint]int)
+	for _, d := range m.running {
+		counts[d.Endpoint]++
+	}
+	for key, d := range m.running {
+		if _, old := before[key]; old {
+			continue
+		}
+		limit := m.targets[d.Endpoint].Limit
+		if m.targets[d.Endpoint].Standing == StandingTrial {
+			limit = min(limit, 1)
+		}
+		if counts[d.Endpoint] > limit {
+			m.t.Fatalf("endpoint %s has %d attempts, limit %d", d.Endpoint, counts[d.Endpoint], limit)
+		}
+	}
+}
+
+// step runs one call of the balancer and checks what it started.
+func (m *model) step(effects func() []Effect) {
+	before := make(map[attemptKey]Dispatch, len(m.running))
+	for k, d := range m.running {
+		before[k] = d
+	}
+	m.apply(effects())
+	m.checkNewLimit(before)
+}
+
+func (m *model) setTargets(t *rapid.T) {
+	m.targets = make(map[fleet.Endpoint]Target)
+	var targets []Target
+	for i := range rapid.IntRange(0, 4).Draw(t, "endpoints") {
+		name := fleet.Endpoint(fmt.Sprintf("192.0.2.%d:80", i))
+		target := Target{
+			Upstream: fleet.Upstream{Endpoint: name, Zone: rapid.SampledFrom([]fleet.Zone{"a", "b"}).Draw(t, "zone")},
+			Standing: Standing(rapid.IntRange(0, int(StandingLeaving)).Draw(t, "standing")),
+			Limit:    rapid.IntRange(0, 3).Draw(t, "limit"),
+			LoadHint: rapid.Float64Range(0, 1).Draw(t, "load"),
+		}
+		m.targets[name] = target
+		targets = append(targets, target)
+	}
+	m.step(func() []Effect { return m.b.SetTargets(m.now, targets) })
+}
+
+func (m *model) submit(t *rapid.T) {
+	m.nextID++
+	r := Request{
+		ID:         m.nextID,
+		Account:    fleet.Account(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "account")),
+		Idempotent: rapid.Bool().Draw(t, "idempotent"),
+		Deadline:   m.now.Add(time.Duration(rapid.IntRange(-1, 500).Draw(t, "deadline")) * time.Millisecond),
+	}
+	m.requests[r.ID] = &tracked{Request: r}
+	m.step(func() []Effect { return m.b.Submit(m.now, r) })
+}
+
+func (m *model) runningKeys() []attemptKey {
+	keys := make([]attemptKey, 0, len(m.running))
+	for k := range m.running {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b attemptKey) int {
+		if a.id != b.id {
+			return int(a.id) - int(b.id)
+		}
+		return a.number - b.number
+	})
+	return keys
+}
+
+func (m *model) finish(key attemptKey, result AttemptResult, latency time.Duration) {
+	delete(m.running, key)
+	m.requests[key.id].results[key.number-1] = result
+	m.step(func() []Effect { return m.b.Finish(m.now, key.id, key.number, result, latency) })
+}
+
+func (m *model) finishSome(t *rapid.T) {
+	keys := m.runningKeys()
+	if len(keys) == 0 {
+		return
+	}
+	key := rapid.SampledFrom(keys).Draw(t, "attempt")
+	result := AttemptResult(rapid.IntRange(int(AttemptAnswered), int(AttemptCancelled)).Draw(t, "result"))
+	latency := time.Duration(rapid.IntRange(1, 100).Draw(t, "latency")) * time.Millisecond
+	m.finish(key, result, latency)
+}
+
+func (m *model) tick(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "elapsed")) * time.Millisecond)
+	m.step(func() []Effect { return m.b.Tick(m.now) })
+}
+
+func (m *model) cancel(t *rapid.T) {
+	if m.nextID == 0 {
+		return
+	}
+	id := uint64(rapid.IntRange(1, int(m.nextID)).Draw(t, "id"))
+	m.step(func() []Effect { return m.b.Cancel(m.now, id) })
+}
+
+// finishAll ends every attempt and passes every deadline; each request must then have ended once.
+func (m *model) finishAll() {
+	for len(m.running) > 0 {
+		m.finish(m.runningKeys()[0], AttemptBroken, time.Millisecond)
+	}
+	m.now = m.now.Add(time.Minute)
+	m.step(func() []Effect { return m.b.Tick(m.now) })
+	for id, r := range m.requests {
+		if r.ends != 1 {
+			m.t.Fatalf("request %d ended %d times", id, r.ends)
+		}
+	}
+	if len(m.b.requests) != 0 || len(m.b.wakes) != 0 || m.b.queue.count != 0 {
+		m.t.Fatalf("the balancer holds %d requests, %d wakes, %d waiting at the end", len(m.b.requests), len(m.b.wakes), m.b.queue.count)
+	}
+	if _, ok := m.b.NextWake(m.now); ok {
+		m.t.Fatalf("the balancer asks to be woken without a request")
+	}
+}
+
+func TestBalancerGuarantees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		m.setTargets(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":     m.submit,
+			"submit2":    m.submit,
+			"finish":     m.finishSome,
+			"finish2":    m.finishSome,
+			"tick":       m.tick,
+			"cancel":     m.cancel,
+			"setTargets": m.setTargets,
+		})
+		m.finishAll()
+	})
+}
--- /dev/null
+++ b/coord/routing/rapid_test.go
@@ -0,0 +1,9 @@
+package routing
+
+import "flag"
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "300")
+}
