Upstream stand-in: slots, gray faults and a record of every start

Promises on requests must be counted by someone other than the fleet. A Host holds endpoints on loopback addresses; its Recorder counts starts by request ID and audits what callers were told against it.

A connection held back by a partition delivers its request when the partition ends, as TCP does; a first test took such a late start for a fault of the stand-in and now looks before the partition ends.

Tests: each fault, slots and shedding, deadlines before and after the start, drain, reach by caller address; rapid tests of the shares of faults and of the audit.

--- /dev/null
+++ b/internal/upstream/endpoint.go
@@ -0,0 +1,259 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+// Endpoint is one endpoint of a Host. It is safe for concurrent use.
+type Endpoint struct {
+	spec     Spec
+	addr     fleet.Endpoint
+	recorder *Recorder
+	changed  func()
+	gate     *gate
+	listener net.Listener
+	server   *http.Server
+	slots    chan struct{}
+	started  time.Time
+	warm     *time.Timer
+	done     chan struct{}
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	faults   Faults
+	faultsAt time.Time
+	leaving  time.Time // Zero while it takes work.
+	waiting  int
+	stats    Stats
+	load     *loadHistory
+	starts   []time.Time
+}
+
+// Stats are the counts of an endpoint.
+type Stats struct {
+	Endpoint     fleet.Endpoint      `json:"endpoint"`
+	Service      fleet.Service       `json:"service"`
+	State        fleet.UpstreamState `json:"state"`
+	Received     uint64              `json:"received"` // Requests for work.
+	Started      uint64              `json:"started"`
+	Finished     uint64              `json:"finished"`
+	Failed       uint64              `json:"failed"`  // Ended by a fault.
+	Refused      uint64              `json:"refused"` // Shed, too late, or leaving.
+	Cancelled    uint64              `json:"cancelled"`
+	Probes       uint64              `json:"probes"`
+	InFlight     int                 `json:"in_flight"`
+	PeakInFlight int                 `json:"peak_in_flight"`
+	Connections  int                 `json:"connections"`
+	LastStart    time.Time           `json:"last_start"`
+}
+
+func newEndpoint(spec Spec, recorder *Recorder, seed uint64, changed func()) (*Endpoint, error) {
+	spec = spec.withDefaults()
+	if err := spec.validate(); err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", spec.Addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen on endpoint address %s of service %q: %w", spec.Addr, spec.Service, err)
+	}
+	now := time.Now()
+	e := &Endpoint{
+		spec:     spec,
+		addr:     fleet.Endpoint(listener.Addr().String()),
+		recorder: recorder,
+		changed:  changed,
+		gate:     newGate(),
+		slots:    make(chan struct{}, spec.Slots),
+		started:  now,
+		done:     make(chan struct{}),
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		load:     newLoadHistory(now),
+	}
+	e.listener = &gatedListener{Listener: listener, gate: e.gate, connectTime: spec.ConnectTime}
+	e.server = &http.Server{Handler: e, IdleTimeout: spec.IdleTimeout}
+	if spec.ColdStart > 0 {
+		e.warm = time.AfterFunc(spec.ColdStart, changed)
+	}
+	go e.run()
+	return e, nil
+}
+
+func (e *Endpoint) run() {
+	defer close(e.done)
+	_ = e.server.Serve(e.listener)
+}
+
+// Addr returns the endpoint's IP number and port.
+func (e *Endpoint) Addr() fleet.Endpoint {
+	return e.addr
+}
+
+// Upstream returns the endpoint as the platform's list shows it, without lag.
+func (e *Endpoint) Upstream() fleet.Upstream {
+	return fleet.Upstream{Endpoint: e.addr, Zone: e.spec.Zone, Slots: e.spec.Slots, State: e.State()}
+}
+
+// State returns where the endpoint stands.
+func (e *Endpoint) State() fleet.UpstreamState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stateLocked(time.Now())
+}
+
+func (e *Endpoint) stateLocked(now time.Time) fleet.UpstreamState {
+	switch {
+	case !e.leaving.IsZero():
+		return fleet.UpstreamLeaving
+	case now.Sub(e.started) < e.spec.ColdStart:
+		return fleet.UpstreamCold
+	default:
+		return fleet.UpstreamReady
+	}
+}
+
+// SetFaults replaces the endpoint's faults; a flapping period starts now.
+func (e *Endpoint) SetFaults(f Faults) error {
+	if err := f.validate(); err != nil {
+		return fmt.Errorf("faults of endpoint %s: %w", e.addr, err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+	e.faultsAt = time.Now()
+	return nil
+}
+
+// Faults returns the endpoint's faults.
+func (e *Endpoint) Faults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+// SetReach says from where the endpoint can be reached; nil is from everywhere.
+func (e *Endpoint) SetReach(reach ReachFrom) {
+	e.gate.set(reach)
+}
+
+// Leave starts draining: new work is refused, work under way is finished.
+func (e *Endpoint) Leave() {
+	e.mu.Lock()
+	if e.leaving.IsZero() {
+		e.leaving = time.Now()
+	}
+	e.mu.Unlock()
+	e.changed()
+}
+
+// LeavingSince returns when draining started; zero before.
+func (e *Endpoint) LeavingSince() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
+// Stats returns the counts so far.
+func (e *Endpoint) Stats() Stats {
+	connections := e.gate.open()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := e.stats
+	out.Endpoint = e.addr
+	out.Service = e.spec.Service
+	out.State = e.stateLocked(time.Now())
+	out.InFlight = len(e.slots)
+	out.Connections = connections
+	return out
+}
+
+// StartsBetween returns how many requests started from a until before b.
+func (e *Endpoint) StartsBetween(a, b time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, at := range e.starts {
+		if !at.Before(a) && at.Before(b) {
+			n++
+		}
+	}
+	return n
+}
+
+// LastGapAfter returns how long after t the endpoint went on starting work until it
+// started none for quiet, and whether that has happened yet. It measures how long a
+// faulty endpoint keeps receiving work.
+func (e *Endpoint) LastGapAfter(t time.Time, quiet time.Duration) (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	last := t
+	for _, at := range e.starts {
+		if at.Before(last) {
+			continue
+		}
+		if at.Sub(last) >= quiet {
+			return last.Sub(t), true
+		}
+		last = at
+	}
+	return last.Sub(t), time.Since(last) >= quiet
+}
+
+// Close stops the endpoint at once, and cuts off what is under way.
+func (e *Endpoint) Close() error {
+	if e.warm != nil {
+		e.warm.Stop()
+	}
+	err := e.server.Close()
+	<-e.done
+	return err
+}
+
+// Shutdown waits until what is under way is answered or ctx ends, then stops the endpoint.
+func (e *Endpoint) Shutdown(ctx context.Context) error {
+	e.Leave()
+	if err := e.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("stop endpoint %s: %w", e.addr, err)
+	}
+	<-e.done
+	return nil
+}
+
+// serviceTime draws the time of one request.
+func (e *Endpoint) serviceTime(now time.Time, f Faults) time.Duration {
+	e.mu.Lock()
+	logarithm := e.random.NormFloat64() * e.spec.Spread
+	e.mu.Unlock()
+	d := float64(e.spec.Median) * math.Exp(logarithm)
+	if f.SlowFactor > 0 {
+		d *= f.SlowFactor
+	}
+	if left := e.spec.ColdStart - now.Sub(e.started); left > 0 {
+		d *= 1 + (e.spec.ColdFactor-1)*float64(left)/float64(e.spec.ColdStart)
+	}
+	return time.Duration(d)
+}
+
+// currentFaults returns the faults that hold now.
+func (e *Endpoint) currentFaults(now time.Time) Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.faults.active(now, e.faultsAt) {
+		return Faults{Health: e.faults.Health, Load: e.faults.Load}
+	}
+	return e.faults
+}
+
+func (e *Endpoint) drawEnding(f Faults) ending {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return f.draw(e.random.Float64())
+}
--- /dev/null
+++ b/internal/upstream/record.go
@@ -0,0 +1,117 @@
+package upstream
+
+import (
+	"sync"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+// Start is one start of a request at an endpoint.
+type Start struct {
+	Endpoint fleet.Endpoint `json:"endpoint"`
+	Caller   string         `json:"caller"` // Address of the connection's other end.
+	Instance string         `json:"instance"`
+	At       time.Time      `json:"at"`
+}
+
+// Record is what the endpoints of a Host did for one request ID.
+type Record struct {
+	ID       string  `json:"id"`
+	Order    bool    `json:"order"` // The request is not idempotent.
+	Account  string  `json:"account"`
+	Starts   []Start `json:"starts"`
+	Finished int     `json:"finished"` // Starts that ran to their end.
+}
+
+// Recorder counts starts by request ID. It is safe for concurrent use.
+type Recorder struct {
+	mu      sync.Mutex
+	lookups bool
+	records map[string]*Record
+	unnamed uint64
+}
+
+// NewRecorder returns an empty recorder. Lookups, which may be repeated, are recorded only when lookups is true.
+func NewRecorder(lookups bool) *Recorder {
+	return &Recorder{lookups: lookups, records: make(map[string]*Record)}
+}
+
+// started records a start and returns how many there are now for the request ID.
+func (r *Recorder) started(id, account string, order bool, s Start) int {
+	if !order && !r.lookups {
+		return 1
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if id == "" {
+		r.unnamed++
+		return 1
+	}
+	record, ok := r.records[id]
+	if !ok {
+		record = &Record{ID: id, Order: order, Account: account}
+		r.records[id] = record
+	}
+	record.Starts = append(record.Starts, s)
+	return len(record.Starts)
+}
+
+func (r *Recorder) finished(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if record, ok := r.records[id]; ok {
+		record.Finished++
+	}
+}
+
+// Starts returns how often a request started.
+func (r *Recorder) Starts(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record, ok := r.records[id]
+	if !ok {
+		return 0
+	}
+	return len(record.Starts)
+}
+
+// Record returns a copy of what is recorded for a request ID.
+func (r *Recorder) Record(id string) (Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record, ok := r.records[id]
+	if !ok {
+		return Record{}, false
+	}
+	out := *record
+	out.Starts = append([]Start(nil), record.Starts...)
+	return out, true
+}
+
+// Summary counts what is recorded.
+type Summary struct {
+	Requests int      `json:"requests"` // Request IDs that started at least once.
+	Orders   int      `json:"orders"`   // Those of them that are not idempotent.
+	Starts   int      `json:"starts"`
+	Doubled  []string `json:"doubled"` // IDs of orders that started more than once.
+	Unnamed  uint64   `json:"unnamed"` // Starts without a request ID.
+}
+
+// Summary returns the counts so far.
+func (r *Recorder) Summary() Summary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := Summary{Requests: len(r.records), Unnamed: r.unnamed, Doubled: []string{}}
+	for id, record := range r.records {
+		s.Starts += len(record.Starts)
+		if !record.Order {
+			continue
+		}
+		s.Orders++
+		if len(record.Starts) > 1 {
+			s.Doubled = append(s.Doubled, id)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,378 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/damaskcove/damaskcove/client"
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+// fast is a spec without waits.
+func fast() Spec {
+	return Spec{Service: "orders", Slots: 2, Queue: -1, Median: 1, Spread: -1, ProbeTime: -1, ConnectTime: -1, OrderPaths: []string{"/orders"}}
+}
+
+func newTestHost(t *testing.T, specs ...Spec) (*Host, []*Endpoint) {
+	t.Helper()
+	h := NewHost(HostOptions{Seed: 1, RecordLookups: true})
+	t.Cleanup(func() { _ = h.Close() })
+	for _, spec := range specs {
+		if _, err := h.Add(spec); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return h, h.Endpoints()
+}
+
+// answered is one whole answer.
+type answered struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func send(ctx context.Context, e *Endpoint, method, uri, id string, header ...string) (answered, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+string(e.Addr())+uri, bytes.NewBufferString("body"))
+	if err != nil {
+		return answered{}, err
+	}
+	request.Header.Set(HeaderRequestID, id)
+	request.Header.Set(client.HeaderAccount, "counter-1")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := (&http.Client{Transport: transport}).Do(request)
+	if err != nil {
+		return answered{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answered{status: response.StatusCode, header: response.Header, body: body}, err
+}
+
+func TestAnswerNamesItsRequest(t *testing.T) {
+	h, e := newTestHost(t, fast())
+	for _, uri := range []string{"/orders/drums?size=5000", "/orders/drums?size=5000&chunked=1"} {
+		got, err := send(context.Background(), e[0], http.MethodPost, uri, "r"+uri)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var answer Answer
+		if err := json.Unmarshal(got.body, &answer); err != nil {
+			t.Fatal(err)
+		}
+		if answer.RequestID != "r"+uri || answer.Account != "counter-1" || answer.BodyHash != HashBody([]byte("body")) || answer.URI != uri {
+			t.Fatalf("answer %+v", answer)
+		}
+		if got.header.Get(HeaderRequestID) != "r"+uri || got.header.Get(HeaderLoad) != "0.500" {
+			t.Fatalf("headers %v", got.header)
+		}
+		if h.Recorder().Starts("r"+uri) != 1 {
+			t.Fatal("the start was not recorded")
+		}
+	}
+}
+
+func TestSlotsAndShedding(t *testing.T) {
+	h, e := newTestHost(t, fast())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var running sync.WaitGroup
+	for i := range 2 {
+		running.Go(func() {
+			_, _ = send(ctx, e[0], http.MethodPost, "/orders?time_ms=600000", fmt.Sprint("hold-", i))
+		})
+	}
+	waitUntil(func() bool { return e[0].Stats().InFlight == 2 })
+	got, err := send(context.Background(), e[0], http.MethodPost, "/orders", "shed")
+	if err != nil || got.status != http.StatusServiceUnavailable || got.header.Get(HeaderNotStarted) != "1" {
+		t.Fatalf("over the slots: %+v %v", got, err)
+	}
+	if h.Recorder().Starts("shed") != 0 {
+		t.Fatal("a shed request was started")
+	}
+	cancel()
+	running.Wait()
+	waitUntil(func() bool { return e[0].Stats().Cancelled == 2 && e[0].Stats().InFlight == 0 })
+	if peak := e[0].Stats().PeakInFlight; peak != 2 {
+		t.Fatalf("peak %d with 2 slots", peak)
+	}
+}
+
+func waitUntil(done func() bool) {
+	for !done() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestDeadlineWhileWaitingDoesNotStart(t *testing.T) {
+	spec := fast()
+	spec.Slots, spec.Queue = 1, 5
+	h, e := newTestHost(t, spec)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _, _ = send(ctx, e[0], http.MethodPost, "/orders?time_ms=600000", "hold") }()
+	waitUntil(func() bool { return e[0].Stats().InFlight == 1 })
+	got, err := send(context.Background(), e[0], http.MethodPost, "/orders", "late", HeaderDeadline, "5")
+	if err != nil || got.header.Get(HeaderNotStarted) != "1" || h.Recorder().Starts("late") != 0 {
+		t.Fatalf("late request: %+v %v", got, err)
+	}
+}
+
+func TestDeadlineWhileRunning(t *testing.T) {
+	h, e := newTestHost(t, fast())
+	got, err := send(context.Background(), e[0], http.MethodPost, "/orders?time_ms=600000", "slow", HeaderDeadline, "5")
+	if err != nil || got.status != http.StatusGatewayTimeout || got.header.Get(HeaderNotStarted) != "" {
+		t.Fatalf("slow request: %+v %v", got, err)
+	}
+	if h.Recorder().Starts("slow") != 1 {
+		t.Fatal("the start was not recorded")
+	}
+}
+
+func TestLeavingRefusesNewWorkAndFinishesOld(t *testing.T) {
+	_, e := newTestHost(t, fast())
+	result := make(chan answered, 1)
+	go func() {
+		got, _ := send(context.Background(), e[0], http.MethodPost, "/orders?time_ms=300", "old")
+		result <- got
+	}()
+	waitUntil(func() bool { return e[0].Stats().InFlight == 1 })
+	e[0].Leave()
+	got, err := send(context.Background(), e[0], http.MethodGet, "/stock", "new")
+	if err != nil || got.status != http.StatusServiceUnavailable || got.header.Get(HeaderNotStarted) != "1" || got.header.Get(HeaderLeaving) != "1" {
+		t.Fatalf("new work while leaving: %+v %v", got, err)
+	}
+	if old := <-result; old.status != http.StatusOK || old.header.Get(HeaderLeaving) != "1" {
+		t.Fatalf("work under way: %+v", old)
+	}
+	if e[0].Upstream().State != fleet.UpstreamLeaving {
+		t.Fatal("the state is not leaving")
+	}
+}
+
+func TestFaultsOfWork(t *testing.T) {
+	h, e := newTestHost(t, fast())
+	for _, step := range []struct {
+		name   string
+		faults Faults
+		check  func(got answered, err error) bool
+	}{
+		{"fail", Faults{FailShare: 1}, func(got answered, err error) bool { return err == nil && got.status == 500 }},
+		{"cut", Faults{CutOffShare: 1}, func(got answered, err error) bool { return errors.Is(err, io.ErrUnexpectedEOF) && len(got.body) > 0 }},
+		{"garbage", Faults{GarbageShare: 1}, func(got answered, err error) bool { return err != nil && got.status == 0 }},
+		{"silent", Faults{SilentShare: 1}, func(got answered, err error) bool { return err != nil && got.status == 0 }},
+	} {
+		if err := e[0].SetFaults(step.faults); err != nil {
+			t.Fatal(err)
+		}
+		got, err := send(context.Background(), e[0], http.MethodPost, "/orders", step.name)
+		if !step.check(got, err) {
+			t.Errorf("%s: %+v %v", step.name, got, err)
+		}
+		if h.Recorder().Starts(step.name) != 1 {
+			t.Errorf("%s: started %d times", step.name, h.Recorder().Starts(step.name))
+		}
+		if probe, err := send(context.Background(), e[0], http.MethodGet, PathHealth, ""); err != nil || probe.status != 200 {
+			t.Errorf("%s: probe %+v %v", step.name, probe, err)
+		}
+	}
+}
+
+func TestMisleadingHealthAndLoad(t *testing.T) {
+	_, e := newTestHost(t, fast())
+	load := 0.25
+	if err := e[0].SetFaults(Faults{Health: HealthDown, Load: &load}); err != nil {
+		t.Fatal(err)
+	}
+	if probe, err := send(context.Background(), e[0], http.MethodGet, PathHealth, ""); err != nil || probe.status != 503 {
+		t.Fatalf("health %+v %v", probe, err)
+	}
+	got, err := send(context.Background(), e[0], http.MethodGet, "/stock", "x")
+	if err != nil || got.header.Get(HeaderLoad) != "0.250" {
+		t.Fatalf("load header %+v %v", got, err)
+	}
+	probe, err := send(context.Background(), e[0], http.MethodGet, PathLoad, "")
+	var report LoadReport
+	if err != nil || json.Unmarshal(probe.body, &report) != nil || report.Load != 0.25 {
+		t.Fatalf("load report %s %v", probe.body, err)
+	}
+}
+
+func TestReach(t *testing.T) {
+	h, e := newTestHost(t, fast())
+	set := func(reach Reach) {
+		e[0].SetReach(func(caller netip.Addr) Reach {
+			if caller == netip.MustParseAddr("127.0.0.1") {
+				return reach
+			}
+			return ReachOpen
+		})
+	}
+	short := func() (context.Context, context.CancelFunc) {
+		return context.WithTimeout(context.Background(), 100*time.Millisecond)
+	}
+	set(ReachClose)
+	if _, err := send(context.Background(), e[0], http.MethodPost, "/orders", "closed"); err == nil {
+		t.Fatal("a closed reach answered")
+	}
+	set(ReachNone)
+	ctx, cancel := short()
+	if _, err := send(ctx, e[0], http.MethodPost, "/orders", "none"); err == nil {
+		t.Fatal("no reach answered")
+	}
+	cancel()
+	if h.Recorder().Starts("none") != 0 {
+		t.Fatal("a request arrived without reach")
+	}
+	set(ReachMute)
+	ctx, cancel = context.WithCancel(context.Background())
+	go func() {
+		waitUntil(func() bool { return h.Recorder().Starts("mute") == 1 })
+		cancel()
+	}()
+	if _, err := send(ctx, e[0], http.MethodPost, "/orders", "mute"); err == nil {
+		t.Fatal("a mute reach answered")
+	}
+	if h.Recorder().Starts("closed") != 0 || h.Recorder().Starts("mute") != 1 {
+		t.Fatal("wrong starts")
+	}
+	set(ReachOpen)
+	if got, err := send(context.Background(), e[0], http.MethodPost, "/orders", "open"); err != nil || got.status != 200 {
+		t.Fatalf("open again: %+v %v", got, err)
+	}
+}
+
+func TestFlapping(t *testing.T) {
+	since := time.Unix(100, 0)
+	f := Faults{FlapPeriod: 10 * time.Second}
+	for offset, want := range map[time.Duration]bool{0: true, 4 * time.Second: true, 5 * time.Second: false, 9 * time.Second: false, 10 * time.Second: true} {
+		if got := f.active(since.Add(offset), since); got != want {
+			t.Errorf("at %v: active %v", offset, got)
+		}
+	}
+}
+
+func TestColdStartSlowsServiceTime(t *testing.T) {
+	spec := fast()
+	spec.Median, spec.ColdStart, spec.ColdFactor = time.Second, time.Hour, 5
+	_, e := newTestHost(t, spec)
+	for offset, want := range map[time.Duration]time.Duration{0: 5 * time.Second, 30 * time.Minute: 3 * time.Second, 2 * time.Hour: time.Second} {
+		if got := e[0].serviceTime(e[0].started.Add(offset), Faults{}); got != want {
+			t.Errorf("at %v: %v, want %v", offset, got, want)
+		}
+	}
+	if got := e[0].serviceTime(e[0].started.Add(2*time.Hour), Faults{SlowFactor: 10}); got != 10*time.Second {
+		t.Errorf("slow by 10: %v", got)
+	}
+	if e[0].State() != fleet.UpstreamCold {
+		t.Error("the state is not cold")
+	}
+}
+
+func TestLoadLags(t *testing.T) {
+	start := time.Unix(0, 0)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	h := newLoadHistory(start)
+	h.add(at(10), 1, 10*time.Second)
+	h.add(at(12), 2, 10*time.Second)
+	h.add(at(14), 3, 10*time.Second)
+	if got := h.at(at(13)); got != 2 {
+		t.Fatalf("load %d", got)
+	}
+	if got := h.at(at(20)); got != 3 {
+		t.Fatalf("load %d", got)
+	}
+}
+
+func TestBadInputIsRefusedWithoutStarting(t *testing.T) {
+	h, e := newTestHost(t, fast())
+	for _, uri := range []string{"/orders?size=-1", "/orders?size=x", "/orders?status=99", "/orders?time_ms=-5", "/orders?size=99999999999"} {
+		got, err := send(context.Background(), e[0], http.MethodPost, uri, uri)
+		if err != nil || got.status != http.StatusBadRequest || got.header.Get(HeaderNotStarted) != "1" || h.Recorder().Starts(uri) != 0 {
+			t.Errorf("%s: %+v %v", uri, got, err)
+		}
+	}
+	for _, f := range []Faults{{FailShare: 2}, {SlowFactor: -1}, {Health: "half"}, {CutOffShare: -0.1}} {
+		if err := e[0].SetFaults(f); err == nil {
+			t.Errorf("faults %+v were taken", f)
+		}
+	}
+	for _, spec := range []Spec{{Service: "s", Addr: "localhost:0"}, {Addr: "127.0.0.1:0"}, {Service: "s", Slots: -1}} {
+		if _, err := h.Add(spec); err == nil {
+			t.Errorf("spec %+v was taken", spec)
+		}
+	}
+}
+
+func TestDrawKeepsShares(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		share := func(name string) float64 { return rapid.Float64Range(0, 0.25).Draw(rt, name) }
+		f := Faults{FailShare: share("fail"), CutOffShare: share("cut"), GarbageShare: share("garbage"), SilentShare: share("silent")}
+		const steps = 2000
+		counts := map[ending]int{}
+		for i := range steps {
+			counts[f.draw(float64(i)/steps)]++
+		}
+		for end, want := range map[ending]float64{endFailed: f.FailShare, endCutOff: f.CutOffShare, endGarbage: f.GarbageShare, endSilent: f.SilentShare} {
+			if got := float64(counts[end]) / steps; got < want-2.0/steps || got > want+2.0/steps {
+				rt.Fatalf("ending %d: share %v, want %v", end, got, want)
+			}
+		}
+	})
+}
+
+// TestAuditFindsEachBrokenPromise draws what was told and what ran, and counts by the definitions.
+func TestAuditFindsEachBrokenPromise(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := NewRecorder(true)
+		var beliefs []Belief
+		want := Audit{}
+		for i := range rapid.IntRange(0, 20).Draw(rt, "requests") {
+			id := fmt.Sprint("r", i)
+			b := Belief{ID: id, Order: rapid.Bool().Draw(rt, "order"), Told: Told(rapid.IntRange(0, 3).Draw(rt, "told"))}
+			starts := rapid.IntRange(0, 3).Draw(rt, "starts")
+			for range starts {
+				r.started(id, "a", b.Order, Start{})
+			}
+			beliefs = append(beliefs, b)
+			if b.Told == ToldNothing || (b.Told == ToldAnswered && starts == 0) {
+				want.Lost++
+			}
+			if b.Told == ToldNotRun && starts > 0 {
+				want.FalseNotRun++
+			}
+			if b.Order && starts > 1 {
+				want.Doubled++
+			}
+		}
+		got := r.Audit(beliefs)
+		if got.Lost != want.Lost || got.FalseNotRun != want.FalseNotRun || got.Doubled != want.Doubled || got.Requests != len(beliefs) {
+			rt.Fatalf("audit %+v, want %+v", got, want)
+		}
+		if len(r.Summary().Doubled) != want.Doubled {
+			rt.Fatalf("summary %+v, want %d doubled", r.Summary(), want.Doubled)
+		}
+	})
+}
+
+func TestLastGapAfter(t *testing.T) {
+	t0 := time.Now().Add(-time.Hour)
+	e := &Endpoint{starts: []time.Time{t0.Add(-time.Second), t0.Add(time.Second), t0.Add(2 * time.Second), t0.Add(30 * time.Second)}}
+	if gap, ended := e.LastGapAfter(t0, 5*time.Second); gap != 2*time.Second || !ended {
+		t.Fatalf("gap %v, ended %v", gap, ended)
+	}
+}
--- /dev/null
+++ b/internal/upstream/work.go
@@ -0,0 +1,313 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/damaskcove/damaskcove/client"
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+// MaxBodyBytes bounds the body of a request and the size that an answer may be asked for.
+const MaxBodyBytes = 16 << 20
+
+// Query parameters of work, for tests of bodies and answers.
+const (
+	ParamSize    = "size"    // Bytes to add to the answer.
+	ParamChunked = "chunked" // "1": the answer is sent in chunks, without a length.
+	ParamStatus  = "status"  // Status of the answer.
+	ParamTime    = "time_ms" // Service time in place of the distribution's.
+)
+
+// Answer is the body of an answer to work. A caller compares RequestID, Account and BodyHash with its own.
+type Answer struct {
+	RequestID string         `json:"request_id"`
+	Account   string         `json:"account"`
+	Service   fleet.Service  `json:"service"`
+	Endpoint  fleet.Endpoint `json:"endpoint"`
+	Method    string         `json:"method"`
+	URI       string         `json:"uri"`
+	BodyHash  uint64         `json:"body_hash"` // HashBody of the request's body.
+	Run       int            `json:"run"`       // Counts the starts of the request ID on this host.
+	Padding   string         `json:"padding,omitempty"`
+}
+
+// HashBody returns the hash that an Answer carries for a request's body.
+func HashBody(body []byte) uint64 {
+	return xxhash.Sum64(body)
+}
+
+// job is one request for work.
+type job struct {
+	id       string
+	account  string
+	order    bool
+	body     []byte
+	deadline time.Time // Zero without one.
+	faults   Faults
+	size     int
+	chunked  bool
+	status   int
+	time     time.Duration // Negative for the distribution's.
+}
+
+// ServeHTTP answers one request.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == PathHealth || r.URL.Path == PathLoad {
+		e.probe(w, r)
+		return
+	}
+	e.count(func(s *Stats) { s.Received++ })
+	j, err := e.readJob(r)
+	if err != nil {
+		e.refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	ctx, cancel := j.context(r.Context())
+	defer cancel()
+	if err := e.acquire(ctx); err != nil {
+		e.refuse(w, http.StatusServiceUnavailable, err)
+		return
+	}
+	defer e.release()
+	e.work(ctx, w, r, j)
+}
+
+func (e *Endpoint) readJob(r *http.Request) (job, error) {
+	now := time.Now()
+	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes+1))
+	if err != nil {
+		return job{}, fmt.Errorf("read body: %w", err)
+	}
+	if len(body) > MaxBodyBytes {
+		return job{}, fmt.Errorf("body is over %d bytes", MaxBodyBytes)
+	}
+	j := job{
+		id:      r.Header.Get(HeaderRequestID),
+		account: r.Header.Get(client.HeaderAccount),
+		order:   e.isOrder(r),
+		body:    body,
+		faults:  e.currentFaults(now),
+		status:  http.StatusOK,
+		time:    -1,
+	}
+	return j, j.readParameters(r, now)
+}
+
+func (j *job) readParameters(r *http.Request, now time.Time) error {
+	deadline, err := readNumber(HeaderDeadline, r.Header.Get(HeaderDeadline), int64(time.Hour/time.Millisecond))
+	if err != nil {
+		return err
+	}
+	if r.Header.Get(HeaderDeadline) != "" {
+		j.deadline = now.Add(time.Duration(deadline) * time.Millisecond)
+	}
+	query := r.URL.Query()
+	size, err := readNumber(ParamSize, query.Get(ParamSize), MaxBodyBytes)
+	if err != nil {
+		return err
+	}
+	j.size = int(size)
+	j.chunked = query.Get(ParamChunked) == "1"
+	if query.Has(ParamStatus) {
+		status, err := readNumber(ParamStatus, query.Get(ParamStatus), 599)
+		if err != nil || status < 200 {
+			return fmt.Errorf("%s %q is outside 200 to 599", ParamStatus, query.Get(ParamStatus))
+		}
+		j.status = int(status)
+	}
+	if query.Has(ParamTime) {
+		millis, err := readNumber(ParamTime, query.Get(ParamTime), int64(time.Hour/time.Millisecond))
+		if err != nil {
+			return err
+		}
+		j.time = time.Duration(millis) * time.Millisecond
+	}
+	return nil
+}
+
+func readNumber(name, text string, limit int64) (int64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 || n > limit {
+		return 0, fmt.Errorf("%s %q is outside 0 to %d", name, text, limit)
+	}
+	return n, nil
+}
+
+func (j job) context(parent context.Context) (context.Context, context.CancelFunc) {
+	if j.deadline.IsZero() {
+		return context.WithCancel(parent)
+	}
+	return context.WithDeadline(parent, j.deadline)
+}
+
+func (e *Endpoint) isOrder(r *http.Request) bool {
+	if r.Method != http.MethodPost {
+		return false
+	}
+	for _, prefix := range e.spec.OrderPaths {
+		if strings.HasPrefix(r.URL.Path, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// Reasons for which work does not start.
+var (
+	errLeaving = errors.New("the endpoint is leaving")
+	errFull    = errors.New("the endpoint's queue is full")
+	errTooLate = errors.New("the request's deadline passed, or its caller went away, before it started")
+)
+
+// acquire takes a slot.
+func (e *Endpoint) acquire(ctx context.Context) error {
+	if err := e.enqueue(); err != nil {
+		return err
+	}
+	select {
+	case e.slots <- struct{}{}:
+	case <-ctx.Done():
+		e.dequeue()
+		return errTooLate
+	}
+	e.dequeue()
+	if ctx.Err() != nil {
+		<-e.slots
+		return errTooLate
+	}
+	e.sampleLoad()
+	return nil
+}
+
+func (e *Endpoint) enqueue() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.leaving.IsZero() {
+		return errLeaving
+	}
+	if len(e.slots) == cap(e.slots) && e.waiting >= e.spec.Queue {
+		return errFull
+	}
+	e.waiting++
+	return nil
+}
+
+func (e *Endpoint) dequeue() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting--
+}
+
+func (e *Endpoint) release() {
+	<-e.slots
+	e.sampleLoad()
+}
+
+func (e *Endpoint) sampleLoad() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	inFlight := len(e.slots)
+	e.stats.PeakInFlight = max(e.stats.PeakInFlight, inFlight)
+	e.load.add(time.Now(), inFlight, e.spec.Lag)
+}
+
+func (e *Endpoint) refuse(w http.ResponseWriter, status int, err error) {
+	e.count(func(s *Stats) { s.Refused++ })
+	e.setHeaders(w, Faults{})
+	w.Header().Set(HeaderNotStarted, "1")
+	http.Error(w, err.Error(), status)
+}
+
+// work runs a job that has a slot, and answers it.
+func (e *Endpoint) work(ctx context.Context, w http.ResponseWriter, r *http.Request, j job) {
+	run := e.start(r, j)
+	end := e.drawEnding(j.faults)
+	if !waitFor(ctx, e.runTime(j, end)) {
+		e.count(func(s *Stats) { s.Cancelled++ })
+		http.Error(w, "cancelled, or past its deadline, while it ran", http.StatusGatewayTimeout)
+		return
+	}
+	e.recorder.finished(j.id)
+	e.count(func(s *Stats) {
+		s.Finished++
+		if end != endWhole {
+			s.Failed++
+		}
+	})
+	e.answer(w, r, j, run, end)
+}
+
+func (e *Endpoint) runTime(j job, end ending) time.Duration {
+	switch {
+	case end == endFailed && j.faults.FailFast:
+		return 0
+	case j.time >= 0:
+		return j.time
+	default:
+		return e.serviceTime(time.Now(), j.faults)
+	}
+}
+
+// start records a start and returns its number.
+func (e *Endpoint) start(r *http.Request, j job) int {
+	now := time.Now()
+	e.mu.Lock()
+	e.stats.Started++
+	e.stats.LastStart = now
+	e.starts = append(e.starts, now)
+	e.mu.Unlock()
+	return e.recorder.started(j.id, j.account, j.order, Start{
+		Endpoint: e.addr,
+		Caller:   r.RemoteAddr,
+		Instance: r.Header.Get(HeaderInstance),
+		At:       now,
+	})
+}
+
+func (e *Endpoint) count(change func(s *Stats)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(&e.stats)
+}
+
+// waitFor returns false when ctx ends before d is over.
+func waitFor(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (e *Endpoint) answerBody(r *http.Request, j job, run int) ([]byte, error) {
+	return json.Marshal(Answer{
+		RequestID: j.id,
+		Account:   j.account,
+		Service:   e.spec.Service,
+		Endpoint:  e.addr,
+		Method:    r.Method,
+		URI:       r.URL.RequestURI(),
+		BodyHash:  HashBody(j.body),
+		Run:       run,
+		Padding:   strings.Repeat("x", j.size),
+	})
+}
