Claim: state machine, tickets and the duty that runs keyed requests

Cause: non-idempotent requests need one instance that may run each key and a second that can stop it, without a store on the path. Change: coord/claim implements the home and witness protocol, the bounded table, resends, the planned stop and signed tickets. internal/claims wraps it as a control duty, relays keyed requests to the home first and to the witness when the home does not answer in its share, and answers outcome look-ups. Result codes: answer-not-kept, attempt-not-run and outcome-pending are new; ticket-other-fleet, ticket-other-account and claim-table-full now say "unknown", since each can meet a key whose earlier attempt ran.

--- a/coord/claim/api.go
+++ b/coord/claim/api.go
@@ -49,17 +49,19 @@
 
 // Reasons of a Result.
 const (
-	ReasonNone        Reason = iota
-	ReasonExpired            // The ticket has expired by this instance's clock.
-	ReasonMismatch           // The key was used before with another fingerprint.
-	ReasonIncarnation        // The ticket names another life of this instance.
-	ReasonTableFull          // The table is at its bound.
-	ReasonSealed             // The key was sealed before it ran.
-	ReasonShed               // No slot in time; sealed.
-	ReasonPeerGone           // The other instance, which may have run it, cannot be asked.
-	ReasonNoAnswer           // The upstream's answer was lost or cut off after the request was sent.
-	ReasonStopping           // The instance is stopping; sealed.
-	ReasonUnknownKey         // No record of the key.
+	ReasonNone          Reason = iota
+	ReasonExpired              // The ticket has expired by this instance's clock.
+	ReasonMismatch             // The key was used before with another fingerprint.
+	ReasonIncarnation          // The ticket names another life of this instance.
+	ReasonTableFull            // The table is at its bound.
+	ReasonSealed               // The key was sealed before it ran.
+	ReasonShed                 // No slot in time; sealed.
+	ReasonPeerGone             // The other instance, which may have run it, cannot be asked.
+	ReasonNoAnswer             // The upstream's answer was lost or cut off after the request was sent.
+	ReasonStopping             // The instance is stopping; sealed.
+	ReasonUnknownKey           // No record of the key.
+	ReasonPending              // It was taken and has no outcome yet.
+	ReasonAnswerDropped        // It ran; the answer was too large to keep.
 )
 
 // Outcome is what became of a dispatched request.
@@ -69,7 +71,7 @@
 	Answer []byte `cbor:"3,keyasint,omitempty"` // Encoded by the embedding program; opaque here.
 }
 
-// Effect is something the embedding program must do: Send, Dispatch or Answer.
+// Effect is something the embedding program must do: Send, Dispatch, Answer or Refusal.
 type Effect interface{ isEffect() }
 
 // Send asks for a message to be sent to one life of an instance. It may be lost, doubled or delayed.
@@ -91,9 +93,16 @@
 	Outcome Outcome
 }
 
+// Refusal answers only the submission just made. Other callers that wait for the key go on waiting.
+type Refusal struct {
+	Key    Key
+	Reason Reason
+}
+
 func (Send) isEffect()     {}
 func (Dispatch) isEffect() {}
 func (Answer) isEffect()   {}
+func (Refusal) isEffect()  {}
 
 // MessageKind tells the messages of the claim protocol apart.
 type MessageKind uint8
@@ -116,6 +125,9 @@
 	Key         Key         `cbor:"2,keyasint"`
 	Fingerprint Fingerprint `cbor:"3,keyasint"`
 	Outcome     Outcome     `cbor:"4,keyasint"`
+	// Ticket is Key.Ticket, decoded and authenticated by the receiver. It does not travel.
+	// Machine.Deliver needs it when Machine.Holds is false for the key.
+	Ticket Ticket `cbor:"-"`
 }
 
 // Ticket names the two lives of instances that may run keys made from it.
@@ -127,18 +139,3 @@
 	Account fleet.Account `cbor:"5,keyasint"`
 	Expires time.Time     `cbor:"6,keyasint"` // Wall clock; each instance compares it with its own.
 }
-
-// Methods that the daemon calls; all run on one goroutine:
-//
-//	func NewMachine(self fleet.Ref, limits Limits) *Machine
-//	func (m *Machine) Submit(now time.Time, role Role, s Submission) []Effect
-//	func (m *Machine) GiveUp(now time.Time, key Key) []Effect         // caller gone or its deadline passed
-//	func (m *Machine) Finish(now time.Time, key Key, o Outcome) []Effect // Result NotRun: no byte left, or refused before start
-//	func (m *Machine) Deliver(now time.Time, from fleet.Ref, msg Message) []Effect
-//	func (m *Machine) Tick(now time.Time) []Effect                     // resends, times out, expires
-//	func (m *Machine) Lookup(now time.Time, key Key) Outcome
-//	func (m *Machine) Stop(now time.Time) []Effect                     // planned stop: seal what has not started, hand over the rest
-//	func (m *Machine) Idle() bool                                      // nothing left to hand over
-//	func (m *Machine) Len() int
-//
-//	type Keyring: NewKeyring(keys []SigningKey) (*Keyring, error); Sign(Ticket) (string, error); Open(text string) (Ticket, error)
--- /dev/null
+++ b/coord/claim/home.go
@@ -0,0 +1,56 @@
+package claim
+
+// onAck handles the witness's grant at the home. The witness never runs the key after it, so
+// a home that has sealed the key may say so at once.
+func (m *Machine) onAck(at int64, e *entry) {
+	switch e.state {
+	case stateClaiming:
+		if at >= e.book.ticket.Expires.UnixNano() {
+			m.sealGranted(at, e)
+			return
+		}
+		m.dispatch(e)
+	case stateSealing:
+		if m.shortcuts.dispatchSealed {
+			m.dispatch(e)
+			return
+		}
+		m.sealGranted(at, e)
+	case stateSealed, stateDone:
+		m.send(e, MessageOutcome)
+	}
+}
+
+// sealGranted seals a key that the witness has granted and tells the witness.
+func (m *Machine) sealGranted(at int64, e *entry) {
+	m.settle(e, Outcome{Result: ResultNotRun, Reason: ReasonSealed})
+	m.resend(at, e)
+}
+
+// onRefuse handles a refusal at the home: the witness ran or runs the key, or has sealed it,
+// or the ticket has expired there.
+func (m *Machine) onRefuse(e *entry, msg Message) {
+	switch e.state {
+	case stateClaiming, stateSealing, stateDeferred:
+	default:
+		return
+	}
+	m.adopt(e, msg.Fingerprint)
+	switch msg.Outcome.Result {
+	case ResultAnswered, ResultNotRun, ResultUnknown:
+		m.learn(e, msg.Outcome)
+	case ResultRefused:
+		m.learn(e, Outcome{Result: ResultUnknown, Reason: msg.Outcome.Reason})
+	default:
+		e.state = stateDeferred
+		m.schedule(e)
+	}
+}
+
+// onSealAck handles the witness's confirmation of the seal at the home.
+func (m *Machine) onSealAck(e *entry) {
+	switch e.state {
+	case stateSealing, stateDeferred:
+		m.learn(e, Outcome{Result: ResultNotRun, Reason: ReasonSealed})
+	}
+}
--- /dev/null
+++ b/coord/claim/machine.go
@@ -0,0 +1,276 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+// expiryRetry is the time after which an expired ticket is looked at again while one of its
+// keys still runs or has callers waiting.
+const expiryRetry = time.Second
+
+// Machine is the claim state of one life of an instance.
+type Machine struct {
+	self      fleet.Ref
+	limits    Limits
+	clock     clock
+	table     table
+	timers    queue[*entry]
+	running   int
+	stopping  bool
+	effects   []Effect
+	shortcuts shortcuts
+}
+
+// shortcuts leaves out rules of the protocol. Only tests set it, to show that the invariants
+// that they check catch each.
+type shortcuts struct {
+	dispatchUngranted bool // The home dispatches without the witness's grant.
+	dispatchSealed    bool // The home dispatches on a grant that comes after its seal.
+	sealAlone         bool // The home says ResultNotRun without the witness.
+	runGranted        bool // The witness runs a key that it has granted.
+}
+
+// NewMachine returns the empty state of one life of an instance. Limits that are zero take
+// their defaults.
+func NewMachine(self fleet.Ref, limits Limits) *Machine {
+	return &Machine{
+		self:   self,
+		limits: limits.withDefaults(),
+		table:  newTable(),
+	}
+}
+
+// Submit hands over a caller's request, in the part that this instance plays for it. The
+// answer is a Refusal among the effects, or an Answer among the effects of this or a later call.
+func (m *Machine) Submit(now time.Time, role Role, s Submission) []Effect {
+	at := m.clock.at(now)
+	e := m.table.find(s.Key)
+	if reason := m.refusal(at, role, s, e); reason != ReasonNone {
+		m.emit(Refusal{Key: s.Key, Reason: reason})
+		return m.take()
+	}
+	deadline := at + int64(s.Deadline.Sub(now))
+	if e != nil {
+		m.join(at, e, deadline)
+		return m.take()
+	}
+	e = m.add(s.Key, s.Ticket, role, s.Fingerprint)
+	e.wait(at, deadline, m.limits.SealTime)
+	if role == RoleWitness || s.Ticket.Witness.IsZero() || m.shortcuts.dispatchUngranted {
+		m.dispatch(e)
+		return m.take()
+	}
+	e.state = stateClaiming
+	m.resend(at, e)
+	return m.take()
+}
+
+// refusal says why a submission is not taken, or ReasonNone.
+func (m *Machine) refusal(at int64, role Role, s Submission, e *entry) Reason {
+	switch {
+	case m.roleIn(s.Ticket) != role || role == RoleNone:
+		return ReasonIncarnation
+	case at >= s.Ticket.Expires.UnixNano():
+		return ReasonExpired
+	case e != nil && e.fingerprint != s.Fingerprint:
+		return ReasonMismatch
+	case e != nil:
+		return ReasonNone
+	case m.stopping:
+		return ReasonStopping
+	case !m.room(s.Key, 0):
+		return ReasonTableFull
+	default:
+		return ReasonNone
+	}
+}
+
+// roleIn returns the part of this life in a ticket.
+func (m *Machine) roleIn(t Ticket) Role {
+	switch m.self {
+	case t.Home:
+		return RoleHome
+	case t.Witness:
+		return RoleWitness
+	default:
+		return RoleNone
+	}
+}
+
+// join adds a caller to a key that is in the table.
+func (m *Machine) join(at int64, e *entry, deadline int64) {
+	if e.final() {
+		m.emit(Answer{Key: e.key(), Outcome: e.outcome})
+		return
+	}
+	if e.state == stateGranted && m.shortcuts.runGranted {
+		m.dispatch(e)
+	}
+	e.wait(at, deadline, m.limits.SealTime)
+	e.backoff = 0
+	m.resend(at, e)
+}
+
+// GiveUp says that no caller waits for the key any more. A home that has not been granted
+// the key seals it.
+func (m *Machine) GiveUp(now time.Time, key Key) []Effect {
+	at := m.clock.at(now)
+	e := m.table.find(key)
+	if e == nil {
+		return nil
+	}
+	e.waiting = false
+	if e.state == stateClaiming {
+		m.seal(at, e)
+	}
+	m.schedule(e)
+	return m.take()
+}
+
+// Finish says what became of a Dispatch. ResultNotRun says that no byte left or that the
+// upstream refused the request before starting it; it seals the key. Any Result but
+// ResultNotRun and ResultAnswered counts as ResultUnknown.
+func (m *Machine) Finish(now time.Time, key Key, o Outcome) []Effect {
+	at := m.clock.at(now)
+	e := m.table.find(key)
+	if e == nil || e.state != stateRunning {
+		return nil
+	}
+	m.running--
+	switch o.Result {
+	case ResultNotRun, ResultAnswered:
+	default:
+		o.Result = ResultUnknown
+	}
+	m.settle(e, o)
+	e.known = e.peer().IsZero()
+	m.resend(at, e)
+	return m.take()
+}
+
+// Tick resends what is due, answers callers whose deadline has passed and drops expired tickets.
+func (m *Machine) Tick(now time.Time) []Effect {
+	at := m.clock.at(now)
+	for {
+		e, ok := m.timers.first()
+		if !ok || e.due > at {
+			break
+		}
+		m.fire(at, e)
+	}
+	m.expire(at)
+	return m.take()
+}
+
+func (m *Machine) fire(at int64, e *entry) {
+	if e.state == stateClaiming && at >= e.giveUp {
+		m.seal(at, e)
+	}
+	if e.waiting && at >= e.deadline {
+		m.answer(e, Outcome{Result: ResultUnknown, Reason: e.lateReason()})
+	}
+	if m.pending(e) != 0 && at >= e.resend {
+		m.resend(at, e)
+	}
+	m.schedule(e)
+}
+
+func (m *Machine) expire(at int64) {
+	for {
+		b, ok := m.table.expiry.first()
+		if !ok || b.expires > at {
+			return
+		}
+		if b.busy() {
+			b.expires = at + int64(expiryRetry)
+			m.table.expiry.set(b)
+			continue
+		}
+		for e := b.first; e != nil; e = e.next {
+			m.timers.remove(e)
+		}
+		m.table.drop(b)
+	}
+}
+
+// Lookup returns what this instance knows of a key. ReasonUnknownKey says that it has no
+// record, ReasonPending that there is no outcome yet.
+func (m *Machine) Lookup(_ time.Time, key Key) Outcome {
+	e := m.table.find(key)
+	switch {
+	case e == nil:
+		return Outcome{Result: ResultUnknown, Reason: ReasonUnknownKey}
+	case e.final():
+		return e.outcome
+	default:
+		return Outcome{Result: ResultUnknown, Reason: ReasonPending}
+	}
+}
+
+// Stop begins a planned stop: the machine takes and runs no further key, seals what has not
+// been granted, and hands the outcomes that the other instances lack over to them.
+func (m *Machine) Stop(now time.Time) []Effect {
+	at := m.clock.at(now)
+	m.stopping = true
+	open := append([]*entry(nil), m.timers.items...)
+	for _, e := range open {
+		e.backoff = 0
+		if e.state == stateClaiming {
+			m.seal(at, e)
+			continue
+		}
+		m.resend(at, e)
+	}
+	return m.take()
+}
+
+// Idle reports whether a stopping machine has nothing left to run, settle or hand over.
+func (m *Machine) Idle() bool {
+	return m.stopping && m.running == 0 && len(m.timers.items) == 0
+}
+
+// Len returns the number of keys in the table.
+func (m *Machine) Len() int {
+	return len(m.table.entries)
+}
+
+// Bytes returns the bytes of the table, by its own estimate.
+func (m *Machine) Bytes() int {
+	return m.table.bytes
+}
+
+// Holds reports whether the table has the key. Deliver needs Message.Ticket when it has not.
+func (m *Machine) Holds(key Key) bool {
+	return m.table.find(key) != nil
+}
+
+// room reports whether a key that is not in the table fits, with reserve added to both bounds
+// as a share of them; a reserve of 0 adds none.
+func (m *Machine) room(key Key, reserve int) bool {
+	keys, bytes := m.limits.MaxKeys, m.limits.MaxBytes
+	if reserve > 0 {
+		keys += keys / reserve
+		bytes += bytes / reserve
+	}
+	return m.Len() < keys && m.table.bytes+m.table.cost(key) <= bytes
+}
+
+func (m *Machine) add(key Key, ticket Ticket, role Role, f Fingerprint) *entry {
+	e := m.table.add(key, ticket)
+	e.role = role
+	e.fingerprint = f
+	return e
+}
+
+func (m *Machine) emit(effect Effect) {
+	m.effects = append(m.effects, effect)
+}
+
+// take returns the effects gathered since the last call.
+func (m *Machine) take() []Effect {
+	effects := m.effects
+	m.effects = nil
+	return effects
+}
--- /dev/null
+++ b/coord/claim/steps.go
@@ -0,0 +1,142 @@
+package claim
+
+import "time"
+
+// maxBackoff bounds the doublings of the wait between resends.
+const maxBackoff = 24
+
+// wait adds a caller with a deadline. A home without a grant gives up sealTime before the
+// deadline, or halfway to it when less is left.
+func (e *entry) wait(at, deadline int64, sealTime time.Duration) {
+	e.waiting = true
+	e.deadline = max(e.deadline, deadline)
+	giveUp := max(deadline-int64(sealTime), at+(deadline-at)/2)
+	e.giveUp = max(e.giveUp, giveUp)
+}
+
+// dispatch runs the key here.
+func (m *Machine) dispatch(e *entry) {
+	e.state = stateRunning
+	m.running++
+	m.emit(Dispatch{Key: e.key(), Deadline: m.clock.time(e.deadline)})
+	m.schedule(e)
+}
+
+// seal gives the key up at the home and asks the witness to confirm.
+func (m *Machine) seal(at int64, e *entry) {
+	e.state = stateSealing
+	e.backoff = 0
+	if m.shortcuts.sealAlone {
+		m.settle(e, Outcome{Result: ResultNotRun, Reason: ReasonSealed})
+	}
+	m.resend(at, e)
+}
+
+// settle records the outcome and gives it to the callers that wait.
+func (m *Machine) settle(e *entry, o Outcome) {
+	e.state = stateDone
+	if o.Result == ResultNotRun {
+		e.state = stateSealed
+	}
+	e.backoff = 0
+	m.answer(e, o)
+	m.table.keep(e, o, m.limits)
+}
+
+// learn records an outcome that the other instance told.
+func (m *Machine) learn(e *entry, o Outcome) {
+	m.settle(e, o)
+	e.known = true
+	m.schedule(e)
+}
+
+// answer gives the callers that wait for the key an answer.
+func (m *Machine) answer(e *entry, o Outcome) {
+	if !e.waiting {
+		return
+	}
+	e.waiting = false
+	m.emit(Answer{Key: e.key(), Outcome: o})
+}
+
+// pending returns the kind of message that the entry resends until it is answered, or 0.
+func (m *Machine) pending(e *entry) MessageKind {
+	switch {
+	case e.state == stateClaiming:
+		return MessageClaim
+	case e.state == stateSealing:
+		return MessageSeal
+	case e.state == stateDeferred && e.waiting:
+		return MessageClaim
+	case e.state == stateGranted && e.waiting:
+		return MessageAck
+	case e.final() && !e.known && m.stopping:
+		return MessageHandOver
+	case e.final() && !e.known:
+		return MessageOutcome
+	default:
+		return 0
+	}
+}
+
+// resend sends the message that the entry waits on and sets the time of the next.
+func (m *Machine) resend(at int64, e *entry) {
+	if kind := m.pending(e); kind != 0 {
+		m.send(e, kind)
+		e.resend = at + m.pause(e)
+		e.backoff = min(e.backoff+1, maxBackoff)
+	}
+	m.schedule(e)
+}
+
+// pause returns the wait before the next resend. It is bounded only while someone waits.
+func (m *Machine) pause(e *entry) int64 {
+	pause := int64(m.limits.ResendFirst) << e.backoff
+	if e.waiting || m.stopping {
+		pause = min(pause, int64(m.limits.ResendMost))
+	}
+	return pause
+}
+
+// send sends a message about the entry to the other instance.
+func (m *Machine) send(e *entry, kind MessageKind) {
+	message := Message{Kind: kind, Key: e.key(), Fingerprint: e.fingerprint}
+	if e.final() {
+		message.Outcome = e.outcome
+	}
+	m.emit(Send{To: e.peer(), Message: message})
+}
+
+// schedule sets the entry's timer.
+func (m *Machine) schedule(e *entry) {
+	due := int64(0)
+	sooner := func(t int64) {
+		if due == 0 || t < due {
+			due = t
+		}
+	}
+	if m.pending(e) != 0 {
+		sooner(e.resend)
+	}
+	if e.waiting {
+		sooner(e.deadline)
+	}
+	if e.state == stateClaiming {
+		sooner(e.giveUp)
+	}
+	if due == 0 {
+		m.timers.remove(e)
+		return
+	}
+	e.due = due
+	m.timers.set(e)
+}
+
+// lateReason says why a caller whose deadline has passed got no outcome: ReasonPeerGone when
+// this instance has sealed the key and only the other may have run it.
+func (e *entry) lateReason() Reason {
+	if e.state == stateSealing {
+		return ReasonPeerGone
+	}
+	return ReasonPending
+}
--- a/coord/result/codes.go
+++ b/coord/result/codes.go
@@ -31,6 +31,9 @@
 	CodeKeyUnknown         Code = 1112
 	CodeClaimTableFull     Code = 1113
 	CodeOutcomeUnknown     Code = 1114
+	CodeAnswerNotKept      Code = 1115
+	CodeAttemptNotRun      Code = 1116
+	CodeOutcomePending     Code = 1117
 )
 
 // Codes of control: peers, configuration, health and the platform.
@@ -79,14 +82,17 @@
 	{CodeTicketMalformed, "ticket-malformed", 400, NotRun, "The Idempotency-Key does not hold a ticket."},
 	{CodeTicketForged, "ticket-forged", 403, NotRun, "The ticket's authentication code is wrong."},
 	{CodeTicketExpired, "ticket-expired", 409, Unknown, "The ticket has expired; an earlier attempt may have run."},
-	{CodeTicketOtherFleet, "ticket-other-fleet", 403, NotRun, "The ticket is of another fleet."},
+	{CodeTicketOtherFleet, "ticket-other-fleet", 403, Unknown, "The ticket is of another fleet, which may have run the request."},
 	{CodeTicketIncarnation, "ticket-incarnation", 409, Unknown, "The instance that the ticket names has restarted; an earlier attempt may have run."},
-	{CodeTicketOtherAccount, "ticket-other-account", 403, NotRun, "The ticket is of another client account or service."},
+	{CodeTicketOtherAccount, "ticket-other-account", 403, Unknown, "The ticket is of another client account or service; an earlier attempt there may have run."},
 	{CodeKeyReused, "key-reused", 422, None, "The key was used with another request; this one did not run."},
 	{CodeKeySealed, "key-sealed", 409, NotRun, "The key was given up before it ran; use a new one."},
 	{CodeKeyUnknown, "key-unknown", 404, Unknown, "Nothing is recorded of the key."},
-	{CodeClaimTableFull, "claim-table-full", 503, NotRun, "The table of keys is at its bound."},
+	{CodeClaimTableFull, "claim-table-full", 503, Unknown, "The table of keys is at its bound; an earlier attempt may have run."},
 	{CodeOutcomeUnknown, "outcome-unknown", 504, Unknown, "The request may have run; its outcome is not known."},
+	{CodeAnswerNotKept, "answer-not-kept", 410, Ran, "The request ran; its answer was too large to keep."},
+	{CodeAttemptNotRun, "attempt-not-run", 503, Unknown, "This attempt did not run and will not; another attempt with the key may have."},
+	{CodeOutcomePending, "outcome-pending", 202, Unknown, "The request was taken and has no outcome yet."},
 	{CodePeerRefused, "peer-refused", 0, None, "A peer could not prove itself."},
 	{CodePeerOtherFleet, "peer-other-fleet", 0, None, "A peer is of another fleet."},
 	{CodePeerMalformed, "peer-malformed", 0, None, "A peer's message does not decode."},
--- /dev/null
+++ b/internal/claims/answers.go
@@ -0,0 +1,112 @@
+package claims
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/damaskcove/damaskcove/coord/claim"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/exchange"
+)
+
+// outcomeOf returns the outcome that records an executor's answer.
+func outcomeOf(a exchange.Answer) (claim.Outcome, error) {
+	o := claim.Outcome{Result: claim.ResultUnknown, Reason: claim.ReasonNoAnswer}
+	switch a.Execution {
+	case result.Ran:
+		o = claim.Outcome{Result: claim.ResultAnswered}
+	case result.NotRun:
+		o = claim.Outcome{Result: claim.ResultNotRun, Reason: claim.ReasonShed}
+	}
+	data, err := cbor.Marshal(a)
+	if err != nil {
+		return o, fmt.Errorf("encode answer with code %d: %w", a.Code, err)
+	}
+	o.Answer = data
+	return o, nil
+}
+
+// answerOf returns the answer to callers for an outcome.
+func answerOf(o claim.Outcome) exchange.Answer {
+	if len(o.Answer) > 0 {
+		return storedAnswer(o)
+	}
+	switch o.Result {
+	case claim.ResultAnswered:
+		return exchange.Refusal(result.CodeAnswerNotKept, "")
+	case claim.ResultNotRun:
+		return exchange.Refusal(notRunCode(o.Reason), "")
+	case claim.ResultRefused:
+		return refuse(o.Reason)
+	default:
+		return exchange.Refusal(unknownCode(o.Reason), "")
+	}
+}
+
+// storedAnswer decodes the answer that an outcome holds. The outcome's result has the last
+// word on the execution.
+func storedAnswer(o claim.Outcome) exchange.Answer {
+	var a exchange.Answer
+	if err := cbor.Unmarshal(o.Answer, &a); err != nil {
+		o.Answer = nil
+		return answerOf(o)
+	}
+	switch o.Result {
+	case claim.ResultAnswered:
+		a.Execution = result.Ran
+	case claim.ResultNotRun:
+		a.Execution = result.NotRun
+	default:
+		a.Execution = result.Unknown
+	}
+	return a
+}
+
+func notRunCode(reason claim.Reason) result.Code {
+	switch reason {
+	case claim.ReasonShed:
+		return result.CodeNotSent
+	case claim.ReasonStopping:
+		return result.CodeStopping
+	default:
+		return result.CodeKeySealed
+	}
+}
+
+func unknownCode(reason claim.Reason) result.Code {
+	switch reason {
+	case claim.ReasonPeerGone:
+		return result.CodeAttemptNotRun
+	case claim.ReasonUnknownKey:
+		return result.CodeKeyUnknown
+	case claim.ReasonExpired:
+		return result.CodeTicketExpired
+	default:
+		return result.CodeOutcomeUnknown
+	}
+}
+
+// refuse returns the answer to a submission that the machine refused.
+func refuse(reason claim.Reason) exchange.Answer {
+	switch reason {
+	case claim.ReasonExpired:
+		return Refusal(result.CodeTicketExpired, "")
+	case claim.ReasonMismatch:
+		return Refusal(result.CodeKeyReused, "")
+	case claim.ReasonTableFull:
+		return Refusal(result.CodeClaimTableFull, "")
+	case claim.ReasonStopping:
+		return Refusal(result.CodeStopping, "")
+	default:
+		return Refusal(result.CodeTicketIncarnation, "")
+	}
+}
+
+// lookupAnswer returns the answer to an outcome look-up.
+func lookupAnswer(o claim.Outcome) exchange.Answer {
+	if o.Result == claim.ResultUnknown && o.Reason == claim.ReasonPending {
+		return exchange.Refusal(result.CodeOutcomePending, "")
+	}
+	return answerOf(o)
+}
--- /dev/null
+++ b/internal/claims/claims.go
@@ -0,0 +1,190 @@
+package claims
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/damaskcove/damaskcove/coord/claim"
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/control"
+	"github.com/damaskcove/damaskcove/internal/exchange"
+	"github.com/damaskcove/damaskcove/internal/relay"
+	"github.com/damaskcove/damaskcove/internal/wire"
+)
+
+// Executor sends requests to upstreams.
+type Executor interface {
+	// Execute makes one attempt at an upstream. The answer's Execution says NotRun only when
+	// no byte left or the upstream refused the request before starting it.
+	Execute(ctx context.Context, r exchange.Request) exchange.Answer
+}
+
+// Options are what New needs. All but Limits and Log must be set.
+type Options struct {
+	Fleet    string
+	Self     fleet.Instance
+	Loop     *control.Loop
+	Sender   control.Sender
+	Relay    relay.Caller
+	Executor Executor
+	Keys     *claim.Keyring
+	Limits   claim.Limits // Zeros take their defaults.
+	Log      *slog.Logger // slog.Default when nil.
+}
+
+// Claims is the duty that runs keyed requests.
+type Claims struct {
+	fleet    string
+	self     fleet.Ref
+	loop     *control.Loop
+	sender   control.Sender
+	relay    relay.Caller
+	executor Executor
+	keys     atomic.Pointer[claim.Keyring]
+	log      *slog.Logger
+	work     conc.WaitGroup // Executions.
+	codes    *expvar.Map
+	table    atomic.Pointer[TableSize]
+	stopped  chan struct{} // Closed when a planned stop has handed everything over.
+
+	// The control goroutine's.
+	machine  *claim.Machine
+	calls    map[claim.Key]*call
+	lookups  map[uint64]*lookup
+	lookupID uint64
+	idle     bool
+}
+
+// TableSize is the size of the table of keys.
+type TableSize struct {
+	Keys  int
+	Bytes int // By the table's own estimate.
+}
+
+// New returns the duty of one life of an instance. The program adds it to the loop.
+func New(o Options) *Claims {
+	c := &Claims{
+		fleet:    o.Fleet,
+		self:     o.Self.Ref,
+		loop:     o.Loop,
+		sender:   o.Sender,
+		relay:    o.Relay,
+		executor: o.Executor,
+		log:      o.Log,
+		codes:    new(expvar.Map).Init(),
+		stopped:  make(chan struct{}),
+		machine:  claim.NewMachine(o.Self.Ref, o.Limits),
+		calls:    make(map[claim.Key]*call),
+		lookups:  make(map[uint64]*lookup),
+	}
+	if c.log == nil {
+		c.log = slog.Default()
+	}
+	c.keys.Store(o.Keys)
+	c.table.Store(&TableSize{})
+	return c
+}
+
+// SetKeys replaces the keyring.
+func (c *Claims) SetKeys(keys *claim.Keyring) {
+	c.keys.Store(keys)
+}
+
+// Issue returns the text of a ticket of this fleet, or "" when the ticket names no home or
+// the same instance twice.
+func (c *Claims) Issue(t claim.Ticket) string {
+	t.Fleet = c.fleet
+	text, err := c.keys.Load().Sign(t)
+	if err != nil {
+		c.log.Error("ticket not signed", "home", t.Home.String(), "witness", t.Witness.String(), "error", err)
+		return ""
+	}
+	return text
+}
+
+// Vars returns the count of answers by the name of their code.
+func (c *Claims) Vars() *expvar.Map {
+	return c.codes
+}
+
+// Table returns the size of the table of keys at the last tick.
+func (c *Claims) Table() TableSize {
+	return *c.table.Load()
+}
+
+// Kinds implements control.Duty.
+func (c *Claims) Kinds() []wire.Kind {
+	return []wire.Kind{wire.KindClaim, wire.KindOutcomeLookup, wire.KindOutcomeReply}
+}
+
+// Deliver implements control.Duty.
+func (c *Claims) Deliver(now time.Time, from fleet.Ref, e wire.Envelope) error {
+	switch e.Kind {
+	case wire.KindClaim:
+		return c.deliverClaim(now, from, e)
+	case wire.KindOutcomeLookup:
+		return c.deliverLookup(now, from, e)
+	case wire.KindOutcomeReply:
+		return c.deliverReply(e)
+	default:
+		return fmt.Errorf("%w: kind %d is not of claims", wire.ErrMalformed, e.Kind)
+	}
+}
+
+func (c *Claims) deliverClaim(now time.Time, from fleet.Ref, e wire.Envelope) error {
+	var msg claim.Message
+	if err := wire.DecodeBody(e, &msg); err != nil {
+		return err
+	}
+	if !c.machine.Holds(msg.Key) {
+		ticket, err := c.keys.Load().Open(msg.Key.Ticket)
+		if err != nil {
+			return fmt.Errorf("claim message %d from %s: %w", msg.Kind, from, err)
+		}
+		msg.Ticket = ticket
+	}
+	c.apply(c.machine.Deliver(now, from, msg))
+	return nil
+}
+
+// Tick implements control.Duty.
+func (c *Claims) Tick(now time.Time) {
+	c.apply(c.machine.Tick(now))
+	c.resendLookups(now)
+	c.table.Store(&TableSize{Keys: c.machine.Len(), Bytes: c.machine.Bytes()})
+	if !c.idle && c.machine.Idle() {
+		c.idle = true
+		close(c.stopped)
+	}
+}
+
+// Stop makes the planned stop: no further key is taken, and the outcomes that other instances
+// lack are handed over. It returns nil when all are, or ctx's error.
+func (c *Claims) Stop(ctx context.Context) error {
+	posted := c.loop.Post(func(now time.Time) { c.apply(c.machine.Stop(now)) })
+	if !posted {
+		return fmt.Errorf("stop claims of %s: control loop has ended", c.self)
+	}
+	select {
+	case <-c.stopped:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("stop claims of %s, %d keys held: %w", c.self, c.Table().Keys, ctx.Err())
+	}
+}
+
+func (c *Claims) count(code result.Code) {
+	entry, ok := result.Lookup(code)
+	if !ok {
+		c.codes.Add("unlisted", 1)
+		return
+	}
+	c.codes.Add(entry.Name, 1)
+}
--- /dev/null
+++ b/internal/claims/key.go
@@ -0,0 +1,99 @@
+package claims
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/claim"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/exchange"
+)
+
+// KeyHeader is the header that carries a caller's key.
+const KeyHeader = "Idempotency-Key"
+
+// MaxUniqueBytes bounds the caller's own part of a key.
+const MaxUniqueBytes = 128
+
+// keySeparator stands between the ticket and the caller's own part. No ticket contains it.
+const keySeparator = "."
+
+// errUnique says that the caller's own part of a key is absent, too long or not printable.
+var errUnique = errors.New("unique part of the key not valid")
+
+// parseKey splits the text of a key.
+func parseKey(text string) (claim.Key, error) {
+	ticket, unique, found := strings.Cut(text, keySeparator)
+	if !found || ticket == "" || unique == "" || len(unique) > MaxUniqueBytes {
+		return claim.Key{}, fmt.Errorf("%w: unique part of %d bytes, allowed are 1 to %d", errUnique, len(unique), MaxUniqueBytes)
+	}
+	for _, b := range []byte(unique) {
+		if b <= ' ' || b > '~' {
+			return claim.Key{}, fmt.Errorf("%w: byte %#02x", errUnique, b)
+		}
+	}
+	// Both parts are copied: text may hold the whole request in memory.
+	return claim.Key{Ticket: strings.Clone(ticket), Unique: strings.Clone(unique)}, nil
+}
+
+// openKey parses and authenticates the text of a key.
+func (c *Claims) openKey(text string) (claim.Key, claim.Ticket, error) {
+	key, err := parseKey(text)
+	if err != nil {
+		return claim.Key{}, claim.Ticket{}, err
+	}
+	ticket, err := c.keys.Load().Open(key.Ticket)
+	if err != nil {
+		return claim.Key{}, claim.Ticket{}, err
+	}
+	if err := ticket.CheckAt(c.fleet, time.Now()); err != nil {
+		return claim.Key{}, claim.Ticket{}, err
+	}
+	return key, ticket, nil
+}
+
+// refuseKey returns the answer to a key that openKey refused.
+func refuseKey(err error) exchange.Answer {
+	switch {
+	case errors.Is(err, claim.ErrExpired):
+		return Refusal(result.CodeTicketExpired, err.Error())
+	case errors.Is(err, claim.ErrOtherFleet):
+		return Refusal(result.CodeTicketOtherFleet, err.Error())
+	case errors.Is(err, claim.ErrUnknownSigningKey):
+		return Refusal(result.CodeTicketForged, err.Error())
+	case errors.Is(err, claim.ErrForged):
+		return exchange.Refusal(result.CodeTicketForged, err.Error())
+	default:
+		return exchange.Refusal(result.CodeTicketMalformed, err.Error())
+	}
+}
+
+// Refusal returns the answer that refuses one attempt of a keyed request before its claim. It
+// says nothing of other attempts with the key: a code whose execution is "not-run" becomes
+// "unknown".
+func Refusal(code result.Code, detail string) exchange.Answer {
+	a := exchange.Refusal(code, detail)
+	if a.Execution == result.NotRun {
+		a.Execution = result.Unknown
+	}
+	return a
+}
+
+// fingerprint digests what makes a request itself: service, account, method, path and body.
+func fingerprint(r exchange.Request) claim.Fingerprint {
+	h := sha256.New()
+	var length [8]byte
+	for _, part := range []string{string(r.Service), string(r.Account), r.Method, r.URI} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		h.Write(length[:])
+		h.Write([]byte(part))
+	}
+	h.Write(r.Body)
+	var f claim.Fingerprint
+	copy(f[:], h.Sum(nil))
+	return f
+}
--- /dev/null
+++ b/internal/claims/local.go
@@ -0,0 +1,142 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc/panics"
+
+	"github.com/damaskcove/damaskcove/coord/claim"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/exchange"
+	"github.com/damaskcove/damaskcove/internal/wire"
+)
+
+// waiter is one caller of a key at this instance.
+type waiter struct {
+	outcome chan claim.Outcome // Holds one.
+}
+
+// call is a key with callers waiting at this instance.
+type call struct {
+	ctx     context.Context // Of the first caller, for its values.
+	request exchange.Request
+	waiters []*waiter
+}
+
+// local plays this instance's part for a key and waits for the answer until ctx ends.
+func (c *Claims) local(ctx context.Context, role claim.Role, r exchange.Request, s claim.Submission) exchange.Answer {
+	w := &waiter{outcome: make(chan claim.Outcome, 1)}
+	posted := c.loop.Post(func(now time.Time) { c.submit(ctx, now, role, r, s, w) })
+	if !posted {
+		return Refusal(result.CodeStopping, "")
+	}
+	select {
+	case o := <-w.outcome:
+		return answerOf(o)
+	case <-ctx.Done():
+		c.loop.Post(func(now time.Time) { c.leave(now, s.Key, w) })
+		return endedAnswer(ctx)
+	}
+}
+
+// endedAnswer returns the answer to a caller whose context has ended.
+func endedAnswer(ctx context.Context) exchange.Answer {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return exchange.Refusal(result.CodeCallerGone, "")
+	}
+	return exchange.Refusal(result.CodeOutcomeUnknown, "")
+}
+
+func (c *Claims) submit(ctx context.Context, now time.Time, role claim.Role, r exchange.Request, s claim.Submission, w *waiter) {
+	effects := c.machine.Submit(now, role, s)
+	for _, effect := range effects {
+		if refusal, ok := effect.(claim.Refusal); ok {
+			w.outcome <- claim.Outcome{Result: claim.ResultRefused, Reason: refusal.Reason}
+			return
+		}
+	}
+	waiting, ok := c.calls[s.Key]
+	if !ok {
+		waiting = &call{ctx: ctx, request: r}
+		c.calls[s.Key] = waiting
+	}
+	waiting.waiters = append(waiting.waiters, w)
+	c.apply(effects)
+}
+
+// leave removes a caller whose context has ended.
+func (c *Claims) leave(now time.Time, key claim.Key, w *waiter) {
+	waiting, ok := c.calls[key]
+	if !ok {
+		return
+	}
+	waiting.waiters = slices.DeleteFunc(waiting.waiters, func(other *waiter) bool { return other == w })
+	if len(waiting.waiters) > 0 {
+		return
+	}
+	delete(c.calls, key)
+	c.apply(c.machine.GiveUp(now, key))
+}
+
+// apply carries out the machine's effects. It runs on the control goroutine.
+func (c *Claims) apply(effects []claim.Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case claim.Send:
+			c.sender.Send(effect.To, wire.KindClaim, effect.Message)
+		case claim.Dispatch:
+			c.dispatch(effect)
+		case claim.Answer:
+			c.answer(effect)
+		}
+	}
+}
+
+func (c *Claims) answer(a claim.Answer) {
+	waiting, ok := c.calls[a.Key]
+	if !ok {
+		return
+	}
+	delete(c.calls, a.Key)
+	for _, w := range waiting.waiters {
+		w.outcome <- a.Outcome
+	}
+}
+
+// dispatch starts the execution of a key. It goes on when its callers go away.
+func (c *Claims) dispatch(d claim.Dispatch) {
+	waiting, ok := c.calls[d.Key]
+	if !ok {
+		c.work.Go(func() { c.finish(d.Key, claim.Outcome{Result: claim.ResultNotRun}) })
+		return
+	}
+	r := waiting.request
+	r.Deadline = d.Deadline
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(waiting.ctx), d.Deadline)
+	c.work.Go(func() {
+		defer cancel()
+		c.finish(d.Key, c.execute(ctx, r))
+	})
+}
+
+// finish tells the machine what became of an execution.
+func (c *Claims) finish(key claim.Key, o claim.Outcome) {
+	c.loop.Post(func(now time.Time) { c.apply(c.machine.Finish(now, key, o)) })
+}
+
+// execute runs a request at an upstream. A panic of the executor leaves the outcome unknown.
+func (c *Claims) execute(ctx context.Context, r exchange.Request) claim.Outcome {
+	var a exchange.Answer
+	if panicked := panics.Try(func() { a = c.executor.Execute(ctx, r) }); panicked != nil {
+		c.log.Error("executor panicked", "service", string(r.Service), "error", panicked.AsError())
+		return claim.Outcome{Result: claim.ResultUnknown, Reason: claim.ReasonNoAnswer}
+	}
+	o, err := outcomeOf(a)
+	if err != nil {
+		c.log.Error("answer not recorded", "service", string(r.Service), "error", err)
+	}
+	return o
+}
