--- a/coord/membership/api.go
+++ b/coord/membership/api.go
@@ -1,7 +1,18 @@
-// Package membership keeps the roster of instances and tells the dead from the unreachable.
 package membership
 
-import "github.com/damaskcove/damaskcove/coord/fleet"
+import (
+	"errors"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+// Errors that the program hands to Machine.RosterRead and Machine.RosterWritten.
+var (
+	// ErrConflict says that the stored roster has another generation; nothing was written.
+	ErrConflict = errors.New("roster written by another instance")
+	// ErrUnknownResult says that a write of the roster may or may not have taken effect.
+	ErrUnknownResult = errors.New("result of roster write unknown")
+)
 
 // Roster is the fleet's record of its instances. The platform's store holds it under one key.
 type Roster struct {
@@ -14,7 +25,8 @@
 type Member struct {
 	Instance fleet.Instance `json:"instance"`
 	Status   Status         `json:"status"`
-	Revision fleet.Revision `json:"revision"` // Configuration in force there, as last heard.
+	Revision fleet.Revision `json:"revision"` // Configuration in force there, as last heard; zero unless a neighbour.
+	Heard    bool           `json:"heard"`    // False when no chain of neighbours that hear each other leads to it.
 }
 
 // Status is how an instance stands.
@@ -44,25 +56,19 @@
 // Roster.Generation-1; the program answers with Machine.RosterWritten.
 type WriteRoster struct{ Roster Roster }
 
+// Rejoined says that this instance was taken off the roster and now is Self, its next life.
+// Whatever it held as its former life is void.
+type Rejoined struct{ Self fleet.Instance }
+
+// Superseded says that another process has taken this instance's ID. The machine has stopped.
+type Superseded struct{ By fleet.Instance }
+
 // Changed says that Machine.Members or Machine.Roster has changed.
 type Changed struct{}
 
 func (Send) isEffect()        {}
 func (ReadRoster) isEffect()  {}
 func (WriteRoster) isEffect() {}
+func (Rejoined) isEffect()    {}
+func (Superseded) isEffect()  {}
 func (Changed) isEffect()     {}
-
-// Methods that the daemon calls; all run on one goroutine:
-//
-//	func NewMachine(cfg Config, self fleet.Instance, random *rand.Rand) *Machine   // math/rand/v2
-//	func (m *Machine) Start(now time.Time, hints []fleet.Instance) []Effect  // hints: the platform's lagging list, for joining
-//	func (m *Machine) Deliver(now time.Time, from fleet.Ref, msg Message) []Effect
-//	func (m *Machine) Tick(now time.Time) []Effect
-//	func (m *Machine) Leave(now time.Time) []Effect          // planned stop: announce
-//	func (m *Machine) Gone(now time.Time) []Effect           // just before exit: strike itself off the roster
-//	func (m *Machine) RosterRead(now time.Time, r Roster, err error) []Effect
-//	func (m *Machine) RosterWritten(now time.Time, r Roster, err error) []Effect // err: ErrConflict, ErrUnknownResult, other
-//	func (m *Machine) SetRevision(r fleet.Revision)          // carried by heartbeats
-//	func (m *Machine) Members() []Member                     // immutable copy
-//	func (m *Machine) Roster() Roster                        // immutable
-//	func (m *Machine) Ahead() (fleet.Instance, fleet.Revision, bool) // the member with the highest revision above ours
--- a/coord/rollout/api.go
+++ b/coord/rollout/api.go
@@ -1,4 +1,3 @@
-// Package rollout carries configuration revisions from the store to every instance and never goes back.
 package rollout
 
 import (
@@ -65,22 +64,3 @@
 
 // Digest names a snapshot shard by its content (SHA-256).
 type Digest [32]byte
-
-// Methods that the daemon calls; all run on one goroutine:
-//
-//	func NewMachine(cfg MachineConfig, self fleet.Ref) *Machine
-//	func (m *Machine) HeadRead(now time.Time, head Head, err error) []Effect   // by a watcher or at start
-//	func (m *Machine) ShardRead(now time.Time, d Digest, data []byte, err error) []Effect
-//	func (m *Machine) Deliver(now time.Time, from fleet.Ref, msg Message) []Effect
-//	func (m *Machine) PeerRevision(now time.Time, peer fleet.Ref, r fleet.Revision) []Effect // heartbeat carried r
-//	func (m *Machine) SetPeers(peers []fleet.Ref, watcher bool)
-//	func (m *Machine) Tick(now time.Time) []Effect
-//	func (m *Machine) Current() *Config   // nil before the first
-//
-// Functions that the operators' tool calls, on typed values; the store itself is reached by the caller:
-//
-//	func EncodeHead(Head) ([]byte, error); func DecodeHead([]byte) (Head, error)
-//	func Propose(current Head, base *Config, change Change) (Head, []Shard, error)  // Change carries its ID and edited templates
-//	func (h Head) Has(changeID string) bool
-//	func Diff(a, b *Config) []Difference
-//	func (c *Config) Validate() []Fault       // every fault at once
--- /dev/null
+++ b/internal/config/peers.go
@@ -0,0 +1,76 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/members"
+)
+
+// follow takes the peers and the part as watcher from the latest snapshot of the members.
+func (d *Duty) follow(now time.Time) {
+	s := d.o.Members.Snapshot()
+	d.seen = s
+	d.machine.SetSelf(s.Self.Ref)
+	watcher := d.isWatcher(s)
+	d.machine.SetPeers(d.peers(s), watcher)
+	switch {
+	case watcher && d.watch == nil:
+		ctx, cancel := context.WithCancel(d.ctx)
+		d.watch = cancel
+		go d.watchHead(ctx)
+	case !watcher && d.watch != nil:
+		d.watch()
+		d.watch = nil
+	}
+}
+
+func (d *Duty) isWatcher(s *members.Snapshot) bool {
+	if !s.Joined {
+		return false
+	}
+	for _, i := range s.Map.Watchers(s.Self.Zone, d.o.WatchersPerZone) {
+		if i.Ref == s.Self.Ref {
+			return true
+		}
+	}
+	return false
+}
+
+// peers returns the neighbours, or a few instances of different zones for one that is not
+// on the roster.
+func (d *Duty) peers(s *members.Snapshot) []fleet.Ref {
+	if s.Joined {
+		return refsOf(d.o.Members.Neighbours())
+	}
+	candidates := append([]fleet.Instance(nil), s.Map.Instances()...)
+	candidates = append(candidates, d.hints...)
+	d.o.Random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	return refsOf(spread(candidates, s.Self, startPeers))
+}
+
+// spread returns count instances other than self, taking the zones in turns.
+func spread(candidates []fleet.Instance, self fleet.Instance, count int) []fleet.Instance {
+	var chosen []fleet.Instance
+	perZone := make(map[fleet.Zone]int)
+	taken := map[fleet.InstanceID]bool{self.Ref.ID: true}
+	for turn := 0; turn < count && len(chosen) < count; turn++ {
+		for _, c := range candidates {
+			if !taken[c.Ref.ID] && perZone[c.Zone] <= turn && len(chosen) < count {
+				taken[c.Ref.ID] = true
+				perZone[c.Zone]++
+				chosen = append(chosen, c)
+			}
+		}
+	}
+	return chosen
+}
+
+func refsOf(instances []fleet.Instance) []fleet.Ref {
+	refs := make([]fleet.Ref, len(instances))
+	for i, instance := range instances {
+		refs[i] = instance.Ref
+	}
+	return refs
+}
--- /dev/null
+++ b/internal/config/store.go
@@ -0,0 +1,96 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+const (
+	// callTimeout bounds one read of the store.
+	callTimeout = 10 * time.Second
+	// watchTimeout bounds one watch, which is then begun again.
+	watchTimeout = time.Minute
+	// minBackoff and maxBackoff bound the time before a failed watch is begun again.
+	minBackoff = 500 * time.Millisecond
+	maxBackoff = 15 * time.Second
+)
+
+func (d *Duty) readHead() {
+	ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
+	defer cancel()
+	value, err := d.store.Get(ctx, d.o.Keys.Head())
+	d.postHead(value, err)
+}
+
+// postHead hands the outcome of reading the head to the machine. An absent key is a zero head.
+func (d *Duty) postHead(value platform.Value, err error) {
+	head, err := decodeHead(value, err)
+	if errors.Is(err, rollout.ErrMalformed) {
+		d.o.Log.Error("head in the store is malformed; the last good configuration stays in force", "error", err.Error())
+	}
+	d.o.Loop.Post(func(now time.Time) { d.run(now, d.machine.HeadRead(now, head, err)) })
+}
+
+func decodeHead(value platform.Value, err error) (rollout.Head, error) {
+	if errors.Is(err, platform.ErrNotFound) {
+		return rollout.Head{}, nil
+	}
+	if err != nil {
+		return rollout.Head{}, fmt.Errorf("read head: %w", err)
+	}
+	return rollout.DecodeHead(value.Data)
+}
+
+func (d *Duty) readShard(digest rollout.Digest) {
+	ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
+	defer cancel()
+	value, err := d.store.Get(ctx, d.o.Keys.Shard(digest))
+	d.o.Loop.Post(func(now time.Time) { d.run(now, d.machine.ShardRead(now, digest, value.Data, err)) })
+}
+
+// watchHead reads the head each time that it changes, until ctx ends.
+func (d *Duty) watchHead(ctx context.Context) {
+	var after platform.Version
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		value, err := d.watchOnce(ctx, after)
+		switch {
+		case err == nil && value.Version != after:
+			after = value.Version
+			backoff = minBackoff
+			d.postHead(value, nil)
+		case err == nil || errors.Is(err, context.DeadlineExceeded):
+			backoff = minBackoff
+			pause(ctx, jitter(minBackoff))
+		default:
+			pause(ctx, jitter(backoff))
+			backoff = min(2*backoff, maxBackoff)
+		}
+	}
+}
+
+func (d *Duty) watchOnce(ctx context.Context, after platform.Version) (platform.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	return d.store.Watch(ctx, d.o.Keys.Head(), after)
+}
+
+// jitter returns between half of a time and the whole of it.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/operate/session.go
@@ -0,0 +1,104 @@
+package operate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/internal/storekeys"
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+// retiredFor is the time for which a shard that left the head stays readable.
+const retiredFor = time.Hour
+
+// session makes the calls of the store for one fleet.
+type session struct {
+	store platform.Store
+	keys  storekeys.Keys
+}
+
+// state is the configuration as the store holds it.
+type state struct {
+	head    rollout.Head
+	version platform.Version
+	config  *rollout.Config // Nil when there is none yet.
+}
+
+func (s session) load(ctx context.Context) (state, error) {
+	value, err := s.store.Get(ctx, s.keys.Head())
+	if errors.Is(err, platform.ErrNotFound) {
+		return state{head: rollout.Head{Fleet: s.keys.Fleet}}, nil
+	}
+	if err != nil {
+		return state{}, fmt.Errorf("read head: %w", err)
+	}
+	head, err := rollout.DecodeHead(value.Data)
+	if err != nil {
+		return state{}, err
+	}
+	if head.Fleet != s.keys.Fleet {
+		return state{}, fmt.Errorf("%w: head is of fleet %q, not %q", rollout.ErrMalformed, head.Fleet, s.keys.Fleet)
+	}
+	config, err := s.assemble(ctx, head)
+	return state{head: head, version: value.Version, config: config}, err
+}
+
+func (s session) assemble(ctx context.Context, head rollout.Head) (*rollout.Config, error) {
+	shards := make(map[rollout.Digest][]byte, len(head.Shards))
+	for _, d := range head.Shards {
+		value, err := s.store.Get(ctx, s.keys.Shard(d))
+		if err != nil {
+			return nil, fmt.Errorf("read shard %v of revision %d: %w", d, head.SnapshotRevision, err)
+		}
+		shards[d] = value.Data
+	}
+	return rollout.Assemble(head, func(d rollout.Digest) []byte { return shards[d] })
+}
+
+// accept writes the shards and then swaps the head.
+func (s session) accept(ctx context.Context, held state, next rollout.Head, shards []rollout.Shard) error {
+	data, err := rollout.EncodeHead(next)
+	if err != nil {
+		return err
+	}
+	for _, shard := range shards {
+		if err := s.writeShard(ctx, shard); err != nil {
+			return err
+		}
+	}
+	if _, err := s.store.CompareAndSwap(ctx, s.keys.Head(), held.version, data, 0); err != nil {
+		return fmt.Errorf("write head of revision %d: %w", next.Revision, err)
+	}
+	return nil
+}
+
+// writeShard writes a shard unless it is there: the key is its content's digest.
+func (s session) writeShard(ctx context.Context, shard rollout.Shard) error {
+	_, err := s.store.CompareAndSwap(ctx, s.keys.Shard(shard.Digest), 0, shard.Data, 0)
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		return fmt.Errorf("write shard %v: %w", shard.Digest, err)
+	}
+	return nil
+}
+
+// retire lets shards lapse that the head no longer names. A shard's digest never comes back
+// into the head. A failure costs only the room that they take.
+func (s session) retire(ctx context.Context, digests []rollout.Digest) {
+	if len(digests) == 0 {
+		return
+	}
+	lease, err := s.store.GrantLease(ctx, retiredFor)
+	if err != nil {
+		return
+	}
+	for _, d := range digests {
+		value, err := s.store.Get(ctx, s.keys.Shard(d))
+		if err != nil {
+			continue
+		}
+		_, _ = s.store.CompareAndSwap(ctx, s.keys.Shard(d), value.Version, value.Data, lease)
+	}
+}
