Placement: select without sorting, relieve overloaded zones, tests

Change: scores are worked out once and only the best kept; an overloaded zone sends some accounts to other zones of its region first.

--- a/coord/membership/writer.go
+++ b/coord/membership/writer.go
@@ -93,11 +93,8 @@
 
 // changes returns what the roster should gain and lose.
 func (m *Machine) changes() ([]fleet.Instance, []fleet.Ref) {
-	var added []fleet.Instance
 	var removed []fleet.Ref
-	for _, i := range m.facts.joins() {
-		added = append(added, i)
-	}
+	added := m.facts.joins()
 	if m.mayWriteItself() {
 		added = append(added, m.self)
 	}
--- a/coord/placement/entry.go
+++ b/coord/placement/entry.go
@@ -1,15 +1,11 @@
 package placement
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/damaskcove/damaskcove/coord/fleet"
-)
+import "github.com/damaskcove/damaskcove/coord/fleet"
 
 // Entries returns the instances that a client account's callers should use for a service,
 // best first, count of them or all carriers there are. Carriers of the near zone come first, then
-// those of its region, then the others; within each the account's own rank decides.
+// those of its region, then the others; within each the account's own rank decides. Where the near
+// zone has more callers than its carriers' share, some accounts get another zone of the region first.
 func (m *Map) Entries(s fleet.Service, a fleet.Account, near fleet.Zone, carriers, count int) []fleet.Instance {
 	ranked := m.entryOrder(s, a, near, carriers)
 	return instancesOf(ranked[:min(max(count, 0), len(ranked))])
@@ -19,7 +15,8 @@
 	key := keyOf(saltEntry, hashName(string(s)), hashName(string(a)))
 	set := m.carrierSet(s, carriers)
 	region := m.regionOf(near)
-	return rank(set.nodes, key, func(i fleet.Instance) int {
+	near = m.relieve(set, near, region, key)
+	return rank(set.nodes, key, func(i *fleet.Instance) int {
 		return distance(i, near, region)
 	})
 }
@@ -41,8 +38,8 @@
 	}
 	home = order[0].instance
 	key := keyOf(saltWitness, hashName(string(s)), hashName(string(a)))
-	rest := rank(order[1:], key, func(i fleet.Instance) int {
-		return witnessClass(home, i)
+	rest := rank(order[1:], key, func(i *fleet.Instance) int {
+		return witnessClass(&home, i)
 	})
 	if len(rest) > 0 {
 		witness = rest[0].instance
@@ -51,7 +48,7 @@
 }
 
 // witnessClass orders the witnesses of a home: the lowest is the best.
-func witnessClass(home, candidate fleet.Instance) int {
+func witnessClass(home, candidate *fleet.Instance) int {
 	switch {
 	case candidate.Region != home.Region:
 		return 2
@@ -63,7 +60,7 @@
 }
 
 // distance orders instances by how far they are from a zone: the lowest is the nearest.
-func distance(i fleet.Instance, near fleet.Zone, region fleet.Region) int {
+func distance(i *fleet.Instance, near fleet.Zone, region fleet.Region) int {
 	switch {
 	case near == "" || i.Zone == near:
 		return 0
@@ -83,15 +80,3 @@
 	}
 	return ""
 }
-
-// rank returns the nodes by class, lowest first, and by score within a class.
-func rank(nodes []node, key uint64, class func(fleet.Instance) int) []node {
-	ranked := slices.Clone(nodes)
-	slices.SortFunc(ranked, func(a, b node) int {
-		if c := cmp.Compare(class(a.instance), class(b.instance)); c != 0 {
-			return c
-		}
-		return cmp.Compare(score(key, b.hash), score(key, a.hash))
-	})
-	return ranked
-}
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -25,6 +25,7 @@
 type Map struct {
 	nodes    []node // Sorted by ID.
 	zones    []zone // Sorted by name.
+	callers  map[fleet.Zone]float64
 	carriers sync.Map
 	judges   sync.Map
 }
@@ -39,6 +40,7 @@
 type carrierSet struct {
 	nodes     []node
 	instances []fleet.Instance
+	perZone   map[fleet.Zone]int
 }
 
 // NewMap returns the map of the instances that are alive and not leaving. Of several
@@ -95,7 +97,10 @@
 		return cached.(*carrierSet)
 	}
 	nodes := m.pickCarriers(s, count)
-	set := &carrierSet{nodes: nodes, instances: instancesOf(nodes)}
+	set := &carrierSet{nodes: nodes, instances: instancesOf(nodes), perZone: make(map[fleet.Zone]int)}
+	for _, n := range nodes {
+		set.perZone[n.instance.Zone]++
+	}
 	cached, _ := m.carriers.LoadOrStore(key, set)
 	return cached.(*carrierSet)
 }
@@ -174,18 +179,6 @@
 	return names
 }
 
-// top returns the count nodes that score highest for key, best first.
-func top(nodes []node, key uint64, count int) []node {
-	ranked := slices.Clone(nodes)
-	slices.SortFunc(ranked, func(a, b node) int {
-		if c := cmp.Compare(score(key, b.hash), score(key, a.hash)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.instance.Ref.ID, b.instance.Ref.ID)
-	})
-	return ranked[:min(max(count, 0), len(ranked))]
-}
-
 func instancesOf(nodes []node) []fleet.Instance {
 	instances := make([]fleet.Instance, len(nodes))
 	for i, n := range nodes {
--- /dev/null
+++ b/coord/placement/spread_test.go
@@ -0,0 +1,97 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+// maxOverMean is the most callers that a carrier may have, as a multiple of the mean.
+const maxOverMean = 1.25
+
+// heaviest returns the heaviest carrier's callers over the mean, when each caller uses its first entry.
+func heaviest(m *Map, s fleet.Service, carriers, callers int, near func(caller int) fleet.Zone) float64 {
+	counts := make(map[fleet.Ref]int)
+	for c := range callers {
+		account := fleet.Account(fmt.Sprintf("account-%d", c))
+		counts[m.Entries(s, account, near(c), carriers, 3)[0].Ref]++
+	}
+	most := 0
+	for _, n := range counts {
+		most = max(most, n)
+	}
+	return float64(most) * float64(len(m.Carriers(s, carriers))) / float64(callers)
+}
+
+func TestNoCarrierHasMoreThanItsShareOfCallers(t *testing.T) {
+	anywhere := func(int) fleet.Zone { return "" }
+	inTurn := func(zones int) func(int) fleet.Zone {
+		return func(c int) fleet.Zone { return fleet.Zone(fmt.Sprintf("z%d", c%zones)) }
+	}
+	cases := []struct {
+		instances, zones, carriers int
+		near                       func(int) fleet.Zone
+	}{
+		{32, 3, 12, anywhere}, {32, 3, 12, inTurn(3)},
+		{36, 3, 12, anywhere}, {36, 3, 12, inTurn(3)},
+		{44, 3, 12, anywhere}, {44, 3, 12, inTurn(3)},
+		{810, 5, 15, anywhere}, {810, 5, 15, inTurn(5)},
+	}
+	for _, c := range cases {
+		m := NewMap(instancesIn(c.instances, c.zones))
+		for s := range 8 {
+			service := fleet.Service(fmt.Sprintf("service-%d", s))
+			if got := heaviest(m, service, c.carriers, 4000, c.near); got > maxOverMean {
+				t.Errorf("%d instances, %d zones, %d carriers, %s: %.3f times the mean, bound %.2f",
+					c.instances, c.zones, c.carriers, service, got, maxOverMean)
+			}
+		}
+	}
+}
+
+func TestUnevenCallersGiveWayToOtherZones(t *testing.T) {
+	shares := map[fleet.Zone]float64{"z0": 0.6, "z1": 0.3, "z2": 0.1}
+	near := func(c int) fleet.Zone {
+		switch {
+		case c%10 < 6:
+			return "z0"
+		case c%10 < 9:
+			return "z1"
+		default:
+			return "z2"
+		}
+	}
+	m := NewMap(instancesIn(44, 3)).WithCallers(shares)
+	for s := range 8 {
+		service := fleet.Service(fmt.Sprintf("service-%d", s))
+		if got := heaviest(m, service, 12, 4000, near); got > maxOverMean {
+			t.Errorf("%s: %.3f times the mean, bound %.2f", service, got, maxOverMean)
+		}
+	}
+}
+
+// TestDepartureShareAtSize counts the placements that one departure moves.
+func TestDepartureShareAtSize(t *testing.T) {
+	for _, size := range []struct{ instances, zones int }{{44, 3}, {810, 5}} {
+		all := instancesIn(size.instances, size.zones)
+		before, after := NewMap(all), NewMap(all[1:])
+		moved, held := 0, 0
+		for s := range 270 {
+			service := fleet.Service(fmt.Sprintf("service-%d", s))
+			was, is := refs(before.Carriers(service, 12)), refs(after.Carriers(service, 12))
+			if was[all[0].Ref] {
+				held++
+			}
+			for r := range is {
+				if !was[r] {
+					moved++
+				}
+			}
+		}
+		t.Logf("%d instances: %d of %d places held by the one that left, %d moved", size.instances, held, 270*12, moved)
+		if moved > held {
+			t.Errorf("%d instances: %d places moved, the one that left held %d", size.instances, moved, held)
+		}
+	}
+}
