Health: carriers, judges, ejection budget and the duty that wires them

Cause: gray endpoints have to leave service in seconds without the fleet ever going below a service's floor, in any split and without a store or a vote.

Change: coord/health gets its carrier, judge, sequential tests, ledger of live verdicts and probation; internal/endpoints wires them for all services of an instance.

--- a/coord/health/api.go
+++ b/coord/health/api.go
@@ -1,7 +1,7 @@
-// Package health finds gray upstream endpoints and takes them out of service without breaking a floor.
 package health
 
 import (
+	"errors"
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
@@ -12,8 +12,18 @@
 	Generation uint64
 	Judge      fleet.Ref
 	Carriers   []fleet.Instance
+	// Former holds the carriers of earlier generations on which an instance may still act.
+	Former [][]fleet.Instance
 }
 
+// Errors of Carrier.Deliver and Judge.Deliver. The message was dropped and counted.
+var (
+	// ErrVerdictDropped says that a verdict is late, replayed or not an answer to this carrier.
+	ErrVerdictDropped = errors.New("verdict dropped")
+	// ErrEvidenceDropped says that evidence is absurd, replayed, of another revision or not from a carrier.
+	ErrEvidenceDropped = errors.New("evidence dropped")
+)
+
 // Parameters are a service's settings, as its template gives them.
 type Parameters struct {
 	Service                        fleet.Service
@@ -60,20 +70,3 @@
 	MayReturn time.Time      `json:"may_return"` // When trial requests may start.
 	AtFloor   bool           `json:"at_floor"`   // It would be ejected, but the floor forbids it.
 }
-
-// Methods that the daemon calls; all run on one goroutine, one Carrier and at most one Judge per service:
-//
-//	func NewCarrier(self fleet.Instance, cfg Config) *Carrier
-//	func (c *Carrier) Configure(now time.Time, p Parameters, a Assignment, upstreams []fleet.Upstream)
-//	func (c *Carrier) Observe(now time.Time, a Attempt)
-//	func (c *Carrier) Deliver(now time.Time, from fleet.Ref, v *Verdict) error
-//	func (c *Carrier) Tick(now time.Time) []Send
-//	func (c *Carrier) View(now time.Time) []EndpointView
-//
-//	func NewJudge(self fleet.Instance, cfg Config) *Judge
-//	func (j *Judge) Configure(now time.Time, p Parameters, a Assignment, upstreams []fleet.Upstream)
-//	func (j *Judge) Deliver(now time.Time, from fleet.Ref, e *Evidence) ([]Send, error)
-//	func (j *Judge) Tick(now time.Time) []Send
-//	func (j *Judge) Explain(now time.Time) []EndpointView
-//
-//	func Threshold(p Parameters, endpoints int) Operating   // score limit, expected detection time
--- /dev/null
+++ b/coord/health/carrier.go
@@ -0,0 +1,172 @@
+package health
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+// sentHistory is the number of sent messages whose time a carrier remembers.
+const sentHistory = 64
+
+// sentEvidence is when and to whom a carrier sent one message.
+type sentEvidence struct {
+	sequence uint64
+	to       fleet.Ref
+	at       time.Time
+}
+
+// heldVerdict is the newest verdict of one judge.
+type heldVerdict struct {
+	sequence uint64
+	until    time.Time
+	received time.Time
+	removals []Removal
+}
+
+// Carrier is one instance's part in the health of one service: it reports its attempts and obeys verdicts.
+type Carrier struct {
+	self       fleet.Instance
+	cfg        Config
+	params     Parameters
+	assignment Assignment
+	upstreams  []fleet.Upstream
+	byKey      map[EndpointKey]int
+
+	lendFrom  time.Time // A loan of an earlier life of this instance may run until then.
+	lentTo    fleet.Ref
+	lentUntil time.Time
+
+	sequence uint64
+	echo     uint64 // Of the judge of assignment.
+	sent     [sentHistory]sentEvidence
+	lastSent time.Time
+
+	requests collector
+	trials   collector
+	verdicts map[fleet.Ref]heldVerdict
+
+	// Dropped counts the verdicts that Deliver refused.
+	Dropped uint64
+}
+
+// NewCarrier returns the carrier of one service at an instance.
+func NewCarrier(self fleet.Instance, cfg Config) *Carrier {
+	return &Carrier{
+		self:     self,
+		cfg:      cfg,
+		requests: newCollector(),
+		trials:   newCollector(),
+		verdicts: make(map[fleet.Ref]heldVerdict),
+	}
+}
+
+// Configure sets the service's parameters, who judges it, and its endpoints as the platform lists them.
+func (c *Carrier) Configure(now time.Time, p Parameters, a Assignment, upstreams []fleet.Upstream) {
+	if c.lendFrom.IsZero() {
+		c.lendFrom = now.Add(c.cfg.Loan + c.cfg.DriftMargin)
+	}
+	if a.Judge != c.assignment.Judge {
+		c.echo = 0
+	}
+	c.params = p
+	c.assignment = a
+	c.upstreams = upstreams
+	c.byKey = make(map[EndpointKey]int, len(upstreams))
+	for i, u := range upstreams {
+		c.byKey[KeyOf(u.Endpoint)] = i
+	}
+}
+
+// Observe takes one attempt.
+func (c *Carrier) Observe(_ time.Time, a Attempt) {
+	key := KeyOf(a.Endpoint)
+	if _, ok := c.byKey[key]; !ok {
+		return
+	}
+	if a.Trial {
+		c.trials.add(key, a)
+		return
+	}
+	c.requests.add(key, a)
+}
+
+// Tick returns the evidence that is due.
+func (c *Carrier) Tick(now time.Time) []Send {
+	c.dropLapsed(now)
+	to := c.assignment.Judge
+	if to.IsZero() || !c.due(now) {
+		return nil
+	}
+	e := &Evidence{
+		Sequence: c.next(now, to),
+		Echo:     c.echo,
+		Lent:     c.lend(now, to),
+		Revision: c.params.Revision,
+		Reports:  c.requests.take(),
+		Trials:   c.trials.take(),
+	}
+	return []Send{{To: to, Evidence: e}}
+}
+
+func (c *Carrier) due(now time.Time) bool {
+	wait := c.cfg.KeepAlive
+	if !c.requests.empty() || !c.trials.empty() {
+		wait = c.cfg.Interval
+	}
+	return c.lastSent.IsZero() || now.Sub(c.lastSent) >= wait
+}
+
+func (c *Carrier) next(now time.Time, to fleet.Ref) uint64 {
+	c.sequence++
+	c.lastSent = now
+	c.sent[c.sequence%sentHistory] = sentEvidence{sequence: c.sequence, to: to, at: now}
+	return c.sequence
+}
+
+// lend lends the carrier to a judge unless another one may still rely on it.
+func (c *Carrier) lend(now time.Time, to fleet.Ref) bool {
+	if now.Before(c.lendFrom) {
+		return false
+	}
+	if c.lentTo != to && now.Before(c.lentUntil) {
+		return false
+	}
+	c.lentTo = to
+	c.lentUntil = now.Add(c.cfg.Loan)
+	return true
+}
+
+// Deliver takes a verdict. It returns ErrVerdictDropped.
+func (c *Carrier) Deliver(now time.Time, from fleet.Ref, v *Verdict) error {
+	sent := c.sent[v.Sequence%sentHistory]
+	if v.Sequence == 0 || sent.sequence != v.Sequence || sent.to != from {
+		return c.drop(from, v, "it answers nothing that was sent there lately")
+	}
+	until := sent.at.Add(c.cfg.Lease)
+	if !now.Before(until) {
+		return c.drop(from, v, "its lease has lapsed")
+	}
+	if held, ok := c.verdicts[from]; ok && held.sequence >= v.Sequence {
+		return c.drop(from, v, fmt.Sprintf("verdict %d is newer", held.sequence))
+	}
+	c.verdicts[from] = heldVerdict{sequence: v.Sequence, until: until, received: now, removals: v.Removals}
+	if from == c.assignment.Judge {
+		c.echo = v.Number
+	}
+	return nil
+}
+
+func (c *Carrier) drop(from fleet.Ref, v *Verdict, reason string) error {
+	c.Dropped++
+	return fmt.Errorf("%w: sequence %d from %s for service %q: %s", ErrVerdictDropped, v.Sequence, from, c.params.Service, reason)
+}
+
+func (c *Carrier) dropLapsed(now time.Time) {
+	for judge, held := range c.verdicts {
+		if !now.Before(held.until) {
+			delete(c.verdicts, judge)
+		}
+	}
+}
--- /dev/null
+++ b/coord/health/carrier_view.go
@@ -0,0 +1,70 @@
+package health
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+// View returns every endpoint of the service, in the order of the list. Removals that
+// would take the view below the floor are left out of it, the least bad first.
+func (c *Carrier) View(now time.Time) []EndpointView {
+	views := make([]EndpointView, len(c.upstreams))
+	for i, u := range c.upstreams {
+		views[i] = EndpointView{Endpoint: u.Endpoint, State: StateOpen}
+	}
+	spare := readySlots(c.upstreams) - c.params.FloorSlots
+	for _, judge := range c.judgesByNewest(now) {
+		spare = c.apply(views, judge, spare)
+	}
+	return views
+}
+
+// judgesByNewest returns the judges whose verdict is alive, the newest verdict first.
+func (c *Carrier) judgesByNewest(now time.Time) []fleet.Ref {
+	var judges []fleet.Ref
+	for judge, held := range c.verdicts {
+		if now.Before(held.until) {
+			judges = append(judges, judge)
+		}
+	}
+	slices.SortFunc(judges, func(a, b fleet.Ref) int {
+		return cmp.Compare(c.verdicts[b].sequence, c.verdicts[a].sequence)
+	})
+	return judges
+}
+
+// apply marks the removals of one judge's verdict while spare slots last, and returns the slots left.
+func (c *Carrier) apply(views []EndpointView, judge fleet.Ref, spare int) int {
+	held := c.verdicts[judge]
+	for _, r := range held.removals {
+		i, ok := c.byKey[r.Endpoint]
+		if !ok || views[i].State != StateOpen {
+			continue
+		}
+		v := &views[i]
+		v.Judge = judge
+		v.Score = float64(r.Score)
+		v.Limit = float64(r.Limit)
+		v.Until = held.until
+		v.MayReturn = held.received.Add(time.Duration(r.ReturnIn) * time.Millisecond)
+		cost := 0
+		if c.upstreams[i].State == fleet.UpstreamReady {
+			cost = c.upstreams[i].Slots
+		}
+		if !removes(r.State) || cost > spare {
+			v.AtFloor = true
+			continue
+		}
+		v.State = r.State
+		spare -= cost
+	}
+	return spare
+}
+
+// removes reports whether a state takes an endpoint out of normal service.
+func removes(s State) bool {
+	return s == StateEjected || s == StateAvoided || s == StateTrial
+}
--- /dev/null
+++ b/coord/health/centre.go
@@ -0,0 +1,148 @@
+package health
+
+import (
+	"math"
+	"slices"
+)
+
+// Bounds and steps of the tests. A gain is the log-likelihood ratio of one request, in nats.
+const (
+	minFailureRate   = 0.01 // Healthy failure rate that the test assumes at least.
+	failureStep      = 0.2  // Part of the healthy requests that fail at a sick endpoint.
+	minLogSigma      = 0.35 // Least standard deviation of the logarithm of latency.
+	priorLogSigma    = 0.6
+	minSlowShift     = math.Ln2
+	slowShiftInSigma = 2.0
+	maxSlowGain      = 3.0
+	maxResidual      = 2.5 // Nats from the centre.
+)
+
+// minCentreRequests is the number of requests of an endpoint from which its rates count.
+const minCentreRequests = 5
+
+// centre is the robust centre of a service's endpoints: what a healthy request looks like.
+type centre struct {
+	failureRate float64
+	logLatency  float64
+	sigma       float64
+	known       bool // logLatency comes from requests.
+}
+
+func defaultCentre() centre {
+	return centre{failureRate: minFailureRate, sigma: priorLogSigma}
+}
+
+// failureGains returns the gains of a failed and of an answered request.
+func failureGains(healthy float64) (failed, answered float64) {
+	sick := healthy + failureStep*(1-healthy)
+	return math.Log(sick / healthy), math.Log((1 - sick) / (1 - healthy))
+}
+
+// failureDrift returns the expected gain of a request at an endpoint that fails a part of its work.
+func (c centre) failureDrift(failing float64) float64 {
+	failed, answered := failureGains(c.failureRate)
+	return failing*failed + (1-failing)*answered
+}
+
+// slowShift returns the slowness that the test looks for, in nats of latency.
+func (c centre) slowShift() float64 {
+	return max(minSlowShift, slowShiftInSigma*c.sigma)
+}
+
+// slowGain returns the gain of a request with a residual of the logarithm of its latency.
+func (c centre) slowGain(residual float64) float64 {
+	shift := c.slowShift()
+	gain := shift / (c.sigma * c.sigma) * (residual - shift/2)
+	return min(max(gain, -maxSlowGain), maxSlowGain)
+}
+
+// residual returns the logarithm of a bin's latency over the centre.
+func (c centre) residual(bin uint8) float64 {
+	return min(max(logOfBin(bin)-c.logLatency, -maxResidual), maxResidual)
+}
+
+// rates are slowly moving averages over the requests of one endpoint.
+type rates struct {
+	requests    float64 // Weight of failureRate, up to averagedRequests.
+	failureRate float64
+	answers     float64 // Weight of logLatency and variance.
+	logLatency  float64
+	variance    float64
+}
+
+// averagedRequests is the number of requests over which rates average.
+const averagedRequests = 200
+
+// priorRequests weighs the failure rate that an endpoint is taken to have at first.
+const priorRequests = 20
+
+func (r *rates) addRequests(requests, failures float64) {
+	if requests == 0 {
+		return
+	}
+	r.requests = min(r.requests+requests, averagedRequests)
+	weight := min(requests/(r.requests+priorRequests), 1)
+	r.failureRate += weight * (failures/requests - r.failureRate)
+}
+
+func (r *rates) addAnswers(count, logLatency float64) {
+	r.answers = min(r.answers+count, averagedRequests)
+	weight := count / r.answers
+	distance := logLatency - r.logLatency
+	if r.answers > count {
+		distance = min(max(distance, -maxResidual), maxResidual)
+	}
+	r.logLatency += weight * distance
+	r.variance += weight * (distance*distance*(1-weight) - r.variance)
+}
+
+// centreOf returns the centre of several endpoints; fallback stands in for what too few requests tell.
+func centreOf(all []*rates, fallback centre) centre {
+	var failing, latency, variance []float64
+	for _, r := range all {
+		if r.requests >= minCentreRequests {
+			failing = append(failing, r.failureRate)
+		}
+		if r.answers >= minCentreRequests {
+			latency = append(latency, r.logLatency)
+			variance = append(variance, r.variance)
+		}
+	}
+	c := fallback
+	if len(failing) > 0 {
+		c.failureRate = max(minFailureRate, 2*median(failing))
+		c.failureRate = min(c.failureRate, maxCentreFailureRate)
+	}
+	if len(latency) > 0 {
+		c.known = true
+		c.logLatency = median(latency)
+		c.sigma = max(minLogSigma, math.Sqrt(median(variance)+square(deviation(latency, c.logLatency))))
+	}
+	return c
+}
+
+// maxCentreFailureRate keeps the test defined when almost everything fails.
+const maxCentreFailureRate = 0.9
+
+// deviation returns a robust standard deviation around a centre.
+func deviation(values []float64, around float64) float64 {
+	const madToSigma = 1.4826
+	distances := make([]float64, len(values))
+	for i, v := range values {
+		distances[i] = math.Abs(v - around)
+	}
+	return madToSigma * median(distances)
+}
+
+func median(values []float64) float64 {
+	slices.Sort(values)
+	n := len(values)
+	if n%2 == 1 {
+		return values[n/2]
+	}
+	return (values[n/2-1] + values[n/2]) / 2
+}
+
+func square(x float64) float64 {
+	return x * x
+}
--- /dev/null
+++ b/coord/health/collector.go
@@ -0,0 +1,80 @@
+package health
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// maxLatencyPairs bounds the bins of one report.
+const maxLatencyPairs = 32
+
+// tally sums up the attempts on one endpoint.
+type tally struct {
+	requests uint32
+	failures uint32
+	bins     map[uint8]uint8
+}
+
+// collector sums up attempts per endpoint between two messages.
+type collector struct {
+	tallies map[EndpointKey]*tally
+}
+
+func newCollector() collector {
+	return collector{tallies: make(map[EndpointKey]*tally)}
+}
+
+func (c *collector) empty() bool {
+	return len(c.tallies) == 0
+}
+
+func (c *collector) add(key EndpointKey, a Attempt) {
+	t := c.tallies[key]
+	if t == nil {
+		t = &tally{bins: make(map[uint8]uint8)}
+		c.tallies[key] = t
+	}
+	if t.requests >= maxReportRequests {
+		return
+	}
+	t.requests++
+	if a.Failed {
+		t.failures++
+		return
+	}
+	t.addLatency(binOf(a.Latency))
+}
+
+// addLatency counts a latency. Over the bounds of a report it is left out; the request still counts.
+func (t *tally) addLatency(bin uint8) {
+	count, known := t.bins[bin]
+	if count == maxBinCount || (!known && len(t.bins) == maxLatencyPairs) {
+		return
+	}
+	t.bins[bin] = count + 1
+}
+
+// take returns the reports so far, by endpoint, and starts anew.
+func (c *collector) take() []Report {
+	if c.empty() {
+		return nil
+	}
+	reports := make([]Report, 0, len(c.tallies))
+	for key, t := range c.tallies {
+		reports = append(reports, Report{Endpoint: key, Requests: t.requests, Failures: t.failures, Latency: t.latency()})
+	}
+	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	clear(c.tallies)
+	return reports
+}
+
+// latency returns the bins with their counts, in ascending order of the bin.
+func (t *tally) latency() []byte {
+	bins := slices.Sorted(maps.Keys(t.bins))
+	pairs := make([]byte, 0, 2*len(bins))
+	for _, bin := range bins {
+		pairs = append(pairs, bin, t.bins[bin])
+	}
+	return pairs
+}
--- /dev/null
+++ b/coord/health/detector.go
@@ -0,0 +1,128 @@
+package health
+
+// Cause says what a score speaks of.
+type Cause uint8
+
+// Causes of a removal.
+const (
+	CauseFailures Cause = iota // Requests fail.
+	CauseSlowness              // Answers are late.
+)
+
+// String returns the word that logs use.
+func (c Cause) String() string {
+	if c == CauseFailures {
+		return "failures"
+	}
+	return "slowness"
+}
+
+// causes is the number of causes.
+const causes = 2
+
+// totals count the requests of one endpoint since it was first seen.
+type totals struct {
+	requests  float64
+	failures  float64
+	answers   float64
+	residuals float64 // Sum over the answers.
+}
+
+func (t totals) minus(earlier totals) totals {
+	return totals{
+		requests:  t.requests - earlier.requests,
+		failures:  t.failures - earlier.failures,
+		answers:   t.answers - earlier.answers,
+		residuals: t.residuals - earlier.residuals,
+	}
+}
+
+// cusum is a cumulative-sum test: the sum of gains since it was last zero.
+type cusum struct {
+	score float64
+	by    []float64 // Part of each carrier in score.
+	// marks hold the totals of every endpoint from the time at which score rose over
+	// a quarter of the limit; nil while it is below.
+	marks []totals
+}
+
+func (c *cusum) add(gain float64, carrier int, limit float64) {
+	c.score += gain
+	c.by[carrier] += gain
+	if c.score <= 0 {
+		c.reset()
+		return
+	}
+	if most := scoreCap * limit; c.score > most {
+		c.scale(most / c.score)
+	}
+}
+
+// scoreCap bounds a score, in limits, so that an endpoint that recovers is seen to.
+const scoreCap = 2.0
+
+func (c *cusum) scale(factor float64) {
+	c.score *= factor
+	for i := range c.by {
+		c.by[i] *= factor
+	}
+}
+
+func (c *cusum) reset() {
+	c.score = 0
+	c.marks = nil
+	clear(c.by)
+}
+
+// withoutLargest returns the score without the carrier that contributed most to it.
+func (c *cusum) withoutLargest() float64 {
+	largest := 0.0
+	for _, part := range c.by {
+		largest = max(largest, part)
+	}
+	return c.score - largest
+}
+
+// scope is what a judge knows of one endpoint from all carriers, or from those of one zone.
+type scope struct {
+	rates  rates
+	totals totals
+	tests  [causes]cusum
+}
+
+func newScope(carriers int) scope {
+	var s scope
+	for i := range s.tests {
+		s.tests[i].by = make([]float64, carriers)
+	}
+	return s
+}
+
+// observe takes one carrier's report into the scope.
+func (s *scope) observe(c centre, r Report, carrier int, limit float64) {
+	requests, failures := float64(r.Requests), float64(r.Failures)
+	failed, answered := failureGains(c.failureRate)
+	s.tests[CauseFailures].add(failures*failed+(requests-failures)*answered, carrier, limit)
+	s.rates.addRequests(requests, failures)
+	s.totals.requests += requests
+	s.totals.failures += failures
+	slow := 0.0
+	for i := 0; i+1 < len(r.Latency); i += 2 {
+		count := float64(r.Latency[i+1])
+		residual := c.residual(r.Latency[i])
+		slow += count * c.slowGain(residual)
+		s.rates.addAnswers(count, logOfBin(r.Latency[i]))
+		s.totals.answers += count
+		s.totals.residuals += count * residual
+	}
+	if c.known {
+		s.tests[CauseSlowness].add(slow, carrier, limit)
+	}
+}
+
+// resetTests forgets what the tests have summed up.
+func (s *scope) resetTests() {
+	for i := range s.tests {
+		s.tests[i].reset()
+	}
+}
--- /dev/null
+++ b/coord/health/threshold.go
@@ -0,0 +1,72 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+// endpointMonth is the time over which false ejections are counted.
+const endpointMonth = 30 * 24 * time.Hour
+
+// Defaults for parameters that a template leaves out.
+const (
+	defaultFalseEjections    = 0.001 // Per endpoint-month.
+	defaultRequestsPerSecond = 1.0
+)
+
+// testsPerRequest is the number of sequential tests that one request takes part in:
+// failures and slowness, over all carriers and over those of one zone.
+const testsPerRequest = 4
+
+// minLimit is the lowest score limit, in nats.
+const minLimit = 8.0
+
+// Operating is the point on the operating curve that a service's parameters set.
+type Operating struct {
+	Limit                          float64       // Score at which an endpoint is ejected, in nats.
+	FalseEjectionsPerEndpointMonth float64       // Accepted of healthy endpoints.
+	RequestsPerSecondPerEndpoint   float64       // On which the times below rest.
+	DetectFailing                  time.Duration // Expected for an endpoint that fails 30% of its work.
+	DetectSlow                     time.Duration // Expected for an endpoint that is 10 times slower.
+}
+
+// Faults whose detection time Threshold gives.
+const (
+	shownFailureRate = 0.3
+	shownSlowFactor  = 10.0
+)
+
+// Threshold returns the operating point of a service with a number of endpoints.
+//
+// The mean number of requests between two false alarms of a cumulative-sum test with
+// limit h is at least e^h, whatever the distribution of healthy requests. So the limit
+// is the logarithm of the tests that an endpoint takes part in per month over the
+// false ejections accepted in it.
+func Threshold(p Parameters, endpoints int) Operating {
+	accepted := p.FalseEjectionsPerEndpointMonth
+	if accepted <= 0 {
+		accepted = defaultFalseEjections
+	}
+	rate := p.ExpectedRequestsPerSecond
+	if rate <= 0 {
+		rate = defaultRequestsPerSecond
+	}
+	perEndpoint := rate / float64(max(endpoints, 1))
+	perMonth := perEndpoint * endpointMonth.Seconds()
+	limit := max(math.Log(testsPerRequest*perMonth/accepted), minLimit)
+	c := defaultCentre()
+	failing := c.failureDrift(shownFailureRate)
+	slow := c.slowGain(math.Log(shownSlowFactor))
+	wait := DefaultConfig().Interval / 2
+	return Operating{
+		Limit:                          limit,
+		FalseEjectionsPerEndpointMonth: accepted,
+		RequestsPerSecondPerEndpoint:   perEndpoint,
+		DetectFailing:                  wait + seconds(limit/failing/perEndpoint),
+		DetectSlow:                     wait + seconds(limit/slow/perEndpoint),
+	}
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/coord/health/validate.go
@@ -0,0 +1,60 @@
+package health
+
+import "fmt"
+
+// Bounds of evidence.
+const (
+	maxReportRequests = 10_000 // Of one carrier on one endpoint between two messages.
+	maxReports        = 4_096
+)
+
+// validate returns an error that names what is absurd in the evidence.
+func (e *Evidence) validate() error {
+	if e.Sequence == 0 {
+		return fmt.Errorf("sequence is 0")
+	}
+	if err := validateReports("report", e.Reports); err != nil {
+		return err
+	}
+	return validateReports("trial", e.Trials)
+}
+
+func validateReports(name string, reports []Report) error {
+	if len(reports) > maxReports {
+		return fmt.Errorf("%d %ss are over the bound of %d", len(reports), name, maxReports)
+	}
+	seen := make(map[EndpointKey]struct{}, len(reports))
+	for _, r := range reports {
+		if _, twice := seen[r.Endpoint]; twice {
+			return fmt.Errorf("%s of endpoint %08x comes twice", name, r.Endpoint)
+		}
+		seen[r.Endpoint] = struct{}{}
+		if err := r.validate(); err != nil {
+			return fmt.Errorf("%s of endpoint %08x: %w", name, r.Endpoint, err)
+		}
+	}
+	return nil
+}
+
+func (r Report) validate() error {
+	if r.Requests == 0 || r.Requests > maxReportRequests {
+		return fmt.Errorf("%d requests are outside 1 to %d", r.Requests, maxReportRequests)
+	}
+	if r.Failures > r.Requests {
+		return fmt.Errorf("%d failures are more than %d requests", r.Failures, r.Requests)
+	}
+	if len(r.Latency)%2 != 0 || len(r.Latency) > 2*maxLatencyPairs {
+		return fmt.Errorf("%d bytes of latency are odd or over %d", len(r.Latency), 2*maxLatencyPairs)
+	}
+	answers := uint32(0)
+	for i := 0; i < len(r.Latency); i += 2 {
+		if r.Latency[i] > binLast {
+			return fmt.Errorf("latency bin %d is over %d", r.Latency[i], binLast)
+		}
+		answers += uint32(r.Latency[i+1])
+	}
+	if answers > r.Requests-r.Failures {
+		return fmt.Errorf("%d latencies are more than %d answers", answers, r.Requests-r.Failures)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/endpoints/duty.go
@@ -0,0 +1,185 @@
+package endpoints
+
+import (
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/health"
+	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/coord/routing"
+	"github.com/damaskcove/damaskcove/internal/control"
+	"github.com/damaskcove/damaskcove/internal/wire"
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+// Placement says which instances carry and judge a service. Carriers must follow from
+// the roster's generation alone, the same at every instance; Judge may also follow from
+// what this instance takes to be alive.
+type Placement interface {
+	Carriers(s fleet.Service, count int) []fleet.Instance
+	Judge(s fleet.Service) (fleet.Instance, bool)
+}
+
+// Publish is told the targets of a service whenever they change; nil when the service is not carried.
+// It runs on the control goroutine.
+type Publish func(service fleet.Service, targets []routing.Target, template rollout.ServiceTemplate)
+
+// DefaultCarriers is the number of instances that carry a service.
+const DefaultCarriers = 12
+
+// formerFor is the time for which an instance may still act on a set of carriers that is not the newest.
+const formerFor = 15 * time.Minute
+
+// maxFormer bounds the sets of carriers that are kept.
+const maxFormer = 16
+
+// Options are what a Duty is built from.
+type Options struct {
+	Health   health.Config
+	Carriers int // Instances that carry a service.
+	Sender   control.Sender
+	Publish  Publish
+	Log      *slog.Logger
+	Tracer   trace.Tracer
+}
+
+// Duty is the health of all services at one instance.
+type Duty struct {
+	options    Options
+	self       fleet.Instance
+	generation uint64
+	placement  Placement
+	config     *rollout.Config
+	listing    platform.Listing
+	services   map[fleet.Service]*service
+	attempts   attempts
+	status     atomic.Pointer[Status]
+	statusAt   time.Time
+}
+
+// NewDuty returns a duty that holds nothing until it has a configuration, a fleet and a listing.
+func NewDuty(o Options) *Duty {
+	if o.Carriers == 0 {
+		o.Carriers = DefaultCarriers
+	}
+	d := &Duty{options: o, services: make(map[fleet.Service]*service)}
+	d.status.Store(&Status{})
+	return d
+}
+
+// SetConfig takes a newer configuration.
+func (d *Duty) SetConfig(now time.Time, c *rollout.Config) {
+	d.config = c
+	d.configure(now)
+}
+
+// SetFleet takes the roster's generation, who carries and judges what, and this instance.
+func (d *Duty) SetFleet(now time.Time, generation uint64, p Placement, self fleet.Instance) {
+	d.generation = generation
+	d.placement = p
+	d.self = self
+	d.configure(now)
+}
+
+// SetListing takes a newer list of the platform.
+func (d *Duty) SetListing(now time.Time, l platform.Listing) {
+	d.listing = l
+	d.configure(now)
+}
+
+// Leaving notes that an upstream endpoint itself said that it is leaving. It gets no new work at once.
+func (d *Duty) Leaving(now time.Time, s fleet.Service, e fleet.Endpoint) {
+	if state := d.services[s]; state != nil {
+		state.leaving[e] = now
+		d.configure(now)
+		d.publish(now, state)
+	}
+}
+
+// Observe takes one attempt. Any goroutine may call it; it never waits for control.
+func (d *Duty) Observe(s fleet.Service, a health.Attempt) {
+	d.attempts.add(s, a)
+}
+
+// Dropped returns the number of attempts that Observe dropped because too many waited.
+func (d *Duty) Dropped() uint64 {
+	return d.attempts.dropped.Load()
+}
+
+// configure brings every service in line with the configuration, the fleet and the listing.
+func (d *Duty) configure(now time.Time) {
+	if d.config == nil || d.placement == nil {
+		return
+	}
+	for name := range d.services {
+		if _, ok := d.config.Services[name]; !ok {
+			d.options.Publish(name, nil, rollout.ServiceTemplate{Name: name})
+			delete(d.services, name)
+		}
+	}
+	for name, template := range d.config.Services {
+		state := d.services[name]
+		if state == nil {
+			state = newService(name)
+			d.services[name] = state
+		}
+		state.template = template
+		state.upstreams = d.upstreams(now, state)
+		d.assign(now, state)
+	}
+}
+
+// Kinds lists the messages that the duty takes.
+func (d *Duty) Kinds() []wire.Kind {
+	return []wire.Kind{wire.KindEvidence, wire.KindVerdict}
+}
+
+// Deliver takes evidence for the judges or verdicts for the carriers of this instance.
+func (d *Duty) Deliver(now time.Time, from fleet.Ref, e wire.Envelope) error {
+	switch e.Kind {
+	case wire.KindEvidence:
+		var body ServiceEvidence
+		if err := wire.DecodeBody(e, &body); err != nil {
+			return err
+		}
+		return d.deliverEvidence(now, from, body)
+	case wire.KindVerdict:
+		var body ServiceVerdict
+		if err := wire.DecodeBody(e, &body); err != nil {
+			return err
+		}
+		return d.deliverVerdicts(now, from, body)
+	default:
+		return fmt.Errorf("%w: kind %d is not of the health duty", wire.ErrMalformed, e.Kind)
+	}
+}
+
+// Tick sends what is due, moves probation on and publishes changed targets.
+func (d *Duty) Tick(now time.Time) {
+	d.attempts.take(func(a attempt) {
+		if state := d.services[a.service]; state != nil && state.carrying {
+			state.carrier.Observe(now, a.Attempt)
+		}
+	})
+	var due outbox
+	for _, state := range d.services {
+		state.expireFormer(now)
+		if state.judge != nil {
+			due.add(state.name, state.judge.Tick(now))
+		}
+		if state.carrier != nil {
+			due.add(state.name, state.carrier.Tick(now))
+		}
+	}
+	d.flush(now, due)
+	for _, state := range d.services {
+		d.report(state)
+		d.publish(now, state)
+	}
+	d.refreshStatus(now)
+}
--- /dev/null
+++ b/internal/endpoints/service.go
@@ -0,0 +1,153 @@
+package endpoints
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/health"
+	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/coord/routing"
+)
+
+// formerSet is a set of carriers on which an instance may still act.
+type formerSet struct {
+	carriers []fleet.Instance
+	until    time.Time
+}
+
+// service is what a duty holds of one service.
+type service struct {
+	name      fleet.Service
+	template  rollout.ServiceTemplate
+	upstreams []fleet.Upstream
+	leaving   map[fleet.Endpoint]time.Time // Said to be leaving by the upstream itself.
+
+	carriers []fleet.Instance
+	former   []formerSet
+	carrying bool
+	carrier  *health.Carrier
+	judge    *health.Judge
+	judging  bool
+	judgeRef fleet.Ref
+
+	published []routing.Target
+	announced bool // published has been passed on.
+}
+
+func newService(name fleet.Service) *service {
+	return &service{name: name, leaving: make(map[fleet.Endpoint]time.Time)}
+}
+
+// leavingFor is the time for which an upstream's own word that it is leaving holds against a list that lags.
+const leavingFor = time.Minute
+
+// upstreams returns the listed endpoints of a service, without doubles and those without slots.
+func (d *Duty) upstreams(now time.Time, s *service) []fleet.Upstream {
+	listed := d.listing.Upstreams[s.name]
+	kept := make([]fleet.Upstream, 0, len(listed))
+	seen := make(map[fleet.Endpoint]struct{}, len(listed))
+	for _, u := range listed {
+		if _, twice := seen[u.Endpoint]; twice || u.Slots <= 0 {
+			continue
+		}
+		seen[u.Endpoint] = struct{}{}
+		if at, ok := s.leaving[u.Endpoint]; ok && now.Sub(at) < leavingFor {
+			u.State = fleet.UpstreamLeaving
+		}
+		kept = append(kept, u)
+	}
+	slices.SortFunc(kept, func(a, b fleet.Upstream) int {
+		return cmp.Compare(a.Endpoint, b.Endpoint)
+	})
+	return kept
+}
+
+// assign brings a service's carrier and judge in line with the fleet.
+func (d *Duty) assign(now time.Time, s *service) {
+	s.setCarriers(now, d.placement.Carriers(s.name, d.options.Carriers))
+	judge, _ := d.placement.Judge(s.name)
+	s.judgeRef = judge.Ref
+	a := health.Assignment{Generation: d.generation, Judge: judge.Ref, Carriers: s.carriers, Former: s.formerCarriers()}
+	p := parametersOf(s.template)
+	s.carrying = slices.ContainsFunc(s.carriers, d.isSelf)
+	if s.carrying && s.carrier == nil {
+		s.carrier = health.NewCarrier(d.self, d.options.Health)
+	}
+	if s.carrier != nil && !s.carrying && !d.wasCarrier(s) {
+		s.carrier = nil
+	}
+	s.judging = judge.Ref == d.self.Ref
+	if s.judging && s.judge == nil {
+		s.judge = health.NewJudge(d.self, d.options.Health)
+	}
+	if s.carrier != nil {
+		s.carrier.Configure(now, p, a, s.upstreams)
+	}
+	if s.judge != nil {
+		s.judge.Configure(now, p, a, s.upstreams)
+	}
+}
+
+func (d *Duty) isSelf(i fleet.Instance) bool {
+	return i.Ref == d.self.Ref
+}
+
+// wasCarrier reports whether this instance is in a former set, and so still lends itself.
+func (d *Duty) wasCarrier(s *service) bool {
+	return slices.ContainsFunc(s.former, func(f formerSet) bool { return slices.ContainsFunc(f.carriers, d.isSelf) })
+}
+
+// setCarriers takes the newest set of carriers and keeps the one before for a while.
+func (s *service) setCarriers(now time.Time, carriers []fleet.Instance) {
+	if sameRefs(s.carriers, carriers) {
+		s.carriers = carriers
+		return
+	}
+	if s.carriers != nil {
+		s.former = append(s.former, formerSet{carriers: s.carriers, until: now.Add(formerFor)})
+	}
+	s.carriers = carriers
+	s.former = slices.DeleteFunc(s.former, func(f formerSet) bool { return sameRefs(f.carriers, carriers) })
+	if len(s.former) > maxFormer {
+		s.former = s.former[len(s.former)-maxFormer:]
+	}
+}
+
+func sameRefs(a, b []fleet.Instance) bool {
+	return slices.EqualFunc(a, b, func(x, y fleet.Instance) bool { return x.Ref == y.Ref })
+}
+
+func (s *service) formerCarriers() [][]fleet.Instance {
+	var sets [][]fleet.Instance
+	for _, f := range s.former {
+		sets = append(sets, f.carriers)
+	}
+	return sets
+}
+
+// expireFormer drops the sets of carriers on which no instance acts any more.
+func (s *service) expireFormer(now time.Time) {
+	s.former = slices.DeleteFunc(s.former, func(f formerSet) bool { return !now.Before(f.until) })
+}
+
+// parametersOf returns the health parameters of a template. Their revision is a digest of
+// them, so that it stays the same while other parts of the configuration change.
+func parametersOf(t rollout.ServiceTemplate) health.Parameters {
+	p := health.Parameters{
+		Service:                        t.Name,
+		FloorSlots:                     t.FloorSlots,
+		FalseEjectionsPerEndpointMonth: t.FalseEjectionsPerEndpointMonth,
+		ExpectedRequestsPerSecond:      t.RequestsPerSecond,
+	}
+	data, err := cbor.Marshal([]any{p.Service, p.FloorSlots, p.FalseEjectionsPerEndpointMonth, p.ExpectedRequestsPerSecond})
+	if err == nil {
+		p.Revision = fleet.Revision(xxhash.Sum64(data) & math.MaxUint32)
+	}
+	return p
+}
