Send requests to upstreams as the balancer decides

Each service has a balancer under a mutex and a timer for its deadlines and hedges. An attempt runs on a lane: a fasthttp client bound to one connection, so that its bytes are counted and closing it cancels the attempt. fasthttp's own repeats are off, requests and responses are never pooled, and answers own their bytes.

An answer whose end is not marked, that is cut off, malformed or over its bound, or that has bytes after its end, is refused with its code. An idle connection is peeked before use and dropped when it is closed or has bytes to read.

Tests run raw TCP upstreams on loopback: whole, cut-off and malformed answers, late and stray answers, closed idle connections, refusals, cancellation, trial, leaving, drain.

--- a/coord/routing/endpoint.go
+++ b/coord/routing/endpoint.go
@@ -58,9 +58,13 @@
 // avoided or on trial, starts slowly.
 func (e *endpoint) update(now time.Time, t Target, known bool) {
 	former := e.target.Standing
+	hint := e.target.LoadHint
 	e.target = t
+	e.target.LoadHint = hint
 	e.listed = true
-	e.loadAt = now.Add(-t.LoadAge)
+	if t.LoadHint > 0 {
+		e.reported(t.LoadHint, now.Add(-t.LoadAge))
+	}
 	returned := known && t.Standing == StandingOpen && (former == StandingAvoided || former == StandingTrial)
 	turnedCold := t.Standing == StandingCold && (!known || former != StandingCold)
 	if returned || turnedCold {
@@ -68,6 +72,15 @@
 	}
 }
 
+// reported takes a reported load, unless a newer one is known.
+func (e *endpoint) reported(load float64, at time.Time) {
+	if at.Before(e.loadAt) {
+		return
+	}
+	e.target.LoadHint = load
+	e.loadAt = at
+}
+
 // load returns the reported load, discounted by its age.
 func (e *endpoint) load(now time.Time) float64 {
 	if e.target.LoadHint <= 0 {
--- a/coord/routing/selection.go
+++ b/coord/routing/selection.go
@@ -37,6 +37,13 @@
 	return b.targetsChanged(now)
 }
 
+// SetLoad takes a load, 0 to 1, that an endpoint reported just now.
+func (b *Balancer) SetLoad(now time.Time, name fleet.Endpoint, load float64) {
+	if e := b.byName[name]; e != nil {
+		e.reported(load, now)
+	}
+}
+
 func (b *Balancer) targetsChanged(now time.Time) []Effect {
 	if !b.anyUsable() {
 		b.rejectWaiting(now, RejectNoEndpoint)
--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,189 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/coord/routing"
+	"github.com/damaskcove/damaskcove/internal/exchange"
+	"github.com/valyala/fasthttp"
+)
+
+const statusNotStarted = fasthttp.StatusServiceUnavailable
+
+// outcome is what came of one attempt.
+type outcome struct {
+	result   routing.AttemptResult
+	answer   exchange.Answer
+	latency  time.Duration
+	blames   bool // The endpoint failed, was not reached, or let the deadline pass.
+	leaving  bool
+	load     float64
+	hasLoad  bool
+	reusable bool
+}
+
+// send makes one attempt on an endpoint. It ends soon after ctx does.
+func send(ctx context.Context, pool *lanePool, r *exchange.Request, traceParent string, deadline time.Time) outcome {
+	started := time.Now()
+	l := pool.acquire()
+	if l == nil {
+		return notSent(pool.endpoint, errors.New("the endpoint's connections are all in use"), false)
+	}
+	o := sendOn(ctx, l, pool.endpoint, r, traceParent, deadline)
+	pool.release(l, o.reusable)
+	o.latency = time.Since(started)
+	return o
+}
+
+func sendOn(ctx context.Context, l *lane, endpoint fleet.Endpoint, r *exchange.Request, traceParent string, deadline time.Time) outcome {
+	remaining := remainingMillis(time.Now(), deadline)
+	if remaining <= 0 || ctx.Err() != nil {
+		return notSent(endpoint, context.DeadlineExceeded, false)
+	}
+	// Neither is pooled: a call that was given up may still hold them.
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	buildRequest(req, endpoint, r, traceParent, remaining)
+	err := l.do(ctx, req, resp)
+	conn := l.attemptConn()
+	if err != nil {
+		return failedAttempt(ctx, l, conn, endpoint, err)
+	}
+	return answered(conn, endpoint, r.Method, resp)
+}
+
+// buildRequest fills req from a caller's request. Path and query pass unchanged.
+func buildRequest(req *fasthttp.Request, endpoint fleet.Endpoint, r *exchange.Request, traceParent string, remaining int64) {
+	uri := &fasthttp.URI{DisablePathNormalizing: true}
+	uri.SetScheme("http")
+	uri.SetHost(string(endpoint))
+	path, query, _ := strings.Cut(r.URI, "?")
+	uri.SetPath(path)
+	uri.SetQueryString(query)
+	req.SetURI(uri)
+	req.UseHostHeader = true
+	req.Header.DisableNormalizing()
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.SetMethod(r.Method)
+	req.Header.SetHost(string(endpoint))
+	writeHeaders(req, r.Headers)
+	if traceParent != "" {
+		req.Header.Set(headerTrace, traceParent)
+	}
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(remaining, 10))
+	req.SetBodyRaw(r.Body)
+}
+
+// answered judges an answer that the library took as whole.
+func answered(conn *trackedConn, endpoint fleet.Endpoint, method string, resp *fasthttp.Response) outcome {
+	status := resp.StatusCode()
+	if conn == nil || conn.readErr != nil {
+		// The end of the connection stood for the end of the answer.
+		return broken(result.CodeAnswerCutOff, endpoint, "the answer's end is not marked", true)
+	}
+	if status < fasthttp.StatusOK {
+		return broken(result.CodeAnswerMalformed, endpoint, "status "+strconv.Itoa(status)+" is not final", true)
+	}
+	bodiless := method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+	if !endsWhole(conn.tail, resp, bodiless) {
+		return broken(result.CodeAnswerMalformed, endpoint, "bytes follow the answer's end", true)
+	}
+	return readAnswer(endpoint, resp, bodiless)
+}
+
+func readAnswer(endpoint fleet.Endpoint, resp *fasthttp.Response, bodiless bool) outcome {
+	status := resp.StatusCode()
+	o := outcome{reusable: !resp.ConnectionClose()}
+	o.leaving = peek(resp, HeaderLeaving) == "1"
+	o.load, o.hasLoad = parseLoad(peek(resp, HeaderLoad))
+	if status == statusNotStarted && peek(resp, HeaderNotStarted) == "1" {
+		o.result = routing.AttemptRefused
+		o.answer = exchange.Refusal(result.CodeUpstreamRefused, "Endpoint "+string(endpoint)+".")
+		return o
+	}
+	o.result = routing.AttemptAnswered
+	if status >= fasthttp.StatusInternalServerError {
+		o.result = routing.AttemptFailed
+		o.blames = true
+	}
+	o.answer = exchange.Answer{
+		Status:    status,
+		Headers:   readHeaders(resp, bodiless),
+		Body:      bytes.Clone(resp.Body()),
+		Code:      result.CodeAnswered,
+		Execution: result.Ran,
+	}
+	return o
+}
+
+// endsWhole reports whether the last bytes read are the end of the answer.
+func endsWhole(tail []byte, resp *fasthttp.Response, bodiless bool) bool {
+	body := resp.Body()
+	if !bodiless && resp.Header.ContentLength() > 0 {
+		n := min(len(tail), len(body))
+		return bytes.Equal(tail[len(tail)-n:], body[len(body)-n:])
+	}
+	return bytes.HasSuffix(tail, []byte("\r\n\r\n")) || bytes.HasSuffix(tail, []byte("\n\n"))
+}
+
+// failedAttempt judges an attempt that brought no answer.
+func failedAttempt(ctx context.Context, l *lane, conn *trackedConn, endpoint fleet.Endpoint, err error) outcome {
+	aborted := l.wasAborted() || ctx.Err() != nil
+	if conn == nil || conn.written == 0 {
+		return notSent(endpoint, err, !aborted)
+	}
+	switch {
+	case aborted && errors.Is(context.Cause(ctx), errAttemptCancelled):
+		return cancelled(endpoint)
+	case aborted:
+		return broken(result.CodeAnswerTimedOut, endpoint, "", true)
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return broken(result.CodeAnswerMalformed, endpoint, "the body is over its bound", true)
+	case conn.readErr != nil || !conn.readSome:
+		return broken(result.CodeAnswerCutOff, endpoint, err.Error(), true)
+	default:
+		return broken(result.CodeAnswerMalformed, endpoint, err.Error(), true)
+	}
+}
+
+func notSent(endpoint fleet.Endpoint, err error, blames bool) outcome {
+	return outcome{
+		result: routing.AttemptNotSent,
+		answer: exchange.Refusal(result.CodeNotSent, "Endpoint "+string(endpoint)+": "+err.Error()+"."),
+		blames: blames,
+	}
+}
+
+func cancelled(endpoint fleet.Endpoint) outcome {
+	return outcome{
+		result: routing.AttemptCancelled,
+		answer: exchange.Refusal(result.CodeCallerGone, "Endpoint "+string(endpoint)+"."),
+	}
+}
+
+func broken(code result.Code, endpoint fleet.Endpoint, detail string, blames bool) outcome {
+	text := "Endpoint " + string(endpoint)
+	if detail != "" {
+		text += ": " + detail
+	}
+	return outcome{
+		result: routing.AttemptBroken,
+		answer: exchange.Refusal(code, text+"."),
+		blames: blames,
+	}
+}
+
+// parseLoad returns a reported load from 0 to 1.
+func parseLoad(text string) (float64, bool) {
+	load, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(load >= 0) {
+		return 0, false
+	}
+	return min(load, 1), true
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/coord/routing"
+	"github.com/damaskcove/damaskcove/internal/exchange"
+)
+
+// Dispatcher sends the requests of every service of this instance to upstreams.
+type Dispatcher struct {
+	settings Settings
+	hooks    Hooks
+
+	mu       sync.RWMutex
+	services map[fleet.Service]*service
+	stopping bool
+	pending  sync.WaitGroup // Calls of Execute under way.
+}
+
+// New returns a dispatcher without services.
+func New(settings Settings, hooks Hooks) *Dispatcher {
+	return &Dispatcher{
+		settings: settings.withDefaults(),
+		hooks:    hooks,
+		services: make(map[fleet.Service]*service),
+	}
+}
+
+// SetTargets replaces the settings and the endpoints of a service.
+func (d *Dispatcher) SetTargets(name fleet.Service, cfg routing.Config, targets []routing.Target) {
+	d.mu.Lock()
+	s := d.services[name]
+	if s == nil {
+		s = newService(name, d.settings, d.hooks, d.random())
+		d.services[name] = s
+	}
+	d.mu.Unlock()
+	s.setTargets(cfg, targets)
+}
+
+// Execute sends a request to its service's upstreams and returns its one answer. An
+// idempotent request may be retried and hedged; any other gets one attempt that may have
+// run. It returns soon after ctx ends or the request's deadline passes.
+func (d *Dispatcher) Execute(ctx context.Context, r exchange.Request) exchange.Answer {
+	s, refusal := d.enter(r.Service)
+	if s == nil {
+		return counted(refusal)
+	}
+	defer d.pending.Done()
+	counters.Add(countRequests, 1)
+	r.Deadline = d.deadline(ctx, r.Deadline)
+	return counted(s.execute(ctx, r))
+}
+
+// Drain takes no new requests and waits until those under way have ended, then closes the
+// connections. It returns ctx's error when ctx ends first.
+func (d *Dispatcher) Drain(ctx context.Context) error {
+	d.mu.Lock()
+	d.stopping = true
+	d.mu.Unlock()
+	ended := make(chan struct{})
+	go func() {
+		d.pending.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		d.closeAll()
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("drain the dispatcher: %w", ctx.Err())
+	}
+}
+
+// enter counts a request in and returns its service, or the refusal when there is none.
+func (d *Dispatcher) enter(name fleet.Service) (*service, exchange.Answer) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if d.stopping {
+		return nil, exchange.Refusal(result.CodeStopping, "")
+	}
+	s := d.services[name]
+	if s == nil {
+		return nil, exchange.Refusal(result.CodeNoEndpoint, fmt.Sprintf("Service %q.", name))
+	}
+	d.pending.Add(1)
+	return s, exchange.Answer{}
+}
+
+// deadline returns the earliest of the request's deadline and ctx's.
+func (d *Dispatcher) deadline(ctx context.Context, requested time.Time) time.Time {
+	if requested.IsZero() {
+		requested = time.Now().Add(d.settings.Deadline)
+	}
+	if at, ok := ctx.Deadline(); ok && at.Before(requested) {
+		return at
+	}
+	return requested
+}
+
+func (d *Dispatcher) closeAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.services {
+		s.close()
+	}
+}
+
+func (d *Dispatcher) random() *rand.Rand {
+	if d.settings.Seed == 0 {
+		return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return rand.New(rand.NewPCG(d.settings.Seed, uint64(len(d.services))))
+}
+
+// counted counts an answer by its code.
+func counted(a exchange.Answer) exchange.Answer {
+	counters.Add(codeCounter(a.Code), 1)
+	return a
+}
+
+// codeCounter returns the name of a code's counter.
+func codeCounter(code result.Code) string {
+	if entry, ok := result.Lookup(code); ok {
+		return countCodeStart + entry.Name
+	}
+	return countCodeStart + "unlisted"
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher_test.go
@@ -0,0 +1,329 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/coord/routing"
+)
+
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Started: 1\r\nContent-Length: 0\r\n\r\n"
+
+// closedEndpoint returns an address on which nothing listens.
+func closedEndpoint(t *testing.T) fleet.Endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return fleet.Endpoint(l.Addr().String())
+}
+
+func TestConnectionIsReused(t *testing.T) {
+	u := newRawUpstream(t, always(ok("a")))
+	d := testDispatcher(t, newRecorder(), targetsOf(1, u.endpoint()))
+	for range 5 {
+		if a := d.Execute(context.Background(), order("x")); a.Code != result.CodeAnswered {
+			t.Fatalf("answer %+v", a)
+		}
+	}
+	if u.connections() != 1 {
+		t.Fatalf("%d connections for requests one after the other", u.connections())
+	}
+}
+
+func TestIdleConnectionClosedByUpstreamIsNotUsed(t *testing.T) {
+	closed := make(chan struct{}, 8)
+	u := newRawUpstream(t, func(conn net.Conn, _ int, _ *http.Request) {
+		_, _ = io.WriteString(conn, ok("a"))
+		_ = conn.Close()
+		closed <- struct{}{}
+	})
+	d := testDispatcher(t, newRecorder(), targetsOf(1, u.endpoint()))
+	for range 3 {
+		if a := d.Execute(context.Background(), order("x")); a.Code != result.CodeAnswered {
+			t.Fatalf("answer %+v, body %q", a, a.Body)
+		}
+		<-closed
+	}
+}
+
+func TestConnectionClosedUnderAnOrderIsUnknown(t *testing.T) {
+	u := newRawUpstream(t, func(conn net.Conn, number int, _ *http.Request) {
+		if number == 2 {
+			_ = conn.Close()
+			return
+		}
+		_, _ = io.WriteString(conn, ok("a"))
+	})
+	d := testDispatcher(t, newRecorder(), targetsOf(1, u.endpoint()))
+	d.Execute(context.Background(), order("first"))
+	a := d.Execute(context.Background(), order("second"))
+	if a.Code != result.CodeAnswerCutOff || a.Execution != result.Unknown {
+		t.Fatalf("answer %+v", a)
+	}
+	if u.count() != 2 {
+		t.Fatalf("two orders reached the upstream %d times", u.count())
+	}
+}
+
+func TestStrayBytesOnIdleConnectionReachNobody(t *testing.T) {
+	answered, stray := make(chan struct{}), make(chan struct{})
+	u := newRawUpstream(t, func(conn net.Conn, number int, _ *http.Request) {
+		_, _ = io.WriteString(conn, ok("own"))
+		if number > 1 {
+			return
+		}
+		go func() {
+			<-answered
+			_, _ = io.WriteString(conn, ok("of another"))
+			close(stray)
+		}()
+	})
+	d := testDispatcher(t, newRecorder(), targetsOf(1, u.endpoint()))
+	first := d.Execute(context.Background(), get("/"))
+	close(answered)
+	<-stray
+	second := d.Execute(context.Background(), get("/"))
+	if string(second.Body) != "own" {
+		t.Fatalf("answers %q, %q", first.Body, second.Body)
+	}
+}
+
+func TestLateAnswerReachesNobody(t *testing.T) {
+	release := make(chan struct{})
+	u := newRawUpstream(t, func(conn net.Conn, number int, _ *http.Request) {
+		if number == 1 {
+			go func() {
+				<-release
+				_, _ = io.WriteString(conn, ok("late"))
+			}()
+			return
+		}
+		_, _ = io.WriteString(conn, ok("own"))
+	})
+	r := newRecorder()
+	d := testDispatcher(t, r, targetsOf(1, u.endpoint()))
+	slow := order("slow")
+	slow.Deadline = time.Now().Add(30 * time.Millisecond)
+	a := d.Execute(context.Background(), slow)
+	if a.Code != result.CodeAnswerTimedOut || a.Execution != result.Unknown {
+		t.Fatalf("answer %+v", a)
+	}
+	if seen := <-r.observed; !seen.Failed {
+		t.Fatalf("observed %+v", seen)
+	}
+	close(release)
+	if a := d.Execute(context.Background(), get("/")); string(a.Body) != "own" {
+		t.Fatalf("answer %q", a.Body)
+	}
+}
+
+func TestRefusedOrderRunsElsewhere(t *testing.T) {
+	full := newRawUpstream(t, always(refusal))
+	free := newRawUpstream(t, always(ok("done")))
+	d := testDispatcher(t, newRecorder(), targetsOf(1, full.endpoint(), free.endpoint()))
+	for range 4 {
+		if a := d.Execute(context.Background(), order("x")); a.Code != result.CodeAnswered {
+			t.Fatalf("answer %+v, body %q", a, a.Body)
+		}
+	}
+	if free.count() != 4 {
+		t.Fatalf("4 orders ran %d times", free.count())
+	}
+}
+
+func TestRefusalIsTruthful(t *testing.T) {
+	full := newRawUpstream(t, always(refusal))
+	r := newRecorder()
+	d := testDispatcher(t, r, targetsOf(1, full.endpoint()))
+	a := d.Execute(context.Background(), order("x"))
+	if a.Code != result.CodeUpstreamRefused || a.Execution != result.NotRun {
+		t.Fatalf("answer %+v", a)
+	}
+	if len(r.observed) != 0 {
+		t.Fatalf("a truthful refusal was observed: %+v", <-r.observed)
+	}
+}
+
+func TestOrdinary503IsNotARefusal(t *testing.T) {
+	sick := newRawUpstream(t, always("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"))
+	other := newRawUpstream(t, always(ok("done")))
+	d := testDispatcher(t, newRecorder(), targetsOf(1, sick.endpoint(), other.endpoint()))
+	orders := 4
+	for range orders {
+		if a := d.Execute(context.Background(), order("x")); a.Execution != result.Ran {
+			t.Fatalf("answer %+v", a)
+		}
+	}
+	if sent := sick.count() + other.count(); sent != orders {
+		t.Fatalf("%d orders were sent %d times", orders, sent)
+	}
+}
+
+func TestUnreachableEndpoint(t *testing.T) {
+	gone := closedEndpoint(t)
+	r := newRecorder()
+	d := testDispatcher(t, r, targetsOf(1, gone))
+	a := d.Execute(context.Background(), order("x"))
+	if a.Code != result.CodeNotSent || a.Execution != result.NotRun {
+		t.Fatalf("answer %+v", a)
+	}
+	if seen := <-r.observed; !seen.Failed || seen.Endpoint != gone {
+		t.Fatalf("observed %+v", seen)
+	}
+	free := newRawUpstream(t, always(ok("done")))
+	d.SetTargets(testService, routing.Config{RetryShare: 1, HedgeQuantile: -1}, targetsOf(1, gone, free.endpoint()))
+	for range 4 {
+		if a := d.Execute(context.Background(), order("x")); a.Code != result.CodeAnswered {
+			t.Fatalf("answer %+v, body %q", a, a.Body)
+		}
+	}
+	if free.count() != 4 {
+		t.Fatalf("4 orders ran %d times", free.count())
+	}
+}
+
+func TestFailedLookupIsRetriedElsewhere(t *testing.T) {
+	sick := newRawUpstream(t, func(conn net.Conn, _ int, _ *http.Request) { _ = conn.Close() })
+	sound := newRawUpstream(t, always(ok("stock")))
+	d := testDispatcher(t, newRecorder(), targetsOf(1, sick.endpoint(), sound.endpoint()))
+	for range 4 {
+		if a := d.Execute(context.Background(), get("/stock")); string(a.Body) != "stock" {
+			t.Fatalf("answer %+v", a)
+		}
+	}
+}
+
+func TestCallerGoneClosesTheUpstreamConnection(t *testing.T) {
+	started := make(chan struct{})
+	closed := make(chan error, 1)
+	u := newRawUpstream(t, func(conn net.Conn, _ int, _ *http.Request) {
+		close(started)
+		_, err := conn.Read(make([]byte, 1))
+		closed <- err
+	})
+	r := newRecorder()
+	d := testDispatcher(t, r, targetsOf(1, u.endpoint()))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-started
+		cancel()
+	}()
+	a := d.Execute(ctx, order("x"))
+	if a.Code != result.CodeCallerGone || a.Execution != result.Unknown {
+		t.Fatalf("answer %+v", a)
+	}
+	if err := <-closed; !errors.Is(err, io.EOF) && !errors.As(err, new(*net.OpError)) {
+		t.Fatalf("upstream read: %v", err)
+	}
+	if len(r.observed) != 0 {
+		t.Fatalf("a cancelled attempt was observed: %+v", <-r.observed)
+	}
+}
+
+func TestCallerGoneInTheQueue(t *testing.T) {
+	started := make(chan struct{})
+	release := make(chan struct{})
+	u := newRawUpstream(t, func(conn net.Conn, _ int, _ *http.Request) {
+		close(started)
+		<-release
+		_, _ = io.WriteString(conn, ok("a"))
+	})
+	d := testDispatcher(t, newRecorder(), targetsOf(1, u.endpoint()))
+	first := make(chan result.Code, 1)
+	go func() { first <- d.Execute(context.Background(), order("x")).Code }()
+	<-started
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	a := d.Execute(ctx, order("y"))
+	if a.Code != result.CodeCallerGone || a.Execution != result.NotRun {
+		t.Fatalf("answer %+v", a)
+	}
+	close(release)
+	if code := <-first; code != result.CodeAnswered {
+		t.Fatalf("the first order ended with %d", code)
+	}
+}
+
+func TestTrialIsHedgedAndRunsOn(t *testing.T) {
+	release := make(chan struct{})
+	trial := newRawUpstream(t, func(conn net.Conn, _ int, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(conn, ok("trial"))
+	})
+	sound := newRawUpstream(t, always(ok("sound")))
+	r := newRecorder()
+	targets := targetsOf(2, trial.endpoint(), sound.endpoint())
+	targets[0].Standing = routing.StandingTrial
+	d := testDispatcher(t, r, targets)
+	if a := d.Execute(context.Background(), get("/")); string(a.Body) != "sound" {
+		t.Fatalf("answer %+v", a)
+	}
+	<-r.observed
+	close(release)
+	if seen := <-r.observed; !seen.Trial || seen.Failed || seen.Endpoint != trial.endpoint() {
+		t.Fatalf("observed %+v", seen)
+	}
+}
+
+func TestLeavingAnswerStopsNewWork(t *testing.T) {
+	leaving := newRawUpstream(t, always("HTTP/1.1 200 OK\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n"))
+	r := newRecorder()
+	d := testDispatcher(t, r, targetsOf(1, leaving.endpoint()))
+	if a := d.Execute(context.Background(), order("x")); a.Code != result.CodeAnswered {
+		t.Fatalf("answer %+v", a)
+	}
+	if e := <-r.leaving; e != leaving.endpoint() {
+		t.Fatalf("leaving %s", e)
+	}
+	// The platform's list lags and names it still.
+	d.SetTargets(testService, routing.Config{}, targetsOf(1, leaving.endpoint()))
+	a := d.Execute(context.Background(), order("y"))
+	if a.Code != result.CodeNoEndpoint || leaving.count() != 1 {
+		t.Fatalf("answer %+v, %d requests", a, leaving.count())
+	}
+}
+
+func TestUnknownServiceAndDrain(t *testing.T) {
+	started := make(chan struct{})
+	release := make(chan struct{})
+	u := newRawUpstream(t, func(conn net.Conn, _ int, _ *http.Request) {
+		close(started)
+		<-release
+		_, _ = io.WriteString(conn, ok("whole"))
+	})
+	d := New(Settings{Seed: 1}, Hooks{})
+	d.SetTargets(testService, routing.Config{}, targetsOf(1, u.endpoint()))
+	other := get("/")
+	other.Service = "unknown"
+	if a := d.Execute(context.Background(), other); a.Code != result.CodeNoEndpoint {
+		t.Fatalf("answer %+v", a)
+	}
+	body := make(chan string, 1)
+	go func() { body <- string(d.Execute(context.Background(), order("x")).Body) }()
+	<-started
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := d.Drain(ctx); !errors.Is(err, context.Canceled) {
+		t.Fatalf("drain with a request in flight: %v", err)
+	}
+	if a := d.Execute(context.Background(), get("/")); a.Code != result.CodeStopping || a.Execution != result.NotRun {
+		t.Fatalf("answer %+v", a)
+	}
+	close(release)
+	if err := d.Drain(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-body; got != "whole" {
+		t.Fatalf("the request in flight got %q", got)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/effects.go
@@ -0,0 +1,191 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/health"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/coord/routing"
+	"github.com/damaskcove/damaskcove/internal/exchange"
+	"github.com/sourcegraph/conc/panics"
+)
+
+// apply carries out the balancer's effects and sets the timer. s.mu is held.
+func (s *service) apply(now time.Time, effects []routing.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case routing.Dispatch:
+			s.dispatch(e)
+		case routing.CancelAttempt:
+			s.cancelAttempt(e)
+		case routing.Deliver:
+			s.deliver(e)
+		case routing.Reject:
+			s.reject(e)
+		}
+	}
+	s.setTimer(now)
+}
+
+// setTimer makes the timer run when the balancer next needs it.
+func (s *service) setTimer(now time.Time) {
+	at, ok := s.balancer.NextWake(now)
+	if !ok || s.closed {
+		return
+	}
+	if !s.timerAt.IsZero() && !at.Before(s.timerAt) {
+		return
+	}
+	s.timerAt = at
+	s.timer.Reset(max(at.Sub(now), 0))
+}
+
+// dispatch starts the goroutine of one attempt.
+func (s *service) dispatch(e routing.Dispatch) {
+	c := s.calls[e.ID]
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(c.ctx))
+	c.attempts = append(c.attempts, callAttempt{dispatch: e, cancel: cancel})
+	c.running++
+	countDispatch(e)
+	pool := s.pools[e.Endpoint]
+	go s.run(ctx, c, pool, e)
+}
+
+func countDispatch(e routing.Dispatch) {
+	counters.Add(countAttempts, 1)
+	if e.Attempt > 1 && !e.Hedge {
+		counters.Add(countRetries, 1)
+	}
+	if e.Hedge {
+		counters.Add(countHedges, 1)
+	}
+	if e.Trial {
+		counters.Add(countTrials, 1)
+	}
+}
+
+// run makes one attempt and reports its end, in every case.
+func (s *service) run(ctx context.Context, c *call, pool *lanePool, e routing.Dispatch) {
+	ctx, stop := context.WithDeadline(ctx, e.Deadline)
+	defer stop()
+	ctx, span := startSpan(ctx, s.name, &c.request, e)
+	var o outcome
+	if recovered := panics.Try(func() { o = send(ctx, pool, &c.request, traceParent(ctx), e.Deadline) }); recovered != nil {
+		counters.Add(countPanics, 1)
+		o = broken(result.CodeOutcomeUnknown, e.Endpoint, recovered.AsError().Error(), false)
+	}
+	endSpan(span, o)
+	lost := s.finish(c, e, o)
+	s.report(e, o, lost)
+}
+
+// finish tells the balancer of an attempt's end. It reports whether another attempt of
+// the request had answered first.
+func (s *service) finish(c *call, e routing.Dispatch, o outcome) (lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	a := &c.attempts[e.Attempt-1]
+	a.cancel(nil)
+	a.answer = o.answer
+	c.running--
+	lost = c.answered
+	if o.hasLoad {
+		s.balancer.SetLoad(now, e.Endpoint, o.load)
+	}
+	if o.leaving {
+		s.leavingUntil[e.Endpoint] = now.Add(s.settings.LeavingHold)
+		s.apply(now, s.balancer.Leave(now, e.Endpoint))
+	}
+	s.apply(now, s.balancer.Finish(now, e.ID, e.Attempt, o.result, o.latency))
+	s.forget(e.ID, c)
+	return lost
+}
+
+// report tells the hooks of an attempt's end. s.mu is not held.
+func (s *service) report(e routing.Dispatch, o outcome, lost bool) {
+	if o.leaving {
+		counters.Add(countLeaving, 1)
+		if s.hooks.Leaving != nil {
+			s.hooks.Leaving(s.name, e.Endpoint)
+		}
+	}
+	if s.hooks.Observe == nil || !observable(e, o, lost) {
+		return
+	}
+	s.hooks.Observe(s.name, health.Attempt{
+		Endpoint: e.Endpoint,
+		Failed:   o.blames,
+		Latency:  o.latency,
+		Trial:    e.Trial,
+	})
+}
+
+// observable reports whether an attempt says something of its endpoint. One that was
+// cancelled because its hedge answered first does: it took at least that long.
+func observable(e routing.Dispatch, o outcome, lost bool) bool {
+	switch o.result {
+	case routing.AttemptAnswered, routing.AttemptFailed:
+		return true
+	case routing.AttemptBroken, routing.AttemptNotSent:
+		return o.blames
+	case routing.AttemptCancelled:
+		return lost && !e.Hedge
+	default:
+		return false
+	}
+}
+
+func (s *service) cancelAttempt(e routing.CancelAttempt) {
+	counters.Add(countCancels, 1)
+	a := &s.calls[e.ID].attempts[e.Attempt-1]
+	if !time.Now().Before(a.dispatch.Deadline) {
+		a.cancel(context.DeadlineExceeded)
+		return
+	}
+	a.cancel(errAttemptCancelled)
+}
+
+func (s *service) deliver(e routing.Deliver) {
+	c := s.calls[e.ID]
+	s.end(e.ID, c, c.attempts[e.Attempt-1].answer)
+}
+
+func (s *service) reject(e routing.Reject) {
+	a := exchange.Refusal(rejectCode(e.Reason), "")
+	if e.NotRun {
+		a.Execution = result.NotRun
+	}
+	s.end(e.ID, s.calls[e.ID], a)
+}
+
+// end gives the call its one answer.
+func (s *service) end(id uint64, c *call, a exchange.Answer) {
+	c.answered = true
+	c.answer <- a
+	s.forget(id, c)
+}
+
+// forget drops a call that is answered and has no attempt under way.
+func (s *service) forget(id uint64, c *call) {
+	if c.answered && c.running == 0 {
+		delete(s.calls, id)
+	}
+}
+
+// rejectCode returns the result code of a reason.
+func rejectCode(reason routing.RejectReason) result.Code {
+	switch reason {
+	case routing.RejectNoEndpoint:
+		return result.CodeNoEndpoint
+	case routing.RejectQueueFull:
+		return result.CodeShedQueueFull
+	case routing.RejectDeadline:
+		return result.CodeShedDeadline
+	case routing.RejectCancelled:
+		return result.CodeCallerGone
+	default:
+		return result.CodeOutcomeUnknown
+	}
+}
