Test routing's guarantees and never shed an account's only waiting request

The starvation test found that with accounts of weight 3 a quiet account's only request was shed first, since one request of weight 1 equals three of weight 3. The queue now sheds by what an account holds beyond one request. Trials use the retry budget only while one is left for a retry. A call whose context passes its deadline ends as the balancer ends it, not as cancelled by its caller.

--- a/coord/routing/balancer.go
+++ b/coord/routing/balancer.go
@@ -131,10 +131,10 @@
 	}
 	for _, e := range b.endpoints {
 		if e.listed && e.target.Standing == StandingTrial && b.hasSlot(now, e) && !now.Before(e.nextTrial) {
-			if b.budget.take() {
-				return e
+			if !b.budget.takeSpare() {
+				return nil
 			}
-			return nil
+			return e
 		}
 	}
 	return nil
--- /dev/null
+++ b/coord/routing/behavior_test.go
@@ -0,0 +1,296 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+const endpointA, endpointB, endpointC fleet.Endpoint = "192.0.2.1:80", "192.0.2.2:80", "192.0.2.3:80"
+
+func at(d time.Duration) time.Time { return testStart.Add(d) }
+
+func target(e fleet.Endpoint, limit int, s Standing) Target {
+	return Target{Upstream: fleet.Upstream{Endpoint: e}, Limit: limit, Standing: s}
+}
+
+func newTestBalancer(cfg Config, targets ...Target) *Balancer {
+	b := NewBalancer(cfg, rand.New(rand.NewPCG(1, 2)))
+	b.SetTargets(testStart, targets)
+	return b
+}
+
+func lookup(id uint64) Request {
+	return Request{ID: id, Account: "x", Idempotent: true, Deadline: at(10 * time.Second)}
+}
+
+func dispatches(effects []Effect) []Dispatch {
+	var found []Dispatch
+	for _, effect := range effects {
+		if d, ok := effect.(Dispatch); ok {
+			found = append(found, d)
+		}
+	}
+	return found
+}
+
+func one[E Effect](t *testing.T, effects []Effect) E {
+	t.Helper()
+	var found []E
+	for _, effect := range effects {
+		if e, ok := effect.(E); ok {
+			found = append(found, e)
+		}
+	}
+	if len(found) != 1 {
+		t.Fatalf("effects %v hold %d of the kind wanted, want 1", effects, len(found))
+	}
+	return found[0]
+}
+
+// warm gives the balancer enough latencies of 10 ms for a quantile.
+func warm(b *Balancer) {
+	for i := range uint64(latencyMinSamples) {
+		d := dispatches(b.Submit(testStart, lookup(1_000_000+i)))[0]
+		b.Finish(testStart, d.ID, d.Attempt, AttemptAnswered, 10*time.Millisecond)
+	}
+}
+
+func TestHedgeStartsAtTheQuantileAndTheLoserIsCancelled(t *testing.T) {
+	b := newTestBalancer(Config{RetryShare: 0.5}, target(endpointA, 4, StandingOpen), target(endpointB, 4, StandingOpen))
+	warm(b)
+	first := one[Dispatch](t, b.Submit(testStart, lookup(1)))
+	wake, ok := b.NextWake(testStart)
+	if !ok || wake.Before(at(10*time.Millisecond)) || wake.After(at(12*time.Millisecond)) {
+		t.Fatalf("hedge due at %v, want 10 to 12 ms after %v", wake, testStart)
+	}
+	hedge := one[Dispatch](t, b.Tick(wake))
+	if !hedge.Hedge || hedge.Endpoint == first.Endpoint {
+		t.Fatalf("hedge %+v beside %+v", hedge, first)
+	}
+	effects := b.Finish(wake.Add(time.Millisecond), 1, hedge.Attempt, AttemptAnswered, time.Millisecond)
+	if d := one[Deliver](t, effects); d.Attempt != hedge.Attempt {
+		t.Fatalf("delivered %+v", d)
+	}
+	if c := one[CancelAttempt](t, effects); c.Attempt != first.Attempt {
+		t.Fatalf("cancelled %+v", c)
+	}
+}
+
+func TestNoHedgeForOrdersOrWhileRequestsWait(t *testing.T) {
+	b := newTestBalancer(Config{RetryShare: 0.5}, target(endpointA, 1, StandingOpen), target(endpointB, 1, StandingOpen))
+	warm(b)
+	order := lookup(1)
+	order.Idempotent = false
+	one[Dispatch](t, b.Submit(testStart, order))
+	if got := dispatches(b.Tick(at(time.Second))); len(got) != 0 {
+		t.Fatalf("an order was hedged: %+v", got)
+	}
+	running := one[Dispatch](t, b.Submit(at(time.Second), lookup(2)))
+	b.Submit(at(time.Second), lookup(3))
+	if got := dispatches(b.Tick(at(2 * time.Second))); len(got) != 0 {
+		t.Fatalf("hedged while requests wait: %+v", got)
+	}
+	if d := one[Dispatch](t, b.Finish(at(2*time.Second), 2, running.Attempt, AttemptAnswered, time.Second)); d.ID != 3 {
+		t.Fatalf("the freed slot went to %+v", d)
+	}
+}
+
+func TestTrialIsHedgedAtOnceAndNotCancelled(t *testing.T) {
+	b := newTestBalancer(Config{RetryShare: 0.5}, target(endpointA, 4, StandingOpen), target(endpointB, 4, StandingTrial))
+	got := dispatches(b.Submit(testStart, lookup(1)))
+	if len(got) != 2 || !got[0].Trial || got[0].Endpoint != endpointB || !got[1].Hedge || got[1].Endpoint != endpointA {
+		t.Fatalf("dispatched %+v", got)
+	}
+	if second := dispatches(b.Submit(at(time.Second), lookup(2))); len(second) != 1 || second[0].Trial {
+		t.Fatalf("a second trial beside the first: %+v", second)
+	}
+	b.Finish(at(time.Second), 2, 1, AttemptAnswered, time.Second)
+	effects := b.Finish(at(time.Second), 1, 2, AttemptAnswered, time.Second)
+	one[Deliver](t, effects)
+	if len(effects) != 1 {
+		t.Fatalf("the trial was not left to run: %+v", effects)
+	}
+	if c := one[CancelAttempt](t, b.Tick(at(10*time.Second))); c.ID != 1 || c.Attempt != 1 {
+		t.Fatalf("at the deadline: %+v", c)
+	}
+}
+
+func TestTrialsLeaveBudgetForRetries(t *testing.T) {
+	b := newTestBalancer(Config{RetryShare: 0.1}, target(endpointA, 100, StandingOpen), target(endpointB, 1, StandingTrial))
+	id := uint64(0)
+	for i := range 50 {
+		id++
+		now := at(time.Duration(i) * DefaultTrialInterval)
+		for _, d := range dispatches(b.Submit(now, Request{ID: id, Idempotent: true, Deadline: now.Add(time.Second)})) {
+			b.Finish(now, d.ID, d.Attempt, AttemptAnswered, time.Millisecond)
+		}
+		if b.budget.balance < 1 {
+			t.Fatalf("after %d requests the trials left %f of the budget", id, b.budget.balance)
+		}
+	}
+}
+
+func TestColdEndpointStartsSlowly(t *testing.T) {
+	b := newTestBalancer(Config{SlowStart: 10 * time.Second, QueueLimit: -1}, target(endpointA, 11, StandingCold))
+	id := uint64(0)
+	for _, step := range []struct {
+		elapsed time.Duration
+		running int
+	}{{0, 1}, {time.Second, 2}, {5 * time.Second, 6}, {9 * time.Second, 10}, {10 * time.Second, 11}, {time.Minute, 11}} {
+		for range 20 {
+			id++
+			now := at(step.elapsed)
+			b.Submit(now, Request{ID: id, Deadline: now.Add(time.Hour)})
+		}
+		if got := b.byName[endpointA].outstanding; got != step.running {
+			t.Fatalf("%v after its start %d attempts run, want %d", step.elapsed, got, step.running)
+		}
+	}
+}
+
+func TestReturnedEndpointStartsSlowly(t *testing.T) {
+	b := newTestBalancer(Config{}, target(endpointA, 8, StandingAvoided))
+	b.SetTargets(at(time.Second), []Target{target(endpointA, 8, StandingOpen)})
+	if got := b.byName[endpointA].limit(at(time.Second), DefaultSlowStart); got != 1 {
+		t.Fatalf("limit %d on return, want 1", got)
+	}
+}
+
+func TestZonePreferenceGivesWay(t *testing.T) {
+	near, far := target(endpointA, 4, StandingOpen), target(endpointB, 4, StandingOpen)
+	near.Upstream.Zone, far.Upstream.Zone = "a", "b"
+	b := newTestBalancer(Config{Zone: "a"}, near, far)
+	counts := make(map[fleet.Endpoint]int)
+	for id := range uint64(8) {
+		d := one[Dispatch](t, b.Submit(testStart, lookup(id+1)))
+		counts[d.Endpoint]++
+		if id == 2 && counts[endpointA] != 3 {
+			t.Fatalf("of the first 3 requests %d stayed in the zone", counts[endpointA])
+		}
+		if id == 3 && counts[endpointB] != 1 {
+			t.Fatalf("the fourth request overloads the zone")
+		}
+	}
+	if counts[endpointA] != 4 || counts[endpointB] != 4 {
+		t.Fatalf("slots used %v", counts)
+	}
+}
+
+func TestReportedLoadLosesWeightWithAge(t *testing.T) {
+	loaded := target(endpointA, 4, StandingOpen)
+	loaded.LoadHint = 1
+	b := newTestBalancer(Config{}, loaded)
+	fresh := b.byName[endpointA].load(testStart)
+	stale := b.byName[endpointA].load(at(5 * loadHalfLife))
+	if fresh != 1 || stale > 1.0/32 {
+		t.Fatalf("load %f fresh, %f stale", fresh, stale)
+	}
+	b.SetLoad(at(time.Second), endpointA, 0.25)
+	loaded.LoadAge = 5 * time.Second
+	b.SetTargets(at(2*time.Second), []Target{loaded})
+	if got := b.byName[endpointA].target.LoadHint; got != 0.25 {
+		t.Fatalf("an older report replaced the newer one: %f", got)
+	}
+}
+
+func TestFullQueueShedsTheAccountThatHoldsMost(t *testing.T) {
+	b := newTestBalancer(Config{QueueLimit: 4}, target(endpointA, 1, StandingOpen))
+	submit := func(id uint64, account fleet.Account) []Effect {
+		return b.Submit(testStart, Request{ID: id, Account: account, Deadline: at(time.Hour)})
+	}
+	for id := range uint64(5) {
+		submit(id+1, "flood")
+	}
+	if r := one[Reject](t, submit(6, "flood")); r.ID != 6 || r.Reason != RejectQueueFull || !r.NotRun {
+		t.Fatalf("rejected %+v", r)
+	}
+	if r := one[Reject](t, submit(7, "quiet")); r.ID != 5 {
+		t.Fatalf("rejected %+v, want the flood's newest", r)
+	}
+	if d := one[Dispatch](t, b.Finish(testStart, 1, 1, AttemptAnswered, time.Millisecond)); d.ID != 2 && d.ID != 7 {
+		t.Fatalf("served %+v", d)
+	}
+}
+
+func TestWeightsShareAFullQueue(t *testing.T) {
+	cfg := Config{QueueLimit: 40, Weights: map[fleet.Account]int{"heavy": 3}}
+	b := newTestBalancer(cfg, target(endpointA, 1, StandingOpen))
+	owner := make(map[uint64]fleet.Account)
+	id, running := uint64(0), uint64(0)
+	served := make(map[fleet.Account]int)
+	for range 400 {
+		for _, account := range []fleet.Account{"heavy", "light"} {
+			id++
+			owner[id] = account
+			if d := dispatches(b.Submit(testStart, Request{ID: id, Account: account, Deadline: at(time.Hour)})); len(d) > 0 {
+				running = d[0].ID
+			}
+		}
+		d := one[Dispatch](t, b.Finish(testStart, running, 1, AttemptAnswered, time.Millisecond))
+		running = d.ID
+		served[owner[d.ID]]++
+	}
+	ratio := float64(served["heavy"]) / float64(served["light"])
+	if ratio < 2.7 || ratio > 3.3 {
+		t.Fatalf("served %v: ratio %f, want 3", served, ratio)
+	}
+}
+
+func TestRequestThatCannotMeetItsDeadlineIsShed(t *testing.T) {
+	b := newTestBalancer(Config{}, target(endpointA, 1, StandingOpen))
+	warm(b)
+	b.Submit(testStart, lookup(1))
+	b.Submit(testStart, Request{ID: 2, Deadline: at(50 * time.Millisecond)})
+	wake, _ := b.NextWake(testStart)
+	for wake.Before(at(30 * time.Millisecond)) {
+		b.Tick(wake)
+		wake, _ = b.NextWake(wake)
+	}
+	if r := one[Reject](t, b.Tick(wake)); r.ID != 2 || r.Reason != RejectDeadline || !r.NotRun || !wake.Before(at(50*time.Millisecond)) {
+		t.Fatalf("at %v: %+v", wake, r)
+	}
+}
+
+func TestNoEndpointRejectsWhatWaits(t *testing.T) {
+	b := newTestBalancer(Config{}, target(endpointA, 1, StandingOpen))
+	b.Submit(testStart, lookup(1))
+	b.Submit(testStart, lookup(2))
+	effects := b.Leave(testStart, endpointA)
+	if r := one[Reject](t, effects); r.ID != 2 || r.Reason != RejectNoEndpoint {
+		t.Fatalf("rejected %+v", r)
+	}
+	if r := one[Reject](t, b.Submit(testStart, lookup(3))); r.Reason != RejectNoEndpoint {
+		t.Fatalf("rejected %+v", r)
+	}
+	one[Deliver](t, b.Finish(testStart, 1, 1, AttemptAnswered, time.Millisecond))
+	if len(b.requests) != 0 {
+		t.Fatalf("%d requests are held", len(b.requests))
+	}
+}
+
+func TestBaselinePolicies(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	candidates := []Candidate{
+		{Endpoint: endpointB, Outstanding: 1},
+		{Endpoint: endpointA, Outstanding: 2},
+		{Endpoint: endpointC, Outstanding: 3},
+	}
+	if got := (LeastConnections{}).Pick(random, candidates); got != 0 {
+		t.Errorf("least connections took %s", candidates[got].Endpoint)
+	}
+	order := ""
+	policy := &RoundRobin{}
+	for range 4 {
+		order += fmt.Sprint(policy.Pick(random, candidates))
+	}
+	if order != "1021" {
+		t.Errorf("round robin took %s, want 1021", order)
+	}
+	if got := (TwoChoices{}).Pick(random, []Candidate{{Score: 2}, {Score: 1}}); got != 1 {
+		t.Errorf("two choices took the higher score")
+	}
+}
--- a/coord/routing/budget.go
+++ b/coord/routing/budget.go
@@ -33,6 +33,12 @@
 	return true
 }
 
+// takeSpare uses up one unless that would leave none for a retry.
+func (b *retryBudget) takeSpare() bool {
+	reserve := min(1, b.burst-1)
+	return b.balance >= 1+reserve && b.take()
+}
+
 // refund gives back one that was taken and not used.
 func (b *retryBudget) refund() {
 	b.balance = min(b.balance+1, b.burst)
--- a/coord/routing/model_test.go
+++ b/coord/routing/model_test.go
@@ -176,6 +176,23 @@
 	}
 }
 
+// checkWakes holds that every request under way wakes the balancer by its deadline, and
+// that a Tick leaves nothing due.
+func (m *model) checkWakes() {
+	for id, r := range m.b.requests {
+		if r.stopped {
+			continue
+		}
+		if r.wakeIndex < 0 || r.wakeAt.After(r.Deadline) {
+			m.t.Fatalf("request %d with deadline %v wakes at %v (%d)", id, r.Deadline, r.wakeAt, r.wakeIndex)
+		}
+	}
+	m.step(func() []Effect { return m.b.Tick(m.now) })
+	if wake, ok := m.b.NextWake(m.now); ok && !wake.After(m.now) {
+		m.t.Fatalf("a wake at %v is left after a tick at %v", wake, m.now)
+	}
+}
+
 // checkNewLimit holds that an attempt that has just started is within the limit.
 func (m *model) checkNewLimit(before map[attemptKey]Dispatch) {
 	counts := make(map[fleet.Endpoint]int)
@@ -311,6 +328,7 @@
 			"tick":       m.tick,
 			"cancel":     m.cancel,
 			"setTargets": m.setTargets,
+			"wakes":      func(*rapid.T) { m.checkWakes() },
 		})
 		m.finishAll()
 	})
--- a/coord/routing/queue.go
+++ b/coord/routing/queue.go
@@ -110,29 +110,34 @@
 	q.purgeAt = 2*len(q.accounts) + purgeMin
 }
 
-// victim returns the request to shed when one of account with the given weight
-// arrives at a full queue: the newest of the account that holds most for its weight.
-// It returns nil when that account is the arriving one.
+// victim returns the request to shed when one of the given account arrives at a full
+// queue: the newest of the account with the greatest excess. It returns nil when that is
+// the arriving request. An account's only waiting request is shed for no other.
 func (q *fairQueue) victim(account fleet.Account, weight float64) *request {
 	var heaviest *accountQueue
 	for _, a := range q.active {
-		if heaviest == nil || float64(a.count)/a.weight > float64(heaviest.count)/heaviest.weight {
+		if heaviest == nil || a.excess() > heaviest.excess() {
 			heaviest = a
 		}
 	}
 	if heaviest == nil {
 		return nil
 	}
-	held := 1.0
+	held := 0
 	if a := q.accounts[account]; a != nil {
-		held += float64(a.count)
+		held = a.count
 	}
-	if held/weight >= float64(heaviest.count)/heaviest.weight {
+	if float64(held)/weight >= heaviest.excess() {
 		return nil
 	}
 	return heaviest.tail
 }
 
+// excess returns how much the account holds beyond one request, for its weight.
+func (a *accountQueue) excess() float64 {
+	return float64(a.count-1) / a.weight
+}
+
 func (a *accountQueue) insert(r *request, front bool) {
 	a.count++
 	switch {
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -254,6 +254,30 @@
 	}
 }
 
+func TestDeadlineInTheQueue(t *testing.T) {
+	started := make(chan struct{})
+	release := make(chan struct{})
+	u := newRawUpstream(t, func(conn net.Conn, _ int, _ *http.Request) {
+		close(started)
+		<-release
+		_, _ = io.WriteString(conn, ok("a"))
+	})
+	d := testDispatcher(t, newRecorder(), targetsOf(1, u.endpoint()))
+	first := make(chan result.Code, 1)
+	go func() { first <- d.Execute(context.Background(), order("x")).Code }()
+	<-started
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	a := d.Execute(ctx, order("y"))
+	if a.Code != result.CodeShedDeadline || a.Execution != result.NotRun {
+		t.Fatalf("answer %+v", a)
+	}
+	close(release)
+	if code := <-first; code != result.CodeAnswered {
+		t.Fatalf("the first order ended with %d", code)
+	}
+}
+
 func TestTrialIsHedgedAndRunsOn(t *testing.T) {
 	release := make(chan struct{})
 	trial := newRawUpstream(t, func(conn net.Conn, _ int, _ *http.Request) {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -73,7 +73,7 @@
 		return a
 	case <-ctx.Done():
 	}
-	s.cancel(id)
+	s.stop(id, errors.Is(ctx.Err(), context.DeadlineExceeded))
 	return <-c.answer
 }
 
@@ -93,10 +93,16 @@
 	return id
 }
 
-func (s *service) cancel(id uint64) {
+// stop ends a call whose context has ended. A call past its deadline ends as the balancer
+// ends it, any other as cancelled by its caller.
+func (s *service) stop(id uint64, late bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	if late {
+		s.apply(now, s.balancer.Tick(now))
+		return
+	}
 	s.apply(now, s.balancer.Cancel(now, id))
 }
 
--- a/internal/dispatch/upstream_test.go
+++ b/internal/dispatch/upstream_test.go
@@ -120,8 +120,6 @@
 
 // recorder keeps what the hooks were told.
 type recorder struct {
-	mu       sync.Mutex
-	attempts []health.Attempt
 	leaving  chan fleet.Endpoint
 	observed chan health.Attempt
 }
