Settings of the daemon, and a TOML decoder that finds every fault at once

Operators need each fault of a file with key, value and bound in one run; go-toml's strict mode stops at the first value of a wrong type. go-toml parses; internal/tomlfile assigns by tag and goes on after each fault. Settings go through defaults, file, provision and validation; secrets are never shown.

--- /dev/null
+++ b/internal/settings/address.go
@@ -0,0 +1,48 @@
+package settings
+
+import (
+	"net/netip"
+
+	"github.com/damaskcove/damaskcove/internal/tomlfile"
+)
+
+// listenAddress wants an IP number and a port, which may be 0 for a free one.
+func listenAddress(c *tomlfile.Collector, key, text string) {
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		c.Add(key, tomlfile.Show(text), `must be an IP number and port, as "192.0.2.7:8080"; names are not taken`)
+	}
+}
+
+// remoteAddress wants an IP number and a port to connect to.
+func remoteAddress(c *tomlfile.Collector, key, text string) {
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil {
+		c.Add(key, tomlfile.Show(text), `must be an IP number and port, as "192.0.2.7:8080"; names are not taken`)
+		return
+	}
+	if addr.Port() == 0 || addr.Addr().IsUnspecified() {
+		c.Add(key, tomlfile.Show(text), "must name one address and a port other than 0")
+	}
+}
+
+// advertised wants an address that others can connect to. The port 0 of a listening
+// address is replaced by the port that is taken.
+func advertised(c *tomlfile.Collector, key, text, listening string) {
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil {
+		if text != listening {
+			listenAddress(c, key, text)
+		}
+		return
+	}
+	if addr.Addr().IsUnspecified() {
+		c.Add(key, tomlfile.Show(text), "must be set to an address that others can connect to")
+	}
+}
+
+func distinct(c *tomlfile.Collector, key, text, otherKey, other string) {
+	addr, err := netip.ParseAddrPort(text)
+	if err == nil && addr.Port() != 0 && text == other {
+		c.Add(key, tomlfile.Show(text), "is %s too", otherKey)
+	}
+}
--- /dev/null
+++ b/internal/settings/doc.go
@@ -0,0 +1,7 @@
+// Package settings reads the settings of one instance of the daemon.
+//
+// Load goes through four steps: defaults, the TOML file, provision (files that the
+// settings name are read), validation. It returns settings that are whole, or a
+// *tomlfile.Error that lists every fault with file, key, value and bound. Secrets are
+// never shown.
+package settings
