--- /dev/null
+++ b/client/discover.go
@@ -0,0 +1,133 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+// maxDiscoveryBytes bounds a discovery answer.
+const maxDiscoveryBytes = 64 << 10
+
+// cached is the last discovery answer of a service.
+type cached struct {
+	mu        sync.Mutex // Held while the service is being discovered.
+	discovery Discovery
+	until     time.Time
+}
+
+// Discover returns the entries to use for a service, from the last answer while it may be used.
+func (c *Client) Discover(ctx context.Context, service fleet.Service) (Discovery, error) {
+	entry := c.cacheOf(service)
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	if c.now().Before(entry.until) {
+		return entry.discovery, nil
+	}
+	discovery, err := c.ask(ctx, service, entry.discovery)
+	if err != nil {
+		return Discovery{}, err
+	}
+	entry.discovery = discovery
+	entry.until = c.now().Add(discovery.MaxAge())
+	return discovery, nil
+}
+
+// forget makes the next Discover ask again, unless another answer has come since.
+func (c *Client) forget(service fleet.Service, ticket string) {
+	entry := c.cacheOf(service)
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	if entry.discovery.Ticket == ticket {
+		entry.until = time.Time{}
+	}
+}
+
+func (c *Client) cacheOf(service fleet.Service) *cached {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	entry, ok := c.cache[service]
+	if !ok {
+		entry = &cached{}
+		c.cache[service] = entry
+	}
+	return entry
+}
+
+// ask asks the entries of the last answer, then those of the options, until one answers.
+func (c *Client) ask(ctx context.Context, service fleet.Service, last Discovery) (Discovery, error) {
+	var addresses []string
+	for _, e := range last.Entries {
+		addresses = append(addresses, e.Address)
+	}
+	addresses = append(addresses, c.shuffledEntries()...)
+	var errs []error
+	for _, address := range addresses {
+		discovery, err := c.askOne(ctx, address, service)
+		if err == nil {
+			return discovery, nil
+		}
+		errs = append(errs, err)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return Discovery{}, fmt.Errorf("%w: service %q, account %q: %w", ErrNoEntry, service, c.account, errors.Join(errs...))
+}
+
+func (c *Client) shuffledEntries() []string {
+	out := append([]string(nil), c.entries...)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.random.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+func (c *Client) askOne(ctx context.Context, address string, service fleet.Service) (Discovery, error) {
+	query := url.Values{ParamService: {string(service)}, ParamAccount: {string(c.account)}}
+	if c.zone != "" {
+		query.Set(ParamZone, string(c.zone))
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+DiscoverPath+"?"+query.Encode(), nil)
+	if err != nil {
+		return Discovery{}, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return Discovery{}, fmt.Errorf("discover at %s: %w", address, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxDiscoveryBytes))
+	if err != nil {
+		return Discovery{}, fmt.Errorf("discover at %s: %w", address, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return Discovery{}, fmt.Errorf("discover at %s: status %d, code %s", address, response.StatusCode, response.Header.Get(HeaderCode))
+	}
+	return parseDiscovery(address, data)
+}
+
+func parseDiscovery(address string, data []byte) (Discovery, error) {
+	var d Discovery
+	if err := json.Unmarshal(data, &d); err != nil {
+		return Discovery{}, fmt.Errorf("discover at %s: %d bytes: %w", address, len(data), err)
+	}
+	if len(d.Entries) == 0 {
+		return Discovery{}, fmt.Errorf("discover at %s: the answer names no entry", address)
+	}
+	for _, entry := range d.Entries {
+		if _, err := netip.ParseAddrPort(entry.Address); err != nil {
+			return Discovery{}, fmt.Errorf("discover at %s: entry %q is no IP number and port", address, entry.Address)
+		}
+	}
+	return d, nil
+}
