An instance put together: thin path of lookups and orders, end to end

The daemon listens, joins through the platform's store and list, takes its configuration, and serves lookups and keyed orders.

--- a/cmd/damaskcove/main.go
+++ b/cmd/damaskcove/main.go
@@ -1,4 +1,158 @@
 // Command damaskcove is an entry instance of the proxy fleet.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/node"
+	"github.com/damaskcove/damaskcove/internal/settings"
+	"github.com/damaskcove/damaskcove/internal/tracing"
+	"github.com/damaskcove/damaskcove/platform/client"
+)
+
+// Exit statuses.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+	exitAddress  = 3
+)
+
+// flushTimeout bounds the sending of the last spans.
+const flushTimeout = 3 * time.Second
+
+func main() {
+	if err := command().Execute(); err != nil {
+		os.Exit(exitStatus(err))
+	}
+}
+
+// exitStatus tells a settings fault and an address in use from other failures.
+func exitStatus(err error) int {
+	switch {
+	case errors.Is(err, errSettings):
+		return exitSettings
+	case errors.Is(err, syscall.EADDRINUSE):
+		return exitAddress
+	default:
+		return exitFailed
+	}
+}
+
+var errSettings = errors.New("settings have faults")
+
+func command() *cobra.Command {
+	var path string
+	run := &cobra.Command{
+		Use:          "damaskcove",
+		Short:        "Run one entry instance of the fleet",
+		Long:         "damaskcove runs one entry instance. It serves until it gets SIGTERM or SIGINT, and\nthen makes a planned stop, which cuts off no request in flight.",
+		Example:      "  damaskcove --settings /etc/damaskcove.toml\n  damaskcove example > damaskcove.toml\n  damaskcove check --settings damaskcove.toml",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE:         func(c *cobra.Command, _ []string) error { return serve(c.Context(), path) },
+	}
+	run.PersistentFlags().StringVar(&path, "settings", "damaskcove.toml", "settings file")
+	run.AddCommand(&cobra.Command{
+		Use:     "check",
+		Short:   "Check the settings file and list every fault",
+		Example: "  damaskcove check --settings damaskcove.toml",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if _, err := load(path); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(c.OutOrStdout(), "%s: no fault\n", path)
+			return err
+		},
+	}, &cobra.Command{
+		Use:     "example",
+		Short:   "Print a commented settings file with every default",
+		Example: "  damaskcove example > damaskcove.toml",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, err := c.OutOrStdout().Write(settings.Example)
+			return err
+		},
+	})
+	return run
+}
+
+func load(path string) (*settings.Settings, error) {
+	s, err := settings.Load(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: code %d: %w", errSettings, result.CodeSettingsFault, err)
+	}
+	return s, nil
+}
+
+// serve runs lives of the instance until a planned stop or a failure.
+func serve(ctx context.Context, path string) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	s, err := load(path)
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: s.Log.Level})).With("instance", s.Instance.ID)
+	tracer, flush, err := tracing.Start(ctx, tracing.Config{
+		Exporter: tracing.Exporter(s.Trace.Exporter),
+		URL:      s.Trace.URL,
+		Instance: string(s.Instance.ID),
+		Zone:     string(s.Instance.Zone),
+		Output:   os.Stdout,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { flushSpans(flush, log) }()
+	store := client.New(s.Platform.Address, string(s.Instance.ID))
+	defer store.Close()
+	options := node.Options{Settings: s, Store: store, List: store, Log: log, Tracer: tracer, Seed: uint64(time.Now().UnixNano())}
+	return lives(ctx, options)
+}
+
+// lives runs one life after another: the next begins when the fleet took the last for dead.
+func lives(ctx context.Context, o node.Options) error {
+	var last uint64
+	for {
+		last = node.NextIncarnation(last, time.Now())
+		o.Incarnation = fleet.Incarnation(last)
+		life, end := context.WithCancel(ctx)
+		n, err := node.New(life, o)
+		if err == nil {
+			err = n.Run(life)
+		}
+		end()
+		if !errors.Is(err, node.ErrRejoin) {
+			return explain(err)
+		}
+		o.Log.Warn("instance starts again as another life", "error", err.Error())
+	}
+}
+
+// explain adds the result code that operators look up.
+func explain(err error) error {
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return fmt.Errorf("code %d: %w", result.CodeAddressInUse, err)
+	}
+	return err
+}
+
+func flushSpans(flush func(context.Context) error, log *slog.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := flush(ctx); err != nil {
+		log.Warn("spans not sent", "error", err.Error())
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -45,8 +45,10 @@
 type Config struct {
 	Listen       string // IP number and port.
 	MaxBodyBytes int
+	MaxInFlight  int64 // Requests without an answer, past which new ones are refused; 0 for no bound.
 	Tracer       trace.Tracer
 	Log          *slog.Logger
+	Wrap         func(net.Listener) net.Listener // Faults of callers' connections for tests; nil for none.
 }
 
 // Server answers callers.
@@ -68,6 +70,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers on %q: %w", cfg.Listen, err)
 	}
+	if cfg.Wrap != nil {
+		listener = cfg.Wrap(listener)
+	}
 	s := &Server{cfg: cfg, backend: backend, listener: listener, started: time.Now()}
 	s.app = fiber.New(fiber.Config{
 		DisableStartupMessage:        true,
@@ -99,6 +104,11 @@
 	return nil
 }
 
+// Close stops listening. It is for a server that was never run.
+func (s *Server) Close() error {
+	return s.listener.Close()
+}
+
 // InFlight returns the requests that have no answer yet.
 func (s *Server) InFlight() int64 {
 	return s.inFlight.Load()
@@ -170,6 +180,9 @@
 	if router == nil {
 		return exchange.Refusal(result.CodeNotReady, "")
 	}
+	if bound := s.cfg.MaxInFlight; bound > 0 && s.inFlight.Load() > bound {
+		return exchange.Refusal(result.CodeShedQueueFull, fmt.Sprintf("%d requests in flight at the instance, bound %d", s.inFlight.Load(), bound))
+	}
 	match, code := router.Find(r.Account, r.Service, r.Method, pathOf(r.URI))
 	if code != result.CodeAnswered {
 		return exchange.Refusal(code, fmt.Sprintf("account %q, %s %s", r.Account, r.Method, pathOf(r.URI)))
--- /dev/null
+++ b/internal/local/fleet.go
@@ -0,0 +1,331 @@
+package local
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/internal/node"
+	"github.com/damaskcove/damaskcove/internal/operate"
+	"github.com/damaskcove/damaskcove/internal/operator/api"
+	"github.com/damaskcove/damaskcove/internal/settings"
+	"github.com/damaskcove/damaskcove/internal/upstream"
+	"github.com/damaskcove/damaskcove/platform"
+	"github.com/damaskcove/damaskcove/platform/client"
+	"github.com/damaskcove/damaskcove/platform/standin"
+)
+
+// loopback is the address that everything listens on; the system picks the port.
+const loopback = "127.0.0.1:0"
+
+// readyPoll is the time between two looks at whether the fleet is ready.
+const readyPoll = 10 * time.Millisecond
+
+// ErrNotReady says that the fleet did not become ready in time.
+var ErrNotReady = errors.New("fleet not ready")
+
+// Options are the parameters of a local fleet.
+type Options struct {
+	Name            string // Of the fleet.
+	Zones           []fleet.Zone
+	Region          fleet.Region
+	Seed            uint64
+	DiscoveryMaxAge time.Duration
+	TicketLifetime  time.Duration
+	StopTimeout     time.Duration
+	ListLag         time.Duration // Of the platform's list.
+	Log             *slog.Logger  // Nil for none.
+	Tracer          trace.Tracer  // Nil for none.
+}
+
+// Fleet is a fleet in one process.
+type Fleet struct {
+	opts     Options
+	Platform *standin.Platform
+	Host     *upstream.Host
+	server   *standin.Server
+	wait     conc.WaitGroup
+
+	mu        sync.Mutex
+	instances []*Instance
+	next      int
+	cuts      map[direction]bool
+}
+
+// direction is one direction between two instances.
+type direction struct {
+	from, to fleet.InstanceID
+}
+
+// Instance is one entry instance of the local fleet.
+type Instance struct {
+	Node     *node.Node
+	ID       fleet.InstanceID
+	Zone     fleet.Zone
+	listener *listener
+	stop     context.CancelFunc
+	ended    chan struct{}
+	err      error // Valid once ended is closed.
+}
+
+// Start runs the stand-ins, without upstreams and instances.
+func Start(o Options) (*Fleet, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Tracer == nil {
+		o.Tracer = noop.NewTracerProvider().Tracer("local")
+	}
+	f := &Fleet{opts: o, cuts: make(map[direction]bool)}
+	f.Platform = standin.New(standin.Options{Faults: standin.Faults{ListLag: o.ListLag}})
+	f.Host = upstream.NewHost(upstream.HostOptions{Seed: o.Seed, RecordLookups: true, Changed: f.listUpstreams})
+	server, err := standin.Serve(f.Platform, loopback)
+	if err != nil {
+		return nil, err
+	}
+	f.server = server
+	return f, nil
+}
+
+// listUpstreams brings the platform's list up to date with the upstreams.
+func (f *Fleet) listUpstreams(h *upstream.Host) {
+	f.Platform.UpdateListing(func(l *platform.Listing) { l.Upstreams = h.Upstreams() })
+}
+
+// PlatformAddr returns the address of the platform's stand-in.
+func (f *Fleet) PlatformAddr() string {
+	return f.server.Addr()
+}
+
+// Apply makes a configuration change, as the operators' tool does.
+func (f *Fleet) Apply(ctx context.Context, change rollout.Change, changeID string) (operate.Accepted, error) {
+	store := client.New(f.PlatformAddr(), "operator")
+	defer store.Close()
+	return operate.Apply(ctx, store, f.opts.Name, nil, change, changeID)
+}
+
+// settings returns the settings of a new instance.
+func (f *Fleet) settings(id fleet.InstanceID, zone fleet.Zone) *settings.Settings {
+	s := settings.Default()
+	s.Instance = settings.Instance{ID: id, Fleet: f.opts.Name, Zone: zone, Region: f.opts.Region}
+	s.Listen = settings.Listen{Entry: loopback, Peer: loopback, Operator: loopback}
+	s.Platform.Address = f.PlatformAddr()
+	s.Peer.Plaintext = true
+	s.Operator.Token = OperatorToken
+	s.Tickets.Keys = []settings.TicketKey{{ID: "local", Bytes: make([]byte, settings.MinSecretBytes)}}
+	setDuration(&s.Tickets.Lifetime, f.opts.TicketLifetime)
+	setDuration(&s.Fleet.DiscoveryMaxAge, f.opts.DiscoveryMaxAge)
+	setDuration(&s.Stop.Timeout, f.opts.StopTimeout)
+	return &s
+}
+
+// OperatorToken is the bearer token of the instances' operator endpoints.
+const OperatorToken = "local-operator-token"
+
+func setDuration(to *time.Duration, value time.Duration) {
+	if value > 0 {
+		*to = value
+	}
+}
+
+// Add starts an instance in a zone.
+func (f *Fleet) Add(zone fleet.Zone) (*Instance, error) {
+	f.mu.Lock()
+	f.next++
+	number := f.next
+	f.mu.Unlock()
+	return f.run(fleet.InstanceID(fmt.Sprintf("entry-%d", number)), zone, uint64(number))
+}
+
+func (f *Fleet) run(id fleet.InstanceID, zone fleet.Zone, number uint64) (*Instance, error) {
+	in := &Instance{ID: id, Zone: zone, ended: make(chan struct{})}
+	store := client.New(f.PlatformAddr(), string(id))
+	ctx, stop := context.WithCancel(context.Background())
+	in.stop = stop
+	n, err := node.New(ctx, node.Options{
+		Settings:    f.settings(id, zone),
+		Incarnation: fleet.Incarnation(node.NextIncarnation(0, time.Now())),
+		Store:       store,
+		List:        store,
+		Log:         f.opts.Log.With("instance", id),
+		Tracer:      f.opts.Tracer,
+		Seed:        f.opts.Seed + number,
+		Blocked:     func(to fleet.Ref) bool { return f.isCut(id, to.ID) },
+		Wrap: func(l net.Listener) net.Listener {
+			in.listener = newListener(l)
+			return in.listener
+		},
+	})
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	in.Node = n
+	f.listInstance(n.Self(), true)
+	f.mu.Lock()
+	f.instances = append(f.instances, in)
+	f.mu.Unlock()
+	f.wait.Go(func() {
+		in.err = n.Run(ctx)
+		f.listInstance(n.Self(), false)
+		store.Close()
+		close(in.ended)
+	})
+	return in, nil
+}
+
+// listInstance adds an instance to the platform's list or removes it.
+func (f *Fleet) listInstance(in fleet.Instance, live bool) {
+	f.Platform.UpdateListing(func(l *platform.Listing) {
+		var kept []fleet.Instance
+		for _, other := range l.Instances {
+			if other.Ref != in.Ref {
+				kept = append(kept, other)
+			}
+		}
+		if live {
+			kept = append(kept, in)
+		}
+		l.Instances = kept
+	})
+}
+
+// Instances returns the instances that run.
+func (f *Fleet) Instances() []*Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var running []*Instance
+	for _, in := range f.instances {
+		select {
+		case <-in.ended:
+		default:
+			running = append(running, in)
+		}
+	}
+	return running
+}
+
+// Entries returns the callers' addresses of the instances that run.
+func (f *Fleet) Entries() []string {
+	var addresses []string
+	for _, in := range f.Instances() {
+		addresses = append(addresses, in.Node.Self().EntryAddr)
+	}
+	return addresses
+}
+
+// Stop makes a planned stop and waits for it.
+func (in *Instance) Stop() error {
+	in.stop()
+	<-in.ended
+	return in.err
+}
+
+// Kill ends the instance with everything that is in flight.
+func (in *Instance) Kill() {
+	in.listener.sever()
+	in.Node.Kill()
+	<-in.ended
+}
+
+// Ended is closed when the instance has ended.
+func (in *Instance) Ended() <-chan struct{} {
+	return in.ended
+}
+
+// Err returns what ended the instance. It is valid once Ended is closed.
+func (in *Instance) Err() error {
+	return in.err
+}
+
+// Cut loses every message from one instance to another, in this direction only.
+func (f *Fleet) Cut(from, to fleet.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cuts[direction{from, to}] = true
+}
+
+// Heal undoes every Cut.
+func (f *Fleet) Heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.cuts)
+}
+
+func (f *Fleet) isCut(from, to fleet.InstanceID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cuts[direction{from, to}]
+}
+
+// Ready waits until every instance serves revision or a later one, sees every other
+// instance and has an endpoint for each service that it carries.
+func (f *Fleet) Ready(ctx context.Context, revision fleet.Revision) error {
+	for {
+		behind := f.behind(revision)
+		if behind == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %s", ErrNotReady, behind)
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+// behind names the first instance that is not ready and what it lacks.
+func (f *Fleet) behind(revision fleet.Revision) string {
+	instances := f.Instances()
+	for _, in := range instances {
+		s := in.Node.Status()
+		if lack := lacks(s, revision, len(instances)); lack != "" {
+			return fmt.Sprintf("instance %s %s", in.ID, lack)
+		}
+	}
+	return ""
+}
+
+func lacks(s api.Status, revision fleet.Revision, instances int) string {
+	if s.Revision < revision {
+		return fmt.Sprintf("has revision %d, want %d", s.Revision, revision)
+	}
+	if alive := alive(s.Members); alive < instances {
+		return fmt.Sprintf("sees %d instances alive, want %d", alive, instances)
+	}
+	for _, service := range s.Services {
+		if service.Carried && len(service.Endpoints) == 0 {
+			return fmt.Sprintf("has no endpoint of service %q", service.Name)
+		}
+	}
+	return ""
+}
+
+func alive(members []api.Member) int {
+	count := 0
+	for _, m := range members {
+		if m.Status == "alive" {
+			count++
+		}
+	}
+	return count
+}
+
+// Close kills what runs and stops the stand-ins.
+func (f *Fleet) Close() error {
+	for _, in := range f.Instances() {
+		in.Kill()
+	}
+	f.wait.Wait()
+	return errors.Join(f.Host.Close(), f.server.Close())
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -60,6 +60,11 @@
 	return s.listener.Addr().String()
 }
 
+// Close stops listening. It is for a server that was never run.
+func (s *Server) Close() error {
+	return s.listener.Close()
+}
+
 // Run serves operators until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -28,9 +28,9 @@
 
 // Config is what Links need.
 type Config struct {
-	Self    fleet.Instance
+	Self    fleet.Instance // An empty PeerAddr becomes the address listened on.
 	Fleet   string
-	Listen  string    // IP number and port; Self.PeerAddr is what others dial.
+	Listen  string    // IP number and port.
 	TLS     *TLSFiles // nil for plaintext on loopback.
 	Resolve func(fleet.Ref) (fleet.Instance, bool)
 	Deliver func(from fleet.Ref, e wire.Envelope)
@@ -77,19 +77,33 @@
 	if err := l.provisionTLS(); err != nil {
 		return nil, err
 	}
-	hello, err := wire.Encode(wire.KindHello, Hello{Fleet: cfg.Fleet, From: cfg.Self})
-	if err != nil {
-		return nil, err
-	}
-	l.helloBytes = hello
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers on %q: %w", cfg.Listen, err)
 	}
 	l.listener = listener
+	if cfg.Self.PeerAddr == "" {
+		l.cfg.Self.PeerAddr = listener.Addr().String()
+	}
+	hello, err := wire.Encode(wire.KindHello, Hello{Fleet: cfg.Fleet, From: l.cfg.Self})
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	l.helloBytes = hello
 	return l, nil
 }
 
+// Self returns the instance as its peers see it.
+func (l *Links) Self() fleet.Instance {
+	return l.cfg.Self
+}
+
+// Close stops listening. It is for links that were never run.
+func (l *Links) Close() error {
+	return l.listener.Close()
+}
+
 func (l *Links) provisionTLS() error {
 	if l.cfg.TLS == nil {
 		l.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
