--- /dev/null
+++ b/coord/claim/keyring_test.go
@@ -0,0 +1,195 @@
+package claim
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+var (
+	oldKey = SigningKey{ID: 1, Secret: []byte("0123456789abcdef")}
+	newKey = SigningKey{ID: 2, Secret: []byte("fedcba9876543210")}
+)
+
+func ringOf(t testing.TB, keys ...SigningKey) *Keyring {
+	t.Helper()
+	ring, err := NewKeyring(keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ring
+}
+
+func signedBy(t testing.TB, ring *Keyring, ticket Ticket) string {
+	t.Helper()
+	text, err := ring.Sign(ticket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func TestTicketSurvivesSigning(t *testing.T) {
+	ring := ringOf(t, oldKey)
+	rapid.Check(t, func(t *rapid.T) {
+		ticket := Ticket{
+			Fleet:   rapid.StringN(0, 20, 20).Draw(t, "fleet"),
+			Home:    fleet.Ref{ID: "a", Incarnation: fleet.Incarnation(rapid.Uint64().Draw(t, "incarnation"))},
+			Witness: fleet.Ref{ID: "b", Incarnation: 2},
+			Service: fleet.Service(rapid.StringN(0, 20, 20).Draw(t, "service")),
+			Account: fleet.Account(rapid.StringN(0, 20, 20).Draw(t, "account")),
+			Expires: time.Unix(rapid.Int64Range(0, 1<<33).Draw(t, "expires"), 0),
+		}
+		text, err := ring.Sign(ticket)
+		if err != nil {
+			t.Fatal(err)
+		}
+		opened, err := ring.Open(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !opened.Expires.Equal(ticket.Expires) {
+			t.Fatalf("expires %s, signed %s", opened.Expires, ticket.Expires)
+		}
+		opened.Expires = ticket.Expires
+		if opened != ticket {
+			t.Fatalf("opened %+v, signed %+v", opened, ticket)
+		}
+	})
+}
+
+// A ticket with any bit changed is not opened.
+func TestChangedTicketIsRefused(t *testing.T) {
+	ring := ringOf(t, oldKey)
+	text := signedBy(t, ring, oneTicket)
+	for i := range text {
+		for bit := range 8 {
+			changed := []byte(text)
+			changed[i] ^= 1 << bit
+			if opened, err := ring.Open(string(changed)); err == nil {
+				t.Fatalf("byte %d bit %d changed: opened as %+v", i, bit, opened)
+			}
+		}
+		if _, err := ring.Open(text[:i]); !errors.Is(err, ErrMalformed) && !errors.Is(err, ErrForged) {
+			t.Fatalf("cut to %d bytes: %v", i, err)
+		}
+	}
+}
+
+func TestTicketErrorsAreToldApart(t *testing.T) {
+	ring := ringOf(t, oldKey)
+	forger := ringOf(t, SigningKey{ID: 1, Secret: []byte("another secret 16")})
+	cases := []struct {
+		name string
+		text string
+		want error
+	}{
+		{"empty", "", ErrMalformed},
+		{"not base64", "%%%", ErrMalformed},
+		{"not a ticket", "AAAA", ErrMalformed},
+		{"forged", signedBy(t, forger, oneTicket), ErrForged},
+		{"unknown key", signedBy(t, ringOf(t, newKey), oneTicket), ErrUnknownSigningKey},
+	}
+	for _, c := range cases {
+		if _, err := ring.Open(c.text); !errors.Is(err, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, err, c.want)
+		}
+	}
+	if err := oneTicket.CheckAt("other", testStart); !errors.Is(err, ErrOtherFleet) {
+		t.Errorf("other fleet: %v", err)
+	}
+	if err := oneTicket.CheckAt("f", testExpiry); !errors.Is(err, ErrExpired) {
+		t.Errorf("expired: %v", err)
+	}
+	if err := oneTicket.CheckAt("f", testStart); err != nil {
+		t.Errorf("good ticket: %v", err)
+	}
+}
+
+// At each step of a rotation every instance opens what every other one signs.
+func TestRotationHasNoGap(t *testing.T) {
+	steps := [][]SigningKey{{oldKey}, {oldKey, newKey}, {newKey, oldKey}, {newKey}}
+	for i := 1; i < len(steps); i++ {
+		before, after := ringOf(t, steps[i-1]...), ringOf(t, steps[i]...)
+		if i < len(steps)-1 {
+			if _, err := after.Open(signedBy(t, before, oneTicket)); err != nil {
+				t.Errorf("step %d: ticket of before: %v", i, err)
+			}
+		}
+		if _, err := before.Open(signedBy(t, after, oneTicket)); err != nil {
+			t.Errorf("step %d: ticket of after: %v", i, err)
+		}
+	}
+}
+
+func TestUnusableSigningKeysAreRefused(t *testing.T) {
+	for _, keys := range [][]SigningKey{nil, {{ID: 1, Secret: []byte("short")}}, {oldKey, oldKey}} {
+		if _, err := NewKeyring(keys); !errors.Is(err, ErrSigningKey) {
+			t.Errorf("%d keys: %v", len(keys), err)
+		}
+	}
+	same := Ticket{Home: homeRef, Witness: homeRef}
+	if _, err := ringOf(t, oldKey).Sign(same); !errors.Is(err, ErrMalformed) {
+		t.Errorf("home as witness: %v", err)
+	}
+}
+
+// Text that opens is one that the ring signed: signing its ticket again gives the same text.
+func FuzzOpen(f *testing.F) {
+	ring := ringOf(f, oldKey)
+	text := signedBy(f, ring, oneTicket)
+	f.Add(text)
+	f.Add(text[:len(text)-3])
+	f.Add(signedBy(f, ringOf(f, newKey), oneTicket))
+	f.Add("")
+	f.Add("gwFBoFA")
+	f.Fuzz(func(t *testing.T, text string) {
+		ticket, err := ring.Open(text)
+		if err != nil {
+			return
+		}
+		if again := signedBy(t, ring, ticket); again != text {
+			t.Fatalf("opened %q, signs as %q", text, again)
+		}
+	})
+}
+
+// A message of any content changes nothing that the promises rest on and never panics.
+func FuzzDeliver(f *testing.F) {
+	for kind := MessageClaim; kind <= MessageHandOver; kind++ {
+		data, err := cbor.Marshal(Message{Kind: kind, Key: oneKey, Outcome: Outcome{Result: ResultNotRun}})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data, kind%2 == 0, uint8(kind))
+	}
+	f.Fuzz(func(t *testing.T, data []byte, home bool, before uint8) {
+		var msg Message
+		if cbor.Unmarshal(data, &msg) != nil {
+			return
+		}
+		msg.Ticket = oneTicket
+		side := sideWitness
+		if home {
+			side = sideHome
+		}
+		x := newExhaustive(shortcuts{})
+		for _, ev := range []string{"submit", "give up", "answered", "not run"}[:before%5] {
+			x.step(event{what: ev, side: side})
+		}
+		state := sideOf(x.machines[side]).state
+		x.note(x.machines[side].Deliver(testStart, x.machines[1-side].self, msg))
+		after := sideOf(x.machines[side]).state
+		if (state == stateSealed || state == stateDone || state == stateRunning) && state != after {
+			t.Fatalf("message %+v moved state %d to %d", msg, state, after)
+		}
+		if x.started > 1 {
+			t.Fatalf("message %+v dispatched again", msg)
+		}
+	})
+}
--- a/coord/claim/steps.go
+++ b/coord/claim/steps.go
@@ -8,9 +8,12 @@
 // wait adds a caller with a deadline. A home without a grant gives up sealTime before the
 // deadline, or halfway to it when less is left.
 func (e *entry) wait(at, deadline int64, sealTime time.Duration) {
+	if !e.waiting {
+		e.deadline, e.giveUp = 0, 0
+	}
 	e.waiting = true
-	e.deadline = max(e.deadline, deadline)
 	giveUp := max(deadline-int64(sealTime), at+(deadline-at)/2)
+	e.deadline = max(e.deadline, deadline)
 	e.giveUp = max(e.giveUp, giveUp)
 }
 
