--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -49,9 +49,6 @@
 	if s.Listen.PeerAdvertised == "" {
 		s.Listen.PeerAdvertised = s.Listen.Peer
 	}
-	if s.Platform.Prefix == "" {
-		s.Platform.Prefix = "damaskcove/" + s.Instance.Fleet + "/"
-	}
 }
 
 // provision reads the files that the settings name.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,7 +48,6 @@
 type Platform struct {
 	Address     string        `toml:"address"`      // IP number and port of the store and the list.
 	CallTimeout time.Duration `toml:"call_timeout"` // Of one call, a watch excepted.
-	Prefix      string        `toml:"prefix"`       // Of the fleet's keys in the store; empty for "damaskcove/<fleet>/".
 }
 
 // Peer says how instances prove themselves to each other.
--- /dev/null
+++ b/internal/template/load.go
@@ -0,0 +1,131 @@
+package template
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/internal/tomlfile"
+)
+
+// Bounds of what is read.
+const (
+	MaxFileBytes = 32 << 20
+	MaxFiles     = 1000
+)
+
+// Set is what the templates of a fleet resolve to.
+type Set struct {
+	Fleet    string
+	Services []rollout.ServiceTemplate // Sorted by name.
+	Accounts []rollout.AccountTemplate // Sorted by name.
+	Sizes    map[fleet.Service]Size
+}
+
+// Size is what the operator expects of a service's endpoints. It is checked against the
+// floor, and is no part of the configuration.
+type Size struct {
+	Endpoints        int // 0 when it is not given.
+	SlotsPerEndpoint int // 0 when it is not given.
+}
+
+// Source is one file of templates.
+type Source struct {
+	Name string
+	Data []byte
+}
+
+// Load reads the templates in a file, or in each file of a directory whose name ends with ".toml".
+// The error is a *tomlfile.Error.
+func Load(path string) (*Set, error) {
+	sources, err := read(path)
+	if err != nil {
+		return nil, &tomlfile.Error{Faults: []tomlfile.Fault{{File: path, Problem: err.Error()}}}
+	}
+	return Parse(sources...)
+}
+
+// Parse resolves the templates of all sources together.
+func Parse(sources ...Source) (*Set, error) {
+	r := newResolver()
+	for _, source := range sources {
+		r.read(source)
+	}
+	set := r.resolve()
+	if err := r.err(); err != nil {
+		return nil, err
+	}
+	return set, nil
+}
+
+// Config returns the set as a configuration without a revision.
+func (s *Set) Config() *rollout.Config {
+	config := &rollout.Config{
+		Services: make(map[fleet.Service]rollout.ServiceTemplate, len(s.Services)),
+		Accounts: make(map[fleet.Account]rollout.AccountTemplate, len(s.Accounts)),
+	}
+	for _, service := range s.Services {
+		config.Services[service.Name] = service
+	}
+	for _, account := range s.Accounts {
+		config.Accounts[account.Name] = account
+	}
+	return config
+}
+
+func read(path string) ([]Source, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("read templates: %w", err)
+	}
+	if !info.IsDir() {
+		source, err := readFile(path)
+		return []Source{source}, err
+	}
+	names, err := filepath.Glob(filepath.Join(path, "*.toml"))
+	if err != nil {
+		return nil, fmt.Errorf("read templates: %w", err)
+	}
+	if len(names) == 0 || len(names) > MaxFiles {
+		return nil, fmt.Errorf("directory has %d files that end with .toml, outside 1 to %d", len(names), MaxFiles)
+	}
+	slices.Sort(names)
+	var sources []Source
+	for _, name := range names {
+		source, err := readFile(name)
+		if err != nil {
+			return nil, err
+		}
+		sources = append(sources, source)
+	}
+	return sources, nil
+}
+
+func readFile(path string) (Source, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return Source{}, fmt.Errorf("read templates: %w", err)
+	}
+	if info.Size() > MaxFileBytes {
+		return Source{}, fmt.Errorf("file %s of %d bytes is over %d", path, info.Size(), MaxFileBytes)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Source{}, fmt.Errorf("read templates: %w", err)
+	}
+	return Source{Name: path, Data: data}, nil
+}
+
+// trimName shortens a name for a fault's key.
+func trimName(name string) string {
+	const longest = 80
+	name = strings.ToValidUTF8(name, "?")
+	if len(name) > longest {
+		return name[:longest] + "..."
+	}
+	return name
+}
--- /dev/null
+++ b/internal/template/resolver.go
@@ -0,0 +1,111 @@
+package template
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/tomlfile"
+)
+
+// located is a value with the file that it was read from.
+type located[T any] struct {
+	value T
+	file  string
+}
+
+// resolver gathers the files of a fleet, then resolves them.
+type resolver struct {
+	faults           []tomlfile.Fault
+	fleet            located[string]
+	templates        map[string]located[serviceParameters]
+	services         map[fleet.Service]located[serviceEntry]
+	accountTemplates map[string]located[accountParameters]
+	accounts         map[fleet.Account]located[accountEntry]
+	accountKeys      map[fleet.Account]string // Where each account is written.
+}
+
+func newResolver() *resolver {
+	return &resolver{
+		templates:        make(map[string]located[serviceParameters]),
+		services:         make(map[fleet.Service]located[serviceEntry]),
+		accountTemplates: make(map[string]located[accountParameters]),
+		accounts:         make(map[fleet.Account]located[accountEntry]),
+		accountKeys:      make(map[fleet.Account]string),
+	}
+}
+
+// add records a fault.
+func (r *resolver) add(file, key, value, format string, args ...any) {
+	c := tomlfile.Collector{File: file}
+	c.Add(key, value, format, args...)
+	r.faults = append(r.faults, c.Faults...)
+}
+
+func (r *resolver) err() error {
+	if len(r.faults) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(r.faults, func(a, b tomlfile.Fault) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Key, b.Key))
+	})
+	return &tomlfile.Error{Faults: r.faults}
+}
+
+// read decodes one file and takes in what it holds.
+func (r *resolver) read(source Source) {
+	var f file
+	c := &tomlfile.Collector{File: source.Name}
+	tomlfile.Decode(c, source.Data, &f)
+	r.faults = append(r.faults, c.Faults...)
+	r.readFleet(source.Name, f.Fleet)
+	gather(r, source.Name, "template.", f.Templates, r.templates)
+	gather(r, source.Name, "service.", f.Services, r.services)
+	gather(r, source.Name, "account_template.", f.AccountTemplates, r.accountTemplates)
+	for _, name := range sortedKeys(f.Accounts) {
+		r.readAccount(source.Name, "account."+trimName(string(name)), name, f.Accounts[name])
+	}
+	for _, list := range sortedKeys(f.AccountLists) {
+		r.readList(source.Name, "accounts."+trimName(list), f.AccountLists[list])
+	}
+}
+
+func (r *resolver) readFleet(file, name string) {
+	if name == "" {
+		return
+	}
+	if r.fleet.value != "" && r.fleet.value != name {
+		r.add(file, "fleet", tomlfile.Show(name), "is %q in %s", r.fleet.value, r.fleet.file)
+		return
+	}
+	r.fleet = located[string]{value: name, file: file}
+}
+
+// gather takes in the entries of one kind; each name may be given once.
+func gather[K ~string, T any](r *resolver, file, prefix string, from map[K]T, into map[K]located[T]) {
+	for _, name := range sortedKeys(from) {
+		if before, ok := into[name]; ok {
+			r.add(file, prefix+trimName(string(name)), "", "is also in %s", before.file)
+			continue
+		}
+		into[name] = located[T]{value: from[name], file: file}
+	}
+}
+
+func (r *resolver) readAccount(file, key string, name fleet.Account, entry accountEntry) {
+	if before, ok := r.accounts[name]; ok {
+		r.add(file, key, tomlfile.Show(string(name)), "is also in %s at %s", before.file, r.accountKeys[name])
+		return
+	}
+	r.accounts[name] = located[accountEntry]{value: entry, file: file}
+	r.accountKeys[name] = key
+}
+
+func (r *resolver) readList(file, key string, list accountList) {
+	if len(list.Names) == 0 {
+		r.add(file, key+".names", "", "must hold at least one name")
+	}
+	for _, name := range list.Names {
+		r.readAccount(file, key+".names", name, accountEntry{Template: list.Template})
+	}
+}
--- a/internal/tomlfile/decode.go
+++ b/internal/tomlfile/decode.go
@@ -55,7 +55,7 @@
 			d.collector.Add(join(path, key), "", "unknown key; known here: %s", known(fields))
 			continue
 		}
-		d.value(join(path, key), tree[key], into.Field(index))
+		d.value(join(path, key), tree[key], into.FieldByIndex(index))
 	}
 }
 
@@ -216,17 +216,18 @@
 	return text
 }
 
-func fieldsByKey(t reflect.Type) map[string]int {
-	fields := make(map[string]int, t.NumField())
-	for i := range t.NumField() {
-		if key := t.Field(i).Tag.Get("toml"); key != "" && key != "-" {
-			fields[key] = i
+// fieldsByKey returns the index of each field that has a key, those of embedded structs included.
+func fieldsByKey(t reflect.Type) map[string][]int {
+	fields := make(map[string][]int, t.NumField())
+	for _, field := range reflect.VisibleFields(t) {
+		if key := field.Tag.Get("toml"); key != "" && key != "-" {
+			fields[key] = field.Index
 		}
 	}
 	return fields
 }
 
-func known(fields map[string]int) string {
+func known(fields map[string][]int) string {
 	return fmt.Sprint(slices.Sorted(maps.Keys(fields)))
 }
 
