Listing duty: few instances read the platform's list for all

Every instance reading the list would make calls grow with the fleet. Watchers read it each second and push changed services and instances; a change is applied only to the very version that it was made from, and whoever missed one asks for the whole list. Whole lists on every change were weighed and left: at 12,000 endpoints one is some hundreds of kilobytes.

A rapid test loses, doubles and holds back messages, lets the list lag and go away, and moves watchers. Two watchers make 80 to 160 reads a minute at 12 and at 44 instances (test).

--- /dev/null
+++ b/internal/listing/clean.go
@@ -0,0 +1,41 @@
+package listing
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+// MaxSlots bounds the slots of one endpoint.
+const MaxSlots = 100_000
+
+// clean returns the list without the entries that cannot be used, and their number. Services,
+// endpoints and instances keep their order.
+func clean(l *platform.Listing) (*platform.Listing, int) {
+	dropped := 0
+	out := &platform.Listing{Version: l.Version, Upstreams: make(map[fleet.Service][]fleet.Upstream, len(l.Upstreams))}
+	for service, upstreams := range l.Upstreams {
+		kept := slices.DeleteFunc(slices.Clone(upstreams), func(u fleet.Upstream) bool { return !usable(u) })
+		dropped += len(upstreams) - len(kept)
+		out.Upstreams[service] = kept
+	}
+	out.Instances = slices.DeleteFunc(slices.Clone(l.Instances), func(i fleet.Instance) bool { return !reachable(i) })
+	dropped += len(l.Instances) - len(out.Instances)
+	return out, dropped
+}
+
+func usable(u fleet.Upstream) bool {
+	addr, err := netip.ParseAddrPort(string(u.Endpoint))
+	if err != nil || addr.Port() == 0 {
+		return false
+	}
+	known := u.State == fleet.UpstreamCold || u.State == fleet.UpstreamReady || u.State == fleet.UpstreamLeaving
+	return known && u.Slots > 0 && u.Slots <= MaxSlots
+}
+
+func reachable(i fleet.Instance) bool {
+	addr, err := netip.ParseAddrPort(i.PeerAddr)
+	return err == nil && addr.Port() != 0 && i.Ref.ID != ""
+}
--- /dev/null
+++ b/internal/listing/listing_test.go
@@ -0,0 +1,325 @@
+package listing
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/wire"
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+// world is a few duties over a network that loses, delays and doubles messages.
+type world struct {
+	now      time.Time
+	latest   platform.Listing
+	history  []platform.Listing
+	lag      int // How many versions back a read sees.
+	down     bool
+	reads    int
+	duties   []*Duty
+	watchers []bool
+	queue    []packet
+	posted   []func(now time.Time)
+	lost     func(p packet) bool
+	versions []uint64 // Highest version that each duty has shown.
+}
+
+type packet struct {
+	from, to int
+	body     Message
+}
+
+type link struct {
+	w    *world
+	from int
+}
+
+func (l link) Send(to fleet.Ref, _ wire.Kind, body any) {
+	l.w.queue = append(l.w.queue, packet{from: l.from, to: index(to), body: body.(Message)})
+}
+
+func ref(i int) fleet.Ref {
+	return fleet.Ref{ID: fleet.InstanceID(fmt.Sprint("i", i)), Incarnation: 1}
+}
+
+func index(r fleet.Ref) int {
+	var i int
+	_, _ = fmt.Sscanf(string(r.ID), "i%d", &i)
+	return i
+}
+
+func (w *world) Read(context.Context) (platform.Listing, error) {
+	w.reads++
+	if w.down {
+		return platform.Listing{}, platform.ErrUnavailable
+	}
+	return w.history[max(0, len(w.history)-1-w.lag)], nil
+}
+
+func newWorld(size, watchers int) *world {
+	w := &world{now: time.Unix(1000, 0), lost: func(packet) bool { return false }, versions: make([]uint64, size)}
+	w.history = []platform.Listing{{}}
+	for i := range size {
+		w.watchers = append(w.watchers, i < watchers)
+		w.duties = append(w.duties, New(Options{
+			List:    w,
+			Sender:  link{w, i},
+			Watcher: func() bool { return w.watchers[i] },
+			Peers:   func() []fleet.Ref { return w.peersOf(i) },
+			Post: func(f func(now time.Time)) bool {
+				w.posted = append(w.posted, f)
+				return true
+			},
+			Go:     func(f func()) { f() },
+			Random: rand.New(rand.NewPCG(1, uint64(i))),
+		}))
+	}
+	return w
+}
+
+func (w *world) peersOf(i int) []fleet.Ref {
+	var out []fleet.Ref
+	for j := range w.duties {
+		if j != i {
+			out = append(out, ref(j))
+		}
+	}
+	return out
+}
+
+// publish makes the next version of the list.
+func (w *world) publish(change func(l *platform.Listing)) {
+	next := platform.Listing{Version: w.latest.Version + 1, Upstreams: map[fleet.Service][]fleet.Upstream{}}
+	for service, upstreams := range w.latest.Upstreams {
+		next.Upstreams[service] = slices.Clone(upstreams)
+	}
+	next.Instances = slices.Clone(w.latest.Instances)
+	change(&next)
+	w.latest = next
+	w.history = append(w.history, next)
+}
+
+// step passes a tick and delivers what is under way.
+func (w *world) step() {
+	w.now = w.now.Add(50 * time.Millisecond)
+	for _, d := range w.duties {
+		d.Tick(w.now)
+	}
+	w.settle()
+}
+
+func (w *world) settle() {
+	for len(w.queue)+len(w.posted) > 0 {
+		posted, queue := w.posted, w.queue
+		w.posted, w.queue = nil, nil
+		for _, f := range posted {
+			f(w.now)
+		}
+		for _, p := range queue {
+			if !w.lost(p) {
+				w.deliver(p)
+			}
+		}
+	}
+}
+
+func (w *world) deliver(p packet) {
+	data, err := wire.Encode(wire.KindListing, p.body)
+	if err != nil {
+		panic(err)
+	}
+	e, err := wire.Decode(data)
+	if err != nil {
+		panic(err)
+	}
+	if err := w.duties[p.to].Deliver(w.now, ref(p.from), e); err != nil {
+		panic(err)
+	}
+}
+
+func (w *world) pass(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.step()
+	}
+}
+
+func endpoint(port, slots int, state fleet.UpstreamState) fleet.Upstream {
+	return fleet.Upstream{Endpoint: fleet.Endpoint(fmt.Sprint("127.0.0.1:", port)), Zone: "z", Slots: slots, State: state}
+}
+
+func drawChange(rt *rapid.T) func(l *platform.Listing) {
+	service := fleet.Service(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "service"))
+	port := rapid.IntRange(1, 4).Draw(rt, "port")
+	instance := fleet.Instance{Ref: ref(port), PeerAddr: fmt.Sprint("127.0.0.1:", port)}
+	switch rapid.IntRange(0, 3).Draw(rt, "change") {
+	case 0:
+		return func(l *platform.Listing) { delete(l.Upstreams, service) }
+	case 1:
+		return func(l *platform.Listing) {
+			l.Instances = slices.DeleteFunc(l.Instances, func(i fleet.Instance) bool { return i.Ref == instance.Ref })
+		}
+	case 2:
+		return func(l *platform.Listing) {
+			l.Instances = slices.DeleteFunc(l.Instances, func(i fleet.Instance) bool { return i.Ref == instance.Ref })
+			l.Instances = append(l.Instances, instance)
+		}
+	default:
+		return func(l *platform.Listing) {
+			l.Upstreams[service] = append(l.Upstreams[service], endpoint(port, 4, fleet.UpstreamReady))
+		}
+	}
+}
+
+// TestVersionsNeverGoDownAndAllConverge loses, doubles and holds back messages, lets the list lag and
+// go away, and changes who watches.
+func TestVersionsNeverGoDownAndAllConverge(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(5, 2)
+		var held []packet
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "network"), 0))
+		w.lost = func(p packet) bool {
+			switch random.IntN(4) {
+			case 0:
+				return true
+			case 1:
+				held = append(held, p)
+				return true
+			default:
+				return false
+			}
+		}
+		check := func() {
+			for i, d := range w.duties {
+				l := d.Snapshot()
+				if l == nil {
+					continue
+				}
+				if l.Version < w.versions[i] {
+					rt.Fatalf("instance %d went from version %d to %d", i, w.versions[i], l.Version)
+				}
+				w.versions[i] = l.Version
+				checkSame(rt, i, l, &w.history[l.Version])
+			}
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"publish": func(rt *rapid.T) { w.publish(drawChange(rt)) },
+			"pass": func(rt *rapid.T) {
+				w.pass(time.Duration(rapid.IntRange(1, 40).Draw(rt, "ticks")) * 50 * time.Millisecond)
+			},
+			"lag":    func(rt *rapid.T) { w.lag = rapid.IntRange(0, 3).Draw(rt, "lag") },
+			"outage": func(rt *rapid.T) { w.down = rapid.Bool().Draw(rt, "down") },
+			"watcher": func(rt *rapid.T) {
+				w.watchers[rapid.IntRange(0, 4).Draw(rt, "instance")] = rapid.Bool().Draw(rt, "watches")
+			},
+			"late": func(*rapid.T) {
+				late := held
+				held = nil
+				for _, p := range late {
+					w.deliver(p)
+					w.deliver(p)
+				}
+				w.settle()
+			},
+			"": func(*rapid.T) { check() },
+		})
+		w.lost = func(packet) bool { return false }
+		w.down, w.lag = false, 0
+		w.pass(2 * SilenceLimit)
+		check()
+		for i, d := range w.duties {
+			if got := d.Snapshot(); got == nil || got.Version != w.latest.Version {
+				rt.Fatalf("instance %d holds %+v, the latest is version %d", i, got, w.latest.Version)
+			}
+		}
+	})
+}
+
+func checkSame(rt *rapid.T, i int, got, want *platform.Listing) {
+	if len(got.Upstreams) != len(want.Upstreams) || len(got.Instances) != len(want.Instances) {
+		rt.Fatalf("instance %d holds %+v, version %d is %+v", i, got, want.Version, want)
+	}
+	for service, upstreams := range want.Upstreams {
+		if !slices.Equal(got.Upstreams[service], upstreams) {
+			rt.Fatalf("instance %d holds %+v, version %d is %+v", i, got, want.Version, want)
+		}
+	}
+	for _, instance := range want.Instances {
+		if !slices.ContainsFunc(got.Instances, func(g fleet.Instance) bool { return reflect.DeepEqual(g, instance) }) {
+			rt.Fatalf("instance %d lacks %+v of version %d", i, instance, want.Version)
+		}
+	}
+}
+
+// TestReadsDoNotGrowWithTheFleet counts the reads of a minute at two sizes of fleet with two watchers.
+func TestReadsDoNotGrowWithTheFleet(t *testing.T) {
+	for _, size := range []int{12, 44} {
+		w := newWorld(size, 2)
+		w.publish(func(l *platform.Listing) { l.Upstreams["a"] = []fleet.Upstream{endpoint(1, 4, fleet.UpstreamReady)} })
+		w.pass(10 * time.Second)
+		w.reads = 0
+		w.pass(time.Minute)
+		if least, most := 2*40, 2*80; w.reads < least || w.reads > most {
+			t.Errorf("%d instances: %d reads in a minute, want %d to %d", size, w.reads, least, most)
+		}
+	}
+}
+
+func TestMembersReadWhenNoWatcherIsHeard(t *testing.T) {
+	w := newWorld(3, 1)
+	w.pass(time.Second)
+	w.watchers[0] = false
+	w.publish(func(l *platform.Listing) { l.Upstreams["a"] = []fleet.Upstream{endpoint(1, 4, fleet.UpstreamReady)} })
+	w.pass(2 * SilenceLimit)
+	for i, d := range w.duties {
+		if d.Snapshot().Version != 1 {
+			t.Errorf("instance %d is at version %d", i, d.Snapshot().Version)
+		}
+	}
+}
+
+func TestReadsInAnOutageFromTheStart(t *testing.T) {
+	w := newWorld(3, 0)
+	w.down = true
+	w.pass(10 * time.Second)
+	if w.reads > 3*13 {
+		t.Fatalf("3 instances without a list read it %d times in 10 s", w.reads)
+	}
+}
+
+func TestUnusableEntriesAreDropped(t *testing.T) {
+	good := endpoint(1, 4, fleet.UpstreamCold)
+	l := &platform.Listing{Version: 1, Upstreams: map[fleet.Service][]fleet.Upstream{"a": {
+		good, endpoint(0, 4, fleet.UpstreamReady), endpoint(2, 0, fleet.UpstreamReady), endpoint(3, MaxSlots+1, fleet.UpstreamReady),
+		endpoint(4, 4, 9), {Endpoint: "localhost:80", Slots: 1, State: fleet.UpstreamReady},
+	}}, Instances: []fleet.Instance{{Ref: ref(1), PeerAddr: "here"}, {Ref: ref(2), PeerAddr: "127.0.0.1:5"}}}
+	got, dropped := clean(l)
+	if dropped != 6 || !slices.Equal(got.Upstreams["a"], []fleet.Upstream{good}) || len(got.Instances) != 1 {
+		t.Fatalf("dropped %d: %+v", dropped, got)
+	}
+}
+
+func TestMalformedMessages(t *testing.T) {
+	w := newWorld(1, 0)
+	for _, body := range []any{Message{Kind: 99}, "text", 7} {
+		data, err := wire.Encode(wire.KindListing, body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e, err := wire.Decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := w.duties[0].Deliver(w.now, ref(5), e); !errors.Is(err, wire.ErrMalformed) {
+			t.Errorf("%v: %v", body, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/listing/message.go
@@ -0,0 +1,119 @@
+package listing
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+// MessageKind tells the messages apart.
+type MessageKind uint8
+
+// Messages between instances.
+const (
+	MessageCurrent MessageKind = iota + 1 // Version is current; nothing changed.
+	MessageChange                         // What changed from Base to Version.
+	MessageWhole                          // The whole list at Version.
+	MessageAsk                            // The sender holds Version and wants the whole list, if there is a later one.
+)
+
+// Message is one message about the list.
+type Message struct {
+	Kind             MessageKind                        `cbor:"1,keyasint"`
+	Version          uint64                             `cbor:"2,keyasint"`
+	Base             uint64                             `cbor:"3,keyasint,omitempty"`
+	Upstreams        map[fleet.Service][]fleet.Upstream `cbor:"4,keyasint,omitempty"` // Of each service that changed, whole.
+	RemovedServices  []fleet.Service                    `cbor:"5,keyasint,omitempty"`
+	Instances        []fleet.Instance                   `cbor:"6,keyasint,omitempty"` // Those that changed.
+	RemovedInstances []fleet.Ref                        `cbor:"7,keyasint,omitempty"`
+}
+
+// whole returns the message that carries a whole list.
+func whole(l *platform.Listing) Message {
+	return Message{Kind: MessageWhole, Version: l.Version, Upstreams: l.Upstreams, Instances: l.Instances}
+}
+
+// change returns the message that leads from one list to a later one.
+func change(from, to *platform.Listing) Message {
+	m := Message{Kind: MessageChange, Base: from.Version, Version: to.Version}
+	for service, upstreams := range to.Upstreams {
+		before, ok := from.Upstreams[service]
+		if ok && slices.Equal(before, upstreams) {
+			continue
+		}
+		if m.Upstreams == nil {
+			m.Upstreams = make(map[fleet.Service][]fleet.Upstream)
+		}
+		m.Upstreams[service] = upstreams
+	}
+	for service := range from.Upstreams {
+		if _, ok := to.Upstreams[service]; !ok {
+			m.RemovedServices = append(m.RemovedServices, service)
+		}
+	}
+	slices.Sort(m.RemovedServices)
+	m.Instances, m.RemovedInstances = changedInstances(from.Instances, to.Instances)
+	return m
+}
+
+func changedInstances(from, to []fleet.Instance) (changed []fleet.Instance, removed []fleet.Ref) {
+	before := make(map[fleet.Ref]fleet.Instance, len(from))
+	for _, instance := range from {
+		before[instance.Ref] = instance
+	}
+	for _, instance := range to {
+		if !reflect.DeepEqual(before[instance.Ref], instance) {
+			changed = append(changed, instance)
+		}
+		delete(before, instance.Ref)
+	}
+	for _, instance := range from {
+		if _, gone := before[instance.Ref]; gone {
+			removed = append(removed, instance.Ref)
+		}
+	}
+	return changed, removed
+}
+
+// list returns the list of a MessageWhole.
+func (m Message) list() *platform.Listing {
+	upstreams := m.Upstreams
+	if upstreams == nil {
+		upstreams = make(map[fleet.Service][]fleet.Upstream)
+	}
+	return &platform.Listing{Version: m.Version, Upstreams: upstreams, Instances: m.Instances}
+}
+
+// apply returns the list after a MessageChange; the list before is not changed.
+func (m Message) apply(before *platform.Listing) *platform.Listing {
+	after := &platform.Listing{Version: m.Version, Upstreams: maps.Clone(before.Upstreams)}
+	if after.Upstreams == nil {
+		after.Upstreams = make(map[fleet.Service][]fleet.Upstream)
+	}
+	for _, service := range m.RemovedServices {
+		delete(after.Upstreams, service)
+	}
+	maps.Copy(after.Upstreams, m.Upstreams)
+	after.Instances = m.applyInstances(before.Instances)
+	return after
+}
+
+func (m Message) applyInstances(before []fleet.Instance) []fleet.Instance {
+	replaced := make(map[fleet.Ref]bool, len(m.Instances)+len(m.RemovedInstances))
+	for _, ref := range m.RemovedInstances {
+		replaced[ref] = true
+	}
+	for _, instance := range m.Instances {
+		replaced[instance.Ref] = true
+	}
+	var after []fleet.Instance
+	for _, instance := range before {
+		if !replaced[instance.Ref] {
+			after = append(after, instance)
+		}
+	}
+	return append(after, m.Instances...)
+}
