Health: tests of the ledger, of detection, of bad input and of the duty

Mutants of the code that the tests catch (each run by hand on a copy): the budget without its u term, a verdict's lease counted from its arrival, a carrier lent to two judges, a judge relying on a carrier ten times as long, spent ejections not counted, former sets of carriers ignored, a view that ignores the floor. Not caught by the fleet-wide tests: a fresh life lending at once, because former sets of carriers cover the same case; a unit test of the carrier catches it.

--- /dev/null
+++ b/coord/health/ledger_test.go
@@ -0,0 +1,60 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+// Whatever live verdicts name fits an allowance that a live verdict was issued under.
+func TestLedgerKeepsLiveVerdictsWithinAnAllowance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const live = time.Second
+		type issued struct {
+			at        time.Time
+			allowance int
+			named     []EndpointKey
+		}
+		slots := map[EndpointKey]int{}
+		for key := range EndpointKey(5) {
+			slots[key] = rapid.IntRange(1, 3).Draw(t, "slots")
+		}
+		zones := []fleet.Zone{"a"}
+		l := newLedger()
+		now := time.Unix(0, 0)
+		var history []issued
+		for range rapid.IntRange(1, 12).Draw(t, "issues") {
+			now = now.Add(time.Duration(rapid.IntRange(50, 600).Draw(t, "ms")) * time.Millisecond)
+			l.expire(now)
+			next := issued{at: now, allowance: rapid.IntRange(0, 8).Draw(t, "allowance")}
+			i := l.begin(next.allowance)
+			for _, key := range rapid.SliceOfDistinct(rapid.Map(rapid.IntRange(0, 4), func(k int) EndpointKey { return EndpointKey(k) }), rapid.ID).Draw(t, "wanted") {
+				if i.add(key, slots[key], zones) {
+					next.named = append(next.named, key)
+				}
+			}
+			i.end(now, live)
+			history = append(history, next)
+			total, most := 0, 0
+			counted := map[EndpointKey]bool{}
+			for _, h := range history {
+				if now.Sub(h.at) >= live {
+					continue
+				}
+				most = max(most, h.allowance)
+				for _, key := range h.named {
+					if !counted[key] {
+						counted[key] = true
+						total += slots[key]
+					}
+				}
+			}
+			if total > most {
+				t.Fatalf("live verdicts name %d slots, the largest allowance is %d", total, most)
+			}
+		}
+	})
+}
--- a/coord/health/safety_test.go
+++ b/coord/health/safety_test.go
@@ -53,15 +53,41 @@
 				w.configure(n)
 			}
 		},
-		"split": func(t *rapid.T) { // Every node follows one of two judges.
-			judges := []*node{w.drawNode("first"), w.drawNode("second")}
-			for _, n := range w.nodes {
-				if n.alive {
-					n.judgeRef = judges[rapid.IntRange(0, 1).Draw(t, "side")].self.Ref
-					w.configure(n)
-				}
+		"session": w.session,
+	}
+}
+
+// session lets every node follow one of two judges for a while. The judges change their
+// minds, and some nodes miss some verdicts.
+func (w *world) session(t *rapid.T) {
+	alive := slices.DeleteFunc(slices.Clone(w.nodes), func(n *node) bool { return !n.alive })
+	judges := []*node{
+		rapid.SampledFrom(alive).Draw(t, "first"),
+		rapid.SampledFrom(alive).Draw(t, "second"),
+	}
+	for _, n := range alive {
+		n.judgeRef = judges[rapid.IntRange(0, 1).Draw(t, "side")].self.Ref
+		w.configure(n)
+	}
+	for range rapid.IntRange(1, 24).Draw(t, "rounds") {
+		w.now = w.now.Add(time.Duration(rapid.IntRange(500, 800).Draw(t, "ms")) * time.Millisecond)
+		missing := rapid.IntRange(0, 3*len(alive)).Draw(t, "missing")
+		if rapid.IntRange(0, 2).Draw(t, "change") == 0 {
+			w.changeMind(t, rapid.SampledFrom(judges).Draw(t, "judge"))
+		}
+		for i, n := range alive {
+			if i != missing {
+				w.exchange(n)
+				w.check()
 			}
-		},
+		}
+	}
+}
+
+// changeMind makes a judge want another set of endpoints removed.
+func (w *world) changeMind(t *rapid.T, judge *node) {
+	for _, u := range w.truth {
+		w.want(judge, KeyOf(u.Endpoint), "", rapid.Bool().Draw(t, "removed"))
 	}
 }
 
--- a/internal/endpoints/duty.go
+++ b/internal/endpoints/duty.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/health"
@@ -40,12 +41,12 @@
 
 // Options are what a Duty is built from.
 type Options struct {
-	Health   health.Config
-	Carriers int // Instances that carry a service.
+	Health   health.Config // DefaultConfig when zero.
+	Carriers int           // Instances that carry a service; DefaultCarriers when 0.
 	Sender   control.Sender
 	Publish  Publish
-	Log      *slog.Logger
-	Tracer   trace.Tracer
+	Log      *slog.Logger // The default logger when nil.
+	Tracer   trace.Tracer // None when nil.
 }
 
 // Duty is the health of all services at one instance.
@@ -54,6 +55,7 @@
 	self       fleet.Instance
 	generation uint64
 	placement  Placement
+	placed     uint64 // Counts the calls of SetFleet.
 	config     *rollout.Config
 	listing    platform.Listing
 	services   map[fleet.Service]*service
@@ -62,11 +64,24 @@
 	statusAt   time.Time
 }
 
-// NewDuty returns a duty that holds nothing until it has a configuration, a fleet and a listing.
-func NewDuty(o Options) *Duty {
+func (o *Options) setDefaults() {
+	if o.Health == (health.Config{}) {
+		o.Health = health.DefaultConfig()
+	}
 	if o.Carriers == 0 {
 		o.Carriers = DefaultCarriers
 	}
+	if o.Log == nil {
+		o.Log = slog.Default()
+	}
+	if o.Tracer == nil {
+		o.Tracer = noop.NewTracerProvider().Tracer("health")
+	}
+}
+
+// NewDuty returns a duty that holds nothing until it has a configuration, a fleet and a listing.
+func NewDuty(o Options) *Duty {
+	o.setDefaults()
 	d := &Duty{options: o, services: make(map[fleet.Service]*service)}
 	d.status.Store(&Status{})
 	return d
@@ -83,6 +98,7 @@
 	d.generation = generation
 	d.placement = p
 	d.self = self
+	d.placed++
 	d.configure(now)
 }
 
@@ -168,7 +184,9 @@
 	})
 	var due outbox
 	for _, state := range d.services {
-		state.expireFormer(now)
+		if state.expireFormer(now) {
+			d.assign(now, state)
+		}
 		if state.judge != nil {
 			due.add(state.name, state.judge.Tick(now))
 		}
--- /dev/null
+++ b/internal/endpoints/duty_test.go
@@ -0,0 +1,198 @@
+package endpoints
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/health"
+	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/coord/routing"
+	"github.com/damaskcove/damaskcove/internal/wire"
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+const catalogue fleet.Service = "catalogue"
+
+// fixedPlacement gives every service all instances as carriers and the first as judge.
+type fixedPlacement []fleet.Instance
+
+func (p fixedPlacement) Carriers(fleet.Service, int) []fleet.Instance { return p }
+
+func (p fixedPlacement) Judge(fleet.Service) (fleet.Instance, bool) { return p[0], true }
+
+// network delivers messages between duties at once, through their encoding.
+type network struct {
+	t     *testing.T
+	now   time.Time
+	nodes map[fleet.Ref]*testNode
+}
+
+type testNode struct {
+	network *network
+	self    fleet.Instance
+	duty    *Duty
+	targets []routing.Target
+	cut     bool
+}
+
+func (n *testNode) Send(to fleet.Ref, kind wire.Kind, body any) {
+	peer := n.network.nodes[to]
+	if n.cut || peer == nil || peer.cut {
+		return
+	}
+	data, err := wire.Encode(kind, body)
+	if err != nil {
+		n.network.t.Fatal(err)
+	}
+	e, err := wire.Decode(data)
+	if err != nil {
+		n.network.t.Fatal(err)
+	}
+	if err := peer.duty.Deliver(n.network.now, n.self.Ref, e); err != nil {
+		n.network.t.Fatal(err)
+	}
+}
+
+func newNetwork(t *testing.T, instances, upstreams int) *network {
+	n := &network{t: t, now: time.Unix(1_000_000, 0), nodes: map[fleet.Ref]*testNode{}}
+	var all fixedPlacement
+	for i := range instances {
+		all = append(all, fleet.Instance{
+			Ref:  fleet.Ref{ID: fleet.InstanceID(fmt.Sprintf("i%d", i)), Incarnation: 1},
+			Zone: fleet.Zone([]string{"a", "b", "c"}[i%3]),
+		})
+	}
+	listing := platform.Listing{Upstreams: map[fleet.Service][]fleet.Upstream{}}
+	for i := range upstreams {
+		u := fleet.Upstream{Endpoint: fleet.Endpoint(fmt.Sprintf("10.0.0.%d:80", i)), Slots: 3, State: fleet.UpstreamReady}
+		listing.Upstreams[catalogue] = append(listing.Upstreams[catalogue], u)
+	}
+	config := &rollout.Config{Revision: 1, Services: map[fleet.Service]rollout.ServiceTemplate{
+		catalogue: {Name: catalogue, FloorSlots: 9, FalseEjectionsPerEndpointMonth: 0.001, RequestsPerSecond: 200},
+	}}
+	for _, self := range all {
+		node := &testNode{network: n, self: self}
+		node.duty = NewDuty(Options{
+			Sender: node,
+			Log:    slog.New(slog.NewJSONHandler(io.Discard, nil)),
+			Publish: func(_ fleet.Service, targets []routing.Target, _ rollout.ServiceTemplate) {
+				node.targets = targets
+			},
+		})
+		node.duty.SetListing(n.now, listing)
+		node.duty.SetConfig(n.now, config)
+		node.duty.SetFleet(n.now, 1, all, self)
+		n.nodes[self.Ref] = node
+	}
+	return n
+}
+
+// run lets every node send one request to each endpoint it may use, every 100 ms.
+func (n *network) run(d time.Duration, failing fleet.Endpoint) {
+	for step := range int(d / (50 * time.Millisecond)) {
+		n.now = n.now.Add(50 * time.Millisecond)
+		for _, node := range n.nodes {
+			if step%2 == 0 {
+				node.request(failing)
+			}
+			node.duty.Tick(n.now)
+		}
+	}
+}
+
+func (node *testNode) request(failing fleet.Endpoint) {
+	for _, target := range node.targets {
+		e := target.Upstream.Endpoint
+		if target.Standing == routing.StandingOpen || target.Standing == routing.StandingTrial {
+			node.duty.Observe(catalogue, health.Attempt{
+				Endpoint: e,
+				Failed:   e == failing,
+				Latency:  40 * time.Millisecond,
+				Trial:    target.Standing == routing.StandingTrial,
+			})
+		}
+	}
+}
+
+// standings returns how many nodes have an endpoint in a standing, out of those that may use it.
+func (n *network) standings(e fleet.Endpoint, want routing.Standing) (count, of int) {
+	for _, node := range n.nodes {
+		for _, target := range node.targets {
+			if target.Upstream.Endpoint != e {
+				continue
+			}
+			of++
+			if target.Standing == want {
+				count++
+			}
+		}
+	}
+	return count, of
+}
+
+func TestDutyTakesAFailingEndpointOutEverywhere(t *testing.T) {
+	n := newNetwork(t, 6, 7)
+	n.run(10*time.Second, "")
+	n.run(5*time.Second, "10.0.0.3:80")
+	if out, of := n.standings("10.0.0.3:80", routing.StandingAvoided); out != of || of == 0 {
+		t.Fatalf("failing endpoint is out at %d of %d instances", out, of)
+	}
+	if open, of := n.standings("10.0.0.2:80", routing.StandingOpen); open != of || of == 0 {
+		t.Fatalf("healthy endpoint is in service at %d of %d instances", open, of)
+	}
+	status := n.nodes[fleet.Ref{ID: "i0", Incarnation: 1}].duty.Status()
+	if len(status.Services) != 1 || !status.Services[0].Judging || status.Services[0].BudgetSlots != 12 {
+		t.Fatalf("status %+v, want the judge of one service with a budget of 12 slots", status.Services)
+	}
+}
+
+func TestDutyRestoresWithoutContact(t *testing.T) {
+	n := newNetwork(t, 6, 7)
+	n.run(10*time.Second, "")
+	n.run(5*time.Second, "10.0.0.3:80")
+	far := n.nodes[fleet.Ref{ID: "i5", Incarnation: 1}]
+	far.cut = true
+	n.run(health.DefaultConfig().Lease, "10.0.0.3:80")
+	for _, target := range far.targets {
+		if target.Standing != routing.StandingOpen {
+			t.Errorf("instance without contact has %s in standing %d, want open", target.Upstream.Endpoint, target.Standing)
+		}
+	}
+}
+
+func TestDutyStopsWorkToALeavingUpstreamAtOnce(t *testing.T) {
+	n := newNetwork(t, 1, 3)
+	n.run(time.Second, "")
+	node := n.nodes[fleet.Ref{ID: "i0", Incarnation: 1}]
+	node.duty.Leaving(n.now, catalogue, "10.0.0.1:80")
+	if count, of := n.standings("10.0.0.1:80", routing.StandingLeaving); count != 1 || of != 1 {
+		t.Fatalf("leaving upstream has that standing at %d of %d instances", count, of)
+	}
+}
+
+func TestLimitsAddUpToAboutTheSlots(t *testing.T) {
+	n := newNetwork(t, 12, 9)
+	n.run(time.Second, "")
+	perEndpoint := map[fleet.Endpoint]int{}
+	least, most := 1<<30, 0
+	for _, node := range n.nodes {
+		total := 0
+		for _, target := range node.targets {
+			perEndpoint[target.Upstream.Endpoint] += target.Limit
+			total += target.Limit
+		}
+		least, most = min(least, total), max(most, total)
+	}
+	for e, total := range perEndpoint {
+		if total < 3 || total > 4 {
+			t.Errorf("limits on %s add up to %d, want 3 or 4 for 3 slots", e, total)
+		}
+	}
+	if len(perEndpoint) != 9 || most-least > 1 {
+		t.Errorf("%d endpoints are used; instances have %d to %d shares", len(perEndpoint), least, most)
+	}
+}
--- a/internal/endpoints/service.go
+++ b/internal/endpoints/service.go
@@ -34,7 +34,8 @@
 	carrier  *health.Carrier
 	judge    *health.Judge
 	judging  bool
-	judgeRef fleet.Ref
+	assigned fleet.Instance // The service's judge.
+	placed   uint64         // Counts the fleets; which one carriers and assigned follow from.
 
 	published []routing.Target
 	announced bool // published has been passed on.
@@ -62,17 +63,13 @@
 		}
 		kept = append(kept, u)
 	}
-	slices.SortFunc(kept, func(a, b fleet.Upstream) int {
-		return cmp.Compare(a.Endpoint, b.Endpoint)
-	})
+	slices.SortFunc(kept, func(a, b fleet.Upstream) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return kept
 }
 
 // assign brings a service's carrier and judge in line with the fleet.
 func (d *Duty) assign(now time.Time, s *service) {
-	s.setCarriers(now, d.placement.Carriers(s.name, d.options.Carriers))
-	judge, _ := d.placement.Judge(s.name)
-	s.judgeRef = judge.Ref
+	judge := d.place(now, s)
 	a := health.Assignment{Generation: d.generation, Judge: judge.Ref, Carriers: s.carriers, Former: s.formerCarriers()}
 	p := parametersOf(s.template)
 	s.carrying = slices.ContainsFunc(s.carriers, d.isSelf)
@@ -82,10 +79,7 @@
 	if s.carrier != nil && !s.carrying && !d.wasCarrier(s) {
 		s.carrier = nil
 	}
-	s.judging = judge.Ref == d.self.Ref
-	if s.judging && s.judge == nil {
-		s.judge = health.NewJudge(d.self, d.options.Health)
-	}
+	d.assignJudge(s, judge.Ref)
 	if s.carrier != nil {
 		s.carrier.Configure(now, p, a, s.upstreams)
 	}
@@ -94,6 +88,27 @@
 	}
 }
 
+// place looks up a service's carriers and judge when the fleet has changed.
+func (d *Duty) place(now time.Time, s *service) fleet.Instance {
+	if s.placed != d.placed {
+		s.placed = d.placed
+		s.setCarriers(now, d.placement.Carriers(s.name, d.options.Carriers))
+		s.assigned, _ = d.placement.Judge(s.name)
+	}
+	return s.assigned
+}
+
+// assignJudge makes or drops the judge of a service. A dropped judge's verdicts lapse by themselves.
+func (d *Duty) assignJudge(s *service, judge fleet.Ref) {
+	s.judging = judge == d.self.Ref
+	switch {
+	case !s.judging:
+		s.judge = nil
+	case s.judge == nil:
+		s.judge = health.NewJudge(d.self, d.options.Health)
+	}
+}
+
 func (d *Duty) isSelf(i fleet.Instance) bool {
 	return i.Ref == d.self.Ref
 }
@@ -132,8 +147,11 @@
 }
 
 // expireFormer drops the sets of carriers on which no instance acts any more.
-func (s *service) expireFormer(now time.Time) {
+// It reports whether there was one.
+func (s *service) expireFormer(now time.Time) bool {
+	before := len(s.former)
 	s.former = slices.DeleteFunc(s.former, func(f formerSet) bool { return !now.Before(f.until) })
+	return len(s.former) < before
 }
 
 // parametersOf returns the health parameters of a template. Their revision is a digest of
--- a/internal/endpoints/status.go
+++ b/internal/endpoints/status.go
@@ -74,7 +74,7 @@
 		Service:    s.name,
 		Carrying:   s.carrying,
 		Judging:    s.judging,
-		Judge:      s.judgeRef,
+		Judge:      s.assigned.Ref,
 		FloorSlots: s.template.FloorSlots,
 		Carriers:   len(s.carriers),
 	}
