--- a/coord/result/result_test.go
+++ b/coord/result/result_test.go
@@ -1,6 +1,7 @@
 package result
 
 import (
+	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -10,6 +11,27 @@
 // tablePath is the page that lists the codes for operators and callers.
 const tablePath = "../../docs/RESULT-CODES.md"
 
+// update rewrites the rows of the page: go test ./coord/result -update
+var update = flag.Bool("update", false, "rewrite the rows of the page of codes")
+
+// writeRows replaces the rows at the end of the page.
+func writeRows(t *testing.T) {
+	t.Helper()
+	page, err := os.ReadFile(tablePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	head, _, _ := strings.Cut(string(page), "|---|---|---|---|---|\n")
+	var b strings.Builder
+	b.WriteString(head + "|---|---|---|---|---|\n")
+	for _, e := range Table {
+		b.WriteString(row(e) + "\n")
+	}
+	if err := os.WriteFile(tablePath, []byte(b.String()), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // row returns the line of the page for an entry.
 func row(e Entry) string {
 	status := "-"
@@ -20,6 +42,9 @@
 }
 
 func TestThePageListsEveryCodeAndNoOther(t *testing.T) {
+	if *update {
+		writeRows(t)
+	}
 	page, err := os.ReadFile(tablePath)
 	if err != nil {
 		t.Fatal(err)
