--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/damaskcove/damaskcove/internal/dispatch"
 	"github.com/damaskcove/damaskcove/internal/endpoints"
 	"github.com/damaskcove/damaskcove/internal/entry"
+	"github.com/damaskcove/damaskcove/internal/listing"
 	"github.com/damaskcove/damaskcove/internal/members"
 	"github.com/damaskcove/damaskcove/internal/operator"
 	"github.com/damaskcove/damaskcove/internal/peer"
@@ -75,6 +76,7 @@
 
 	members    *members.Duty
 	config     *config.Duty
+	listing    *listing.Duty
 	endpoints  *endpoints.Duty
 	claims     *claims.Claims
 	dispatcher *dispatch.Dispatcher
@@ -82,7 +84,6 @@
 
 	router    atomic.Pointer[entry.Router]
 	appliedAt atomic.Pointer[time.Time]
-	listing   atomic.Pointer[platform.Listing]
 	stopping  atomic.Bool
 	started   time.Time
 	fatal     chan error
@@ -211,6 +212,15 @@
 		Log:             n.log,
 		OnApply:         n.configApplied,
 	})
+	n.listing = listing.New(listing.Options{
+		List:     platform.CountedList(n.opts.List, func(op string) { storecall.Calls.Add("listing."+op, 1) }),
+		Sender:   n.links,
+		Watcher:  n.watches,
+		Peers:    n.zonePeers,
+		Post:     n.loop.Post,
+		OnChange: n.takeListing,
+		Random:   n.random(3),
+	})
 	n.endpoints = endpoints.NewDuty(endpoints.Options{
 		Health:   health.DefaultConfig(),
 		Carriers: s.Fleet.CarriersPerService,
@@ -238,6 +248,7 @@
 	})
 	n.loop.Add(n.members)
 	n.loop.Add(n.config)
+	n.loop.Add(n.listing)
 	n.loop.Add(n.endpoints)
 	n.loop.Add(n.claims)
 	return nil
@@ -325,6 +336,30 @@
 	n.endpoints.SetFleet(now, s.Roster.Generation, p, s.Self)
 }
 
+// watches reports whether this instance reads the platform's list for its zone.
+func (n *Node) watches() bool {
+	m := n.members.Snapshot().Map
+	if m == nil {
+		return false
+	}
+	return contains(m.Watchers(n.self.Zone, n.opts.Settings.Fleet.WatchersPerZone), n.self.Ref)
+}
+
+// zonePeers returns the other instances of this one's zone.
+func (n *Node) zonePeers() []fleet.Ref {
+	m := n.members.Snapshot().Map
+	if m == nil {
+		return nil
+	}
+	var peers []fleet.Ref
+	for _, in := range m.Instances() {
+		if in.Zone == n.self.Zone && in.Ref != n.self.Ref {
+			peers = append(peers, in.Ref)
+		}
+	}
+	return peers
+}
+
 // configApplied runs on the control goroutine.
 func (n *Node) configApplied(now time.Time, c *rollout.Config) {
 	n.router.Store(entry.NewRouter(c))
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -14,7 +13,6 @@
 
 // Times of an instance's life.
 const (
-	listInterval   = time.Second
 	listTimeout    = 2 * time.Second
 	quietBeforeEnd = 500 * time.Millisecond
 	stopPoll       = 20 * time.Millisecond
@@ -33,7 +31,6 @@
 	wait.Go(func() { n.part(n.entry.Run()) })
 	wait.Go(func() { n.loop.Run(parts) })
 	n.start(parts)
-	wait.Go(func() { n.pollList(parts) })
 	n.log.Info("instance started", "instance", n.self.Ref.String(), "zone", n.self.Zone,
 		"entry", n.self.EntryAddr, "peer", n.self.PeerAddr, "operator", n.OperatorAddr())
 
@@ -82,7 +79,6 @@
 	n.loop.Post(func(now time.Time) {
 		n.members.Start(now, l.Instances)
 		n.config.Start(now, l.Instances)
-		n.takeListing(now, l)
 	})
 }
 
@@ -92,32 +88,10 @@
 	return n.opts.List.Read(ctx)
 }
 
-// pollList reads the list again and again, at moments that differ between instances.
-func (n *Node) pollList(ctx context.Context) {
-	for {
-		wait := listInterval/2 + rand.N(listInterval)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait):
-		}
-		l, err := n.readList(ctx)
-		if err != nil {
-			n.log.Debug("instance list not read", "error", err.Error())
-			continue
-		}
-		n.loop.Post(func(now time.Time) { n.takeListing(now, l) })
-	}
-}
-
 // takeListing runs on the control goroutine.
-func (n *Node) takeListing(now time.Time, l platform.Listing) {
-	if old := n.listing.Load(); l.Version == 0 || old != nil && l.Version <= old.Version {
-		return
-	}
-	n.listing.Store(&l)
+func (n *Node) takeListing(now time.Time, l *platform.Listing) {
 	n.members.Listed(now, l.Instances)
-	n.endpoints.SetListing(now, l)
+	n.endpoints.SetListing(now, *l)
 }
 
 // stop makes the planned stop: it is handed out no more, serves until callers have
