--- a/cmd/damaskctl/main.go
+++ b/cmd/damaskctl/main.go
@@ -1,4 +1,10 @@
 // Command damaskctl is the operators' tool of the proxy fleet.
 package main
 
-func main() {}
+import "os"
+
+func main() {
+	if err := demoCommand().Execute(); err != nil {
+		os.Exit(1)
+	}
+}
