Pass messages over a third instance while a direct link fails

Cause: in the demo every order whose ticket named two instances with a cut direction between them ended UNKNOWN for as long as the cut lasted: the claim, and then the seal, could not arrive. Excluded: lost seals after a grant; the codes were outcome-unknown alone and began and ended with the cut. Change: a link that was used checks every two seconds that its messages arrive. While it fails, claims, relays, outcomes, evidence and verdicts go over one third instance; heartbeats do not, since they tell whether the direct way works. A third instance passes on only what comes from its own sender, and once.

Detection in the demo is the time until an endpoint gets less than a tenth of an equal share for a second, since trial requests still reach one that is out of service.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -214,10 +214,10 @@
 }
 
 func (r *run) countService(report *Report, f *firm, s *scenario) {
-	gap, out := s.gray.LastGapAfter(s.grayAt, detectionQuiet)
+	took, out := detection(f.fleet.Host.ServiceEndpoints(f.lookup), s.gray, s.grayAt, s.grayUntil)
 	report.DetectionMS[string(f.name)] = -1
 	if out {
-		report.DetectionMS[string(f.name)] = milliseconds(gap)
+		report.DetectionMS[string(f.name)] = milliseconds(took)
 	}
 	report.WorkToLeaving += int(s.leaving.Stats().Received - s.leavingCount)
 	for _, t := range f.templates.Services {
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -24,7 +24,7 @@
 	ConfigReverts   int                `json:"config_reverts"`
 	WorkToLeaving   int                `json:"work_to_leaving"`    // Received by a leaving endpoint after leavingGrace.
 	ConfigInForceMS float64            `json:"config_in_force_ms"` // Longest of the demo's changes.
-	DetectionMS     map[string]float64 `json:"detection_ms"`       // By firm; -1 when the endpoint was not taken out.
+	DetectionMS     map[string]float64 `json:"detection_ms"`       // By firm, until the endpoint gets under a tenth of an equal share; -1 when it never does.
 	FalseEjections  int                `json:"false_ejections"`    // Healthy endpoints that got no work while the others did.
 	AddedMSP50      float64            `json:"added_ms_p50"`       // Of a lookup, over a direct call, before the faults.
 	AddedMSP99      float64            `json:"added_ms_p99"`       // Of a lookup, over a direct call, before the faults.
--- a/internal/demo/windows.go
+++ b/internal/demo/windows.go
@@ -70,3 +70,28 @@
 		s.breaches++
 	}
 }
+
+// Parameters of detection.
+const (
+	detectionStep   = 50 * time.Millisecond
+	detectionWindow = time.Second
+	detectionShare  = 0.1 // Of an equal share of the service's starts.
+)
+
+// detection returns the time from a fault until its endpoint gets, for a second, less
+// than detectionShare of an equal share of the service's work. It is false when that
+// does not happen before the fault ends.
+func detection(endpoints []*upstream.Endpoint, gray *upstream.Endpoint, from, until time.Time) (time.Duration, bool) {
+	for a := from; !a.Add(detectionWindow).After(until); a = a.Add(detectionStep) {
+		b := a.Add(detectionWindow)
+		total := 0
+		for _, e := range endpoints {
+			total += e.StartsBetween(a, b)
+		}
+		equal := float64(total) / float64(len(endpoints))
+		if float64(gray.StartsBetween(a, b)) < detectionShare*equal {
+			return a.Sub(from), true
+		}
+	}
+	return 0, false
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,6 +136,7 @@
 		Resolve: func(to fleet.Ref) (fleet.Instance, bool) { return n.members.Resolve(to) },
 		Deliver: n.deliver,
 		Blocked: n.opts.Blocked,
+		Via:     n.via,
 		Log:     n.log,
 	})
 	if err != nil {
@@ -336,6 +337,35 @@
 	n.endpoints.SetFleet(now, s.Roster.Generation, p, s.Self)
 }
 
+// maxVia bounds the instances that are asked to pass a message on.
+const maxVia = 4
+
+// via returns instances that may pass a message on to another, those of other zones
+// than this one's first; none when the receiver is not believed alive.
+func (n *Node) via(to fleet.Ref) []fleet.Ref {
+	m := n.members.Snapshot().Map
+	if m == nil || !contains(m.Instances(), to) {
+		return nil
+	}
+	instances := m.Instances()
+	start := rand.IntN(len(instances))
+	var far, near []fleet.Ref
+	for i := range instances {
+		in := instances[(start+i)%len(instances)]
+		switch {
+		case in.Ref == to || in.Ref == n.self.Ref:
+		case in.Zone != n.self.Zone:
+			far = append(far, in.Ref)
+		default:
+			near = append(near, in.Ref)
+		}
+		if len(far) >= maxVia {
+			break
+		}
+	}
+	return append(far, near...)
+}
+
 // watches reports whether this instance reads the platform's list for its zone.
 func (n *Node) watches() bool {
 	m := n.members.Snapshot().Map
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -17,6 +17,9 @@
 	writeTimeout   = 2 * time.Second
 	reconnectFirst = 50 * time.Millisecond
 	reconnectMost  = 2 * time.Second
+	// checkInterval is the time between two checks that what was sent has arrived.
+	checkInterval = 2 * time.Second
+	checkTimeout  = time.Second
 	// IdleTimeout is how long a link stays open without a message.
 	IdleTimeout = 60 * time.Second
 )
@@ -105,21 +108,40 @@
 	closed := conn.CloseRead(ctx)
 	timer := time.NewTimer(IdleTimeout)
 	defer timer.Stop()
+	check := time.NewTicker(checkInterval)
+	defer check.Stop()
+	unchecked := false
 	for {
 		select {
 		case <-closed.Done():
 			return false
 		case <-timer.C:
 			return true
+		case <-check.C:
+			if unchecked && !l.check(ctx, conn) {
+				return false
+			}
+			unchecked = false
 		case <-l.queue.ready:
 			if !l.flush(ctx, conn) {
 				return false
 			}
+			unchecked = true
 			timer.Reset(IdleTimeout)
 		}
 	}
 }
 
+// check asks the other side for a sign of life. A direction that loses everything does not answer.
+func (l *link) check(ctx context.Context, conn *websocket.Conn) bool {
+	if l.links.blocked(l.to) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	return conn.Ping(ctx) == nil
+}
+
 // flush writes every queued message. A blocked link loses them, as a dead direction would.
 func (l *link) flush(ctx context.Context, conn *websocket.Conn) bool {
 	for {
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -35,13 +35,17 @@
 	Resolve func(fleet.Ref) (fleet.Instance, bool)
 	Deliver func(from fleet.Ref, e wire.Envelope)
 	Blocked func(to fleet.Ref) bool // Faults for tests and the demo; nil for none.
-	Log     *slog.Logger
+	// Via returns instances that may pass a message on while the direct link fails, in the
+	// order in which they are tried; none when to is not believed alive. Nil for none.
+	Via func(to fleet.Ref) []fleet.Ref
+	Log *slog.Logger
 }
 
 // counters are the expvar metrics of the links.
 type counters struct {
 	sent, sentBytes, dropped, received, receivedBytes expvar.Int
 	refused, malformed, otherFleet, dialFailed        expvar.Int
+	forwarded                                         expvar.Int
 }
 
 // Links are the peer links of one instance.
@@ -163,7 +167,15 @@
 		l.cfg.Log.Error("message not sent", "to", to.String(), "kind", kind, "bytes", len(data), "bound", wire.MaxEnvelopeBytes, "error", err)
 		return false
 	}
-	dropped, taken := l.enqueue(to, item{kind: kind, data: data})
+	if l.Failing(to) {
+		return l.offerVia(to, kind, data)
+	}
+	return l.offerDirect(to, item{kind: kind, data: data})
+}
+
+// offerDirect queues a message for the link to its receiver.
+func (l *Links) offerDirect(to fleet.Ref, it item) bool {
+	dropped, taken := l.enqueue(to, it)
 	l.count.dropped.Add(int64(dropped))
 	if !taken {
 		l.count.dropped.Add(1)
@@ -316,7 +328,7 @@
 			l.cfg.Log.Warn("peer message dropped", "from", from.Ref.String(), "error", err.Error())
 			continue
 		}
-		l.cfg.Deliver(from.Ref, envelope)
+		l.take(from.Ref, envelope)
 	}
 }
 
@@ -385,6 +397,7 @@
 	Malformed     int64 `json:"malformed"`
 	OtherFleet    int64 `json:"other_fleet"`
 	DialFailed    int64 `json:"dial_failed"`
+	Forwarded     int64 `json:"forwarded"` // Passed on for others.
 	Links         int   `json:"links"`
 }
 
@@ -403,6 +416,7 @@
 		Malformed:     l.count.malformed.Value(),
 		OtherFleet:    l.count.otherFleet.Value(),
 		DialFailed:    l.count.dialFailed.Value(),
+		Forwarded:     l.count.forwarded.Value(),
 		Links:         links,
 	}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -267,3 +267,54 @@
 		t.Fatal(err)
 	}
 }
+
+func TestMessagesTakeTheWayOverAThirdInstanceWhileTheDirectLinkFails(t *testing.T) {
+	b := &book{byID: map[fleet.Ref]fleet.Instance{}}
+	third := fleet.Ref{ID: "c", Incarnation: 1}
+	blocked := fleet.Ref{ID: "b", Incarnation: 1}
+	passer, receivedByThird := startLinks(t, b, "c", nil)
+	_, received := startLinks(t, b, "b", nil)
+	a, _ := startLinks(t, b, "a", func(c *Config) {
+		c.Blocked = func(to fleet.Ref) bool { return to == blocked }
+		c.Via = func(fleet.Ref) []fleet.Ref { return []fleet.Ref{third} }
+	})
+	a.Send(blocked, wire.KindMembership, note{})
+	for !a.Failing(blocked) {
+		time.Sleep(time.Millisecond)
+	}
+	if a.Unreachable(blocked) {
+		t.Fatal("an instance with a way over a third one is reported unreachable")
+	}
+	a.Send(blocked, wire.KindClaim, note{Number: 1})
+	if from := <-received; from != a.cfg.Self.Ref {
+		t.Fatalf("forwarded message from %s, want %s", from, a.cfg.Self.Ref)
+	}
+	if len(receivedByThird) != 0 || passer.Stats().Forwarded != 1 {
+		t.Fatalf("third instance delivered %d and forwarded %d, want 0 and 1", len(receivedByThird), passer.Stats().Forwarded)
+	}
+	a.Send(blocked, wire.KindMembership, note{})
+	a.Send(third, wire.KindClaim, note{})
+	<-receivedByThird
+	if len(received) != 0 {
+		t.Fatal("a heartbeat took the way over a third instance")
+	}
+}
+
+func TestAForwardedMessageOfAnotherSenderIsNotPassedOn(t *testing.T) {
+	b := &book{byID: map[fleet.Ref]fleet.Instance{}}
+	passer, _ := startLinks(t, b, "c", nil)
+	victim, received := startLinks(t, b, "b", nil)
+	a, _ := startLinks(t, b, "a", nil)
+	inner, err := wire.Encode(wire.KindClaim, note{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	forged := Forward{From: fleet.Ref{ID: "d", Incarnation: 1}, To: victim.cfg.Self.Ref, Envelope: inner}
+	a.Send(passer.cfg.Self.Ref, wire.KindForward, forged)
+	for passer.Stats().Dropped == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if len(received) != 0 || passer.Stats().Forwarded != 0 {
+		t.Fatal("a message with another sender's name was passed on")
+	}
+}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -21,7 +21,7 @@
 // Links is what the calls need of the peer links.
 type Links interface {
 	Offer(to fleet.Ref, kind wire.Kind, body any) bool
-	Failing(to fleet.Ref) bool
+	Unreachable(to fleet.Ref) bool
 }
 
 // Calls passes requests over the peer links and runs those that others pass on.
@@ -51,7 +51,7 @@
 
 // Call sends a request to one life of an instance and waits for its answer until ctx ends.
 func (c *Calls) Call(ctx context.Context, to fleet.Ref, role claim.Role, r exchange.Request) (exchange.Answer, error) {
-	if c.links.Failing(to) {
+	if c.links.Unreachable(to) {
 		return exchange.Answer{}, fmt.Errorf("%w: %s", ErrUnreachable, to)
 	}
 	id := c.next.Add(1)
@@ -70,9 +70,9 @@
 	}
 }
 
-// Reachable reports whether the instance's address is known and its link has not failed.
+// Reachable reports whether a way to the instance is believed to work.
 func (c *Calls) Reachable(to fleet.Ref) bool {
-	return !c.links.Failing(to)
+	return !c.links.Unreachable(to)
 }
 
 func (c *Calls) add(id uint64, w waiting) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -27,6 +27,7 @@
 // Kinds of message, by the duty that owns them.
 const (
 	KindHello         Kind = 1  // Hello, first on each link.
+	KindForward       Kind = 2  // Forward, a message passed on by a third instance.
 	KindMembership    Kind = 10 // membership.Message
 	KindRollout       Kind = 20 // rollout.Message
 	KindListing       Kind = 21 // The platform's list, passed on by the instances that read it.
