damaskctl: check, diff, apply, status, explain, load and the stand-ins

Operators change the fleet with one tool. apply compares the templates with what was last applied from the same place (kept beside them), so that it touches only what this operator changed; the loser of two is told what the other changed. A write whose reply was lost is settled by the change's ID; when later reads fail too, the exit code says that the result is unknown, and not that the store was away.

--- /dev/null
+++ b/cmd/damaskctl/apply_test.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/internal/operate"
+	"github.com/damaskcove/damaskcove/internal/operator/api"
+	"github.com/damaskcove/damaskcove/platform/standin"
+)
+
+// store is a platform's stand-in with the templates of one operator beside it.
+type store struct {
+	t        *testing.T
+	server   *standin.Server
+	template string
+}
+
+func newStore(t *testing.T) store {
+	t.Helper()
+	server, err := standin.Serve(standin.New(standin.Options{}), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	return store{t: t, server: server}.operator()
+}
+
+// operator returns the same store with the templates of another operator.
+func (s store) operator() store {
+	s.t.Helper()
+	data, err := os.ReadFile("../../examples/qalqan/templates.toml")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	dir := s.t.TempDir()
+	s.template = writeFile(s.t, filepath.Join(dir, "templates.toml"), string(data))
+	return s
+}
+
+func (s store) edit(from, to string) {
+	s.t.Helper()
+	data, err := os.ReadFile(s.template)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if !strings.Contains(string(data), from) {
+		s.t.Fatalf("%q is not in the templates", from)
+	}
+	writeFile(s.t, s.template, strings.Replace(string(data), from, to, 1))
+}
+
+func (s store) run(command string, flags ...string) outcome {
+	return ctl(context.Background(), append([]string{command, filepath.Dir(s.template), "--platform", s.server.Addr(), "--timeout", "10s"}, flags...)...)
+}
+
+func (s store) config() *rollout.Config {
+	s.t.Helper()
+	config, err := operate.Load(context.Background(), s.server.Platform(), "qalqan")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return config
+}
+
+func (o outcome) want(t *testing.T, exit int, texts ...string) {
+	t.Helper()
+	if o.exit != exit {
+		t.Fatalf("exit %d, want %d\n%s\n%s", o.exit, exit, o.stdout, o.stderr)
+	}
+	for _, text := range texts {
+		if !strings.Contains(o.stdout+o.stderr, text) {
+			t.Fatalf("%q is not in\n%s\n%s", text, o.stdout, o.stderr)
+		}
+	}
+}
+
+func TestApplyChangesOnlyWhatWasEdited(t *testing.T) {
+	s := newStore(t)
+	s.run("apply").want(t, exitDone, "accepted as revision 1")
+	s.run("apply").want(t, exitDone, "nothing to change at revision 1")
+	s.edit("floor_slots = 27", "floor_slots = 30")
+	s.run("diff").want(t, exitDone, "changed here: 1", "floor_slots: 27 -> 30", "changed by others: 0")
+	s.run("apply").want(t, exitDone, "changes: 1", "accepted as revision 2")
+	if got := s.config().Services["cuts"].FloorSlots; got != 30 {
+		t.Fatalf("floor %d", got)
+	}
+}
+
+func TestTheLoserOfTwoOperatorsIsToldWhatTheOtherChanged(t *testing.T) {
+	a := newStore(t)
+	a.run("apply").want(t, exitDone)
+	b := a.operator()
+	b.run("apply").want(t, exitConflict, "--rebase")
+	b.run("apply", "--rebase").want(t, exitDone, "nothing to change")
+	b.edit("floor_slots = 27", "floor_slots = 30")
+	b.run("apply", "--rebase").want(t, exitDone, "revision 2")
+	a.edit("floor_slots = 27", "floor_slots = 21")
+	a.run("apply").want(t, exitConflict, "2201 config-conflict", "floor_slots: 27 -> 30")
+	a.run("diff").want(t, exitDone, "changed by others: 1")
+	if got := a.config().Services["cuts"].FloorSlots; got != 30 {
+		t.Fatalf("floor %d after a conflict", got)
+	}
+}
+
+func TestOperatorsWhoChangeDifferentTemplatesBothSucceed(t *testing.T) {
+	a := newStore(t)
+	a.run("apply").want(t, exitDone)
+	b := a.operator()
+	b.edit("floor_slots = 27", "floor_slots = 30")
+	b.run("apply", "--rebase").want(t, exitDone, "revision 2")
+	a.edit("weight = 4", "weight = 5")
+	a.run("apply").want(t, exitDone, "revision 3")
+	a.edit("weight = 5", "weight = 6")
+	a.run("apply").want(t, exitDone, "revision 4")
+	if got := a.config(); got.Services["cuts"].FloorSlots != 30 || got.Accounts["regional-warehouse"].Weight != 6 {
+		t.Fatalf("floor %d, weight %d", got.Services["cuts"].FloorSlots, got.Accounts["regional-warehouse"].Weight)
+	}
+	a.edit("floor_slots = 27", "floor_slots = 21")
+	a.run("apply").want(t, exitConflict, "floor_slots: 27 -> 30")
+}
+
+func TestALostReplyDoesNotChangeTwice(t *testing.T) {
+	s := newStore(t)
+	s.server.Platform().UpdateFaults(func(f *standin.Faults) { f.LoseReplies = 1 })
+	s.run("apply").want(t, exitDone, "accepted as revision 1")
+	if got := s.config().Revision; got != 1 {
+		t.Fatalf("revision %d", got)
+	}
+}
+
+func TestAnUnknownResultIsSettledByTheChangeID(t *testing.T) {
+	s := newStore(t)
+	s.server.Platform().UpdateFaults(func(f *standin.Faults) { f.LoseReplies = 1_000_000 })
+	first := ctl(context.Background(), "apply", s.template, "--platform", s.server.Addr(), "--timeout", "10s", "--change-id", "c1")
+	first.want(t, exitDone, "accepted as revision 1")
+	s.server.Platform().UpdateFaults(func(f *standin.Faults) { f.LoseReplies = 0; f.Store = standin.OutageDrop })
+	s.edit("floor_slots = 27", "floor_slots = 30")
+	ctl(context.Background(), "apply", s.template, "--platform", s.server.Addr(), "--timeout", "1s").want(t, exitUnavailable, "2400")
+}
+
+func TestExplainOfAnUnknownWrite(t *testing.T) {
+	s := &notingStore{Store: standin.New(standin.Options{Faults: standin.Faults{LoseReplies: 1}})}
+	_, _ = s.CompareAndSwap(context.Background(), "k", 0, nil, 0)
+	if got := classify(s.explain(context.DeadlineExceeded, "c1")); got.exit != exitUnknown || !strings.Contains(got.Error(), "--change-id c1") {
+		t.Fatalf("%+v", got)
+	}
+	if got := classify(s.explain(&operate.ConflictError{}, "c1")); got.exit != exitConflict {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// serveStatus serves an instance's status.
+func serveStatus(t *testing.T, revision fleet.Revision) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer secret" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		status := api.Status{Fleet: "qalqan", Self: fleet.Instance{Ref: fleet.Ref{ID: "entry-9", Incarnation: 1}}, Phase: api.PhaseServing, Revision: revision}
+		status.Members = []api.Member{{Instance: fleet.Instance{Ref: fleet.Ref{ID: "entry-8"}}, Status: "alive", Revision: revision}}
+		_ = writeStatus(w, status, jsonReport)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestApplyWaitsOrSaysWhoIsBehind(t *testing.T) {
+	s := newStore(t)
+	token := writeFile(t, filepath.Join(t.TempDir(), "token"), "secret\n")
+	s.run("apply", "--wait", "--operator", serveStatus(t, 1), "--token-file", token).want(t, exitDone, "in force on 2 live instances")
+	s.edit("floor_slots = 27", "floor_slots = 30")
+	s.run("apply", "--wait", "--operator", serveStatus(t, 1), "--token-file", token, "--timeout", "1s").want(t, exitBehind, "accepted as revision 2", "entry-8 at revision 1, entry-9 at revision 1")
+	s.run("apply", "--wait", "--operator", serveStatus(t, 1)).want(t, exitNotAuthorized, "2502 not-authorized")
+}
+
+func TestStatusAndExplainPrint(t *testing.T) {
+	t.Setenv(tokenVariable, "secret")
+	address := serveStatus(t, 4)
+	ctl(context.Background(), "status", "--operator", address).want(t, exitDone, "instance entry-9#1 of fleet qalqan", "entry-8")
+	ctl(context.Background(), "status", "--operator", address, "--report", "json").want(t, exitDone, `"revision":4`)
+	ctl(context.Background(), "explain", "/fabrics", "--account", "x", "--operator", address).want(t, exitDone, "carried here")
+}
--- /dev/null
+++ b/cmd/damaskctl/standin.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/damaskcove/damaskcove/internal/tomlfile"
+	"github.com/damaskcove/damaskcove/platform/standin"
+)
+
+// headerTimeout bounds the time in which a request to a stand-in's own endpoints must begin.
+const headerTimeout = 5 * time.Second
+
+func newStandin() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "standin",
+		Short: "Run a stand-in of the platform or of upstreams, for trials",
+		Long: `standin runs a small stand-in, so that a fleet can be tried on one machine. It keeps nothing
+when it ends, and has no protection: run it on loopback addresses only.`,
+		Example: "  damaskctl standin platform --settings platform.toml\n  damaskctl standin upstream --settings upstreams.toml",
+		Args:    exactly(0),
+		RunE:    func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	c.AddCommand(newStandinPlatform(), newStandinUpstream())
+	return c
+}
+
+// platformSettings are the settings of the platform's stand-in.
+type platformSettings struct {
+	Listen    string             `toml:"listen"`    // IP number and port.
+	ListLag   time.Duration      `toml:"list_lag"`  // Age of the list that is told.
+	Delay     time.Duration      `toml:"delay"`     // Before each call takes effect.
+	Upstreams []upstreamSettings `toml:"upstreams"` // Listed from the start.
+	Instances []instanceSettings `toml:"instances"` // Listed from the start, as hints for joining.
+}
+
+func newStandinPlatform() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "platform",
+		Short: "Run a stand-in of the platform's store and instance list",
+		Long: `platform answers the platform's HTTP protocol: compare-and-swap, leases, watches and the list.
+Without --settings it listens on 127.0.0.1:7070 with an empty list. Faults are switched at
+` + standin.PathFaults + `, counts are told at ` + standin.PathCounts + `, and the list is set at ` + standin.PathListing + `.`,
+		Example: "  damaskctl standin platform --settings platform.toml\n" +
+			"  curl -X PUT -d '{\"store\":\"refuse\"}' http://127.0.0.1:7070" + standin.PathFaults,
+		Args: exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := readPlatformSettings(file)
+			if err != nil {
+				return err
+			}
+			return runStandinPlatform(c.Context(), c.OutOrStdout(), s)
+		},
+	}
+	c.Flags().StringVar(&file, "settings", "", "TOML file")
+	return c
+}
+
+func readPlatformSettings(file string) (platformSettings, error) {
+	s := platformSettings{Listen: "127.0.0.1:7070"}
+	err := readStandinSettings(file, &s, func(c *tomlfile.Collector) {
+		loopback(c, "listen", s.Listen)
+		notNegative(c, "list_lag", s.ListLag)
+		notNegative(c, "delay", s.Delay)
+		checkListed(c, s.Upstreams, s.Instances)
+	})
+	return s, err
+}
+
+// readStandinSettings decodes a file, if one is named, and checks it.
+func readStandinSettings(file string, into any, check func(c *tomlfile.Collector)) error {
+	c := &tomlfile.Collector{File: file}
+	if file != "" {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return settingsError(fmt.Errorf("read settings: %w", err))
+		}
+		tomlfile.Decode(c, data, into)
+	}
+	check(c)
+	if err := c.Err(); err != nil {
+		return settingsError(err)
+	}
+	return nil
+}
+
+func runStandinPlatform(ctx context.Context, w io.Writer, s platformSettings) error {
+	p := standin.New(standin.Options{Faults: standin.Faults{Delay: s.Delay, ListLag: s.ListLag}})
+	if listing, any := s.listing(); any {
+		p.SetListing(listing)
+	}
+	server, err := standin.Serve(p, s.Listen)
+	if err != nil {
+		return addressError(err)
+	}
+	_, _ = fmt.Fprintf(w, "platform stand-in on %s\n", server.Addr())
+	<-ctx.Done()
+	return server.Close()
+}
+
+// serveAdmin serves a handler until ctx ends.
+func serveAdmin(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve on %s: %w", listener.Addr(), err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/damaskctl/store.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/damaskcove/damaskcove/internal/operator/query"
+	"github.com/damaskcove/damaskcove/platform/client"
+)
+
+// Defaults of flags.
+const (
+	defaultTimeout = 30 * time.Second
+	tokenVariable  = "DAMASKCOVE_TOKEN"
+	clientName     = "damaskctl"
+)
+
+// storeFlags say how to reach the platform.
+type storeFlags struct {
+	platform string
+	timeout  time.Duration
+}
+
+func (f *storeFlags) add(c *cobra.Command) {
+	c.Flags().StringVar(&f.platform, "platform", "", "IP number and port of the platform's store (required)")
+	c.Flags().DurationVar(&f.timeout, "timeout", defaultTimeout, "time to go on trying")
+}
+
+// open returns a client of the store and a context that ends with the timeout.
+func (f *storeFlags) open(ctx context.Context) (*client.Client, context.Context, context.CancelFunc, error) {
+	if _, err := netip.ParseAddrPort(f.platform); err != nil {
+		return nil, nil, nil, usageError(fmt.Errorf("--platform %q is no IP number and port", f.platform))
+	}
+	if f.timeout <= 0 {
+		return nil, nil, nil, usageError(fmt.Errorf("--timeout %v must be over 0", f.timeout))
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.timeout)
+	return client.New(f.platform, clientName), ctx, cancel, nil
+}
+
+// operatorFlags say how to reach instances' operator endpoints.
+type operatorFlags struct {
+	addresses []string
+	tokenFile string
+}
+
+func (f *operatorFlags) add(c *cobra.Command) {
+	c.Flags().StringSliceVar(&f.addresses, "operator", nil, "IP number and port of an instance's operator endpoints; may be repeated")
+	c.Flags().StringVar(&f.tokenFile, "token-file", "", "file with the operators' token (default: the variable "+tokenVariable+")")
+}
+
+// open returns a client for each address.
+func (f *operatorFlags) open() ([]*query.Client, error) {
+	if len(f.addresses) == 0 {
+		return nil, usageError(fmt.Errorf("give at least one --operator"))
+	}
+	token := os.Getenv(tokenVariable)
+	if f.tokenFile != "" {
+		data, err := os.ReadFile(f.tokenFile)
+		if err != nil {
+			return nil, fmt.Errorf("read token: %w", err)
+		}
+		token = strings.TrimSpace(string(data))
+	}
+	var clients []*query.Client
+	for _, address := range f.addresses {
+		c, err := query.New(address, token)
+		if err != nil {
+			return nil, usageError(err)
+		}
+		clients = append(clients, c)
+	}
+	return clients, nil
+}
--- /dev/null
+++ b/internal/edit/rapid_test.go
@@ -0,0 +1,8 @@
+package edit
+
+import "flag"
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
--- a/internal/load/options.go
+++ b/internal/load/options.go
@@ -38,8 +38,8 @@
 	Seed        uint64        // Of the times.
 }
 
-// validate returns every fault of the options.
-func (o Options) validate() error {
+// Validate returns every fault of the options.
+func (o Options) Validate() error {
 	var errs []error
 	fault := func(ok bool, format string, args ...any) {
 		if !ok {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -27,7 +27,7 @@
 
 // Run sends requests until the duration is over or ctx ends, waits for the answers, and reports.
 func Run(ctx context.Context, o Options) (Report, error) {
-	if err := o.validate(); err != nil {
+	if err := o.Validate(); err != nil {
 		return Report{}, err
 	}
 	s, path, err := newSender(o)
--- a/internal/upstream/load.go
+++ b/internal/upstream/load.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -82,13 +81,7 @@
 	report := LoadReport{InFlight: e.load.at(now.Add(-e.spec.Lag)), Slots: e.spec.Slots, State: e.stateLocked(now)}
 	e.mu.Unlock()
 	report.Load = e.loadShare(report.InFlight, f)
-	data, err := json.Marshal(report)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(data)
+	writeJSON(w, report)
 }
 
 func (e *Endpoint) loadShare(inFlight int, f Faults) float64 {
