Follow a revision at every live instance; the stand-ins' admin endpoints

Instances now tell their operator address in fleet.Instance, and damaskctl asks each live one at /in-force.

An advertised address stays empty while the listening port is 0: before, port 0 was handed out.

--- a/cmd/damaskctl/apply.go
+++ b/cmd/damaskctl/apply.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	_, _ = fmt.Fprintf(w, "in force on %d live instances\n", live)
+	_, _ = fmt.Fprintf(w, "in force on all %d live instances\n", live)
 	return nil
 }
 
--- a/cmd/damaskctl/apply_test.go
+++ b/cmd/damaskctl/apply_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -157,28 +158,34 @@
 	}
 }
 
-// serveStatus serves an instance's status.
+// serveStatus serves the operator endpoints of an instance that knows of another.
 func serveStatus(t *testing.T, revision fleet.Revision) string {
 	t.Helper()
+	self := fleet.Instance{Ref: fleet.Ref{ID: "entry-9", Incarnation: 1}}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Authorization") != "Bearer secret" {
 			w.WriteHeader(http.StatusUnauthorized)
 			return
 		}
-		status := api.Status{Fleet: "qalqan", Self: fleet.Instance{Ref: fleet.Ref{ID: "entry-9", Incarnation: 1}}, Phase: api.PhaseServing, Revision: revision}
-		status.Members = []api.Member{{Instance: fleet.Instance{Ref: fleet.Ref{ID: "entry-8"}}, Status: "alive", Revision: revision}}
-		_ = writeStatus(w, status, jsonReport)
+		if r.URL.Path == api.PathInForce {
+			_ = json.NewEncoder(w).Encode(api.InForce{Self: self.Ref, Revision: revision})
+			return
+		}
+		status := api.Status{Fleet: "qalqan", Self: self, Phase: api.PhaseServing, Revision: revision}
+		status.Members = []api.Member{{Instance: fleet.Instance{Ref: fleet.Ref{ID: "entry-8"}}, Status: "dead"}}
+		_ = json.NewEncoder(w).Encode(status)
 	}))
 	t.Cleanup(server.Close)
-	return strings.TrimPrefix(server.URL, "http://")
+	self.OperatorAddr = strings.TrimPrefix(server.URL, "http://")
+	return self.OperatorAddr
 }
 
 func TestApplyWaitsOrSaysWhoIsBehind(t *testing.T) {
 	s := newStore(t)
 	token := writeFile(t, filepath.Join(t.TempDir(), "token"), "secret\n")
-	s.run("apply", "--wait", "--operator", serveStatus(t, 1), "--token-file", token).want(t, exitDone, "in force on 2 live instances")
+	s.run("apply", "--wait", "--operator", serveStatus(t, 1), "--token-file", token).want(t, exitDone, "in force on all 1 live instances")
 	s.edit("floor_slots = 27", "floor_slots = 30")
-	s.run("apply", "--wait", "--operator", serveStatus(t, 1), "--token-file", token, "--timeout", "1s").want(t, exitBehind, "accepted as revision 2", "entry-8 at revision 1, entry-9 at revision 1")
+	s.run("apply", "--wait", "--operator", serveStatus(t, 1), "--token-file", token, "--timeout", "1s").want(t, exitBehind, "accepted as revision 2", "entry-9 at revision 1")
 	s.run("apply", "--wait", "--operator", serveStatus(t, 1)).want(t, exitNotAuthorized, "2502 not-authorized")
 }
 
--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -53,6 +53,8 @@
 	Region    Region `cbor:"3,keyasint" json:"region"`
 	EntryAddr string `cbor:"4,keyasint" json:"entry_addr"` // IP number and port for callers.
 	PeerAddr  string `cbor:"5,keyasint" json:"peer_addr"`  // IP number and port for other instances.
+	// OperatorAddr is the IP number and port for operators; empty when it is not known.
+	OperatorAddr string `cbor:"6,keyasint,omitempty" json:"operator_addr,omitempty"`
 }
 
 // UpstreamState is what the platform's list says of an upstream endpoint.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,6 +127,11 @@
 		return err
 	}
 	n.self.EntryAddr = advertised(s.Listen.EntryAdvertised, n.entry.Addr())
+	n.operator, err = operator.New(s.Listen.Operator, s.Operator.Token, n)
+	if err != nil {
+		return err
+	}
+	n.self.OperatorAddr = advertised(s.Listen.OperatorAdvertised, n.operator.Addr())
 	n.self.PeerAddr = s.Listen.PeerAdvertised
 	n.links, err = peer.New(peer.Config{
 		Self:    n.self,
@@ -142,8 +147,7 @@
 		return err
 	}
 	n.self = n.links.Self()
-	n.operator, err = operator.New(s.Listen.Operator, s.Operator.Token, n)
-	return err
+	return nil
 }
 
 // advertised returns the address that others are told.
--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -10,10 +10,11 @@
 
 // Paths of the operator endpoints. All are read with GET.
 const (
-	PathHealth  = "/health"  // 200 when the instance serves, 503 before and while it stops; no token needed.
-	PathStatus  = "/status"  // Status.
-	PathExplain = "/explain" // Explanation; parameters as below.
-	PathMetrics = "/metrics" // The expvar variables.
+	PathHealth  = "/health"   // 200 when the instance serves, 503 before and while it stops; no token needed.
+	PathStatus  = "/status"   // Status.
+	PathExplain = "/explain"  // Explanation; parameters as below.
+	PathMetrics = "/metrics"  // The expvar variables.
+	PathInForce = "/in-force" // InForce: the part of Status that a rollout is followed by.
 )
 
 // Query parameters of PathExplain.
@@ -49,13 +50,19 @@
 	InFlight   int64          `json:"in_flight"` // Requests of callers not answered yet.
 }
 
+// InForce is the answer at PathInForce.
+type InForce struct {
+	Self     fleet.Ref      `json:"self"`
+	Phase    Phase          `json:"phase"`
+	Revision fleet.Revision `json:"revision"` // Configuration in force; 0 before the first.
+}
+
 // Member is one instance as this one sees it.
 type Member struct {
-	Instance     fleet.Instance `json:"instance"`
-	Status       string         `json:"status"`        // "alive", "suspect", "leaving" or "dead".
-	Revision     fleet.Revision `json:"revision"`      // As last heard.
-	OperatorAddr string         `json:"operator_addr"` // Empty when not known.
-	Linked       bool           `json:"linked"`        // A peer link is up.
+	Instance fleet.Instance `json:"instance"`
+	Status   string         `json:"status"`   // "alive", "suspect", "leaving" or "dead".
+	Revision fleet.Revision `json:"revision"` // As last heard; 0 unless the two exchange heartbeats.
+	Linked   bool           `json:"linked"`   // A peer link is up.
 }
 
 // Service is one service as this instance sees it.
--- a/internal/operator/query/follow.go
+++ b/internal/operator/query/follow.go
@@ -14,19 +14,26 @@
 	"github.com/damaskcove/damaskcove/internal/operator/api"
 )
 
-// pollInterval is the time between two rounds of Follow.
-const pollInterval = 100 * time.Millisecond
+// Bounds of Follow.
+const (
+	pollInterval = 200 * time.Millisecond // Between two rounds.
+	parallel     = 64                     // Instances asked at once.
+)
 
-// statusAlive is api.Member.Status of an instance that is to follow.
-const statusAlive = "alive"
+// Values of api.Member.Status that Follow reads.
+const (
+	statusAlive   = "alive"
+	statusSuspect = "suspect"
+)
 
 // ErrBehind is what a BehindError wraps.
 var ErrBehind = errors.New("instances are behind")
 
-// Lag is a live instance that does not report the revision.
+// Lag is a live instance that has not reported the revision.
 type Lag struct {
 	Instance fleet.InstanceID `json:"instance"`
-	Revision fleet.Revision   `json:"revision"` // As last reported; 0 when unknown.
+	Revision fleet.Revision   `json:"revision"` // As last reported; 0 when it never was.
+	Cause    string           `json:"cause"`    // Why it could not be asked; empty when it answered.
 }
 
 // BehindError says which instances did not report the revision in time.
@@ -34,7 +41,7 @@
 	Revision fleet.Revision
 	Live     int // Live instances known.
 	Behind   []Lag
-	Cause    error // Of the last round in which no instance answered.
+	Cause    error // When no instance told who the others are.
 }
 
 // Error names each instance that is behind.
@@ -44,7 +51,11 @@
 	}
 	names := make([]string, 0, len(e.Behind))
 	for _, lag := range e.Behind {
-		names = append(names, fmt.Sprintf("%s at revision %d", lag.Instance, lag.Revision))
+		name := fmt.Sprintf("%s at revision %d", lag.Instance, lag.Revision)
+		if lag.Cause != "" {
+			name += " (" + lag.Cause + ")"
+		}
+		names = append(names, name)
 	}
 	return fmt.Sprintf("%v revision %d: %d of %d: %s", ErrBehind, e.Revision, len(e.Behind), e.Live, strings.Join(names, ", "))
 }
@@ -52,87 +63,133 @@
 // Unwrap returns ErrBehind.
 func (e *BehindError) Unwrap() error { return ErrBehind }
 
-// Follow asks the instances until every live one reports at least the revision, or ctx ends. It
-// returns the number of live instances, or a *BehindError, or ErrNotAuthorized. An instance that
-// none of the clients asks counts by the revision that the others last heard of it.
-func Follow(ctx context.Context, clients []*Client, revision fleet.Revision) (int, error) {
+// Follow waits until every live instance has at least the revision in force, or ctx ends. The
+// first clients tell who is live; then each live instance is asked itself. It returns the number
+// of live instances, or a *BehindError, or ErrNotAuthorized.
+func Follow(ctx context.Context, first []*Client, revision fleet.Revision) (int, error) {
+	f := follower{first: first, revision: revision, has: make(map[fleet.Ref]fleet.Revision)}
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		view := ask(ctx, clients)
-		if errors.Is(view.err, ErrNotAuthorized) {
-			return 0, view.err
+		// A round that has begun is let finish after ctx has ended: it says who is behind.
+		live, err := f.members(context.WithoutCancel(ctx))
+		if errors.Is(err, ErrNotAuthorized) {
+			return 0, err
 		}
-		behind := view.behind(revision)
-		if len(view.revisions) > 0 && len(behind) == 0 {
-			return len(view.revisions), nil
+		behind := f.round(context.WithoutCancel(ctx), live)
+		if len(live) > 0 && len(behind) == 0 {
+			return len(live), nil
 		}
 		select {
 		case <-ctx.Done():
-			return 0, &BehindError{Revision: revision, Live: len(view.revisions), Behind: behind, Cause: view.err}
+			return 0, &BehindError{Revision: revision, Live: len(live), Behind: behind, Cause: err}
 		case <-ticker.C:
 		}
 	}
 }
 
-// view is what one round of questions told.
-type view struct {
-	revisions map[fleet.InstanceID]fleet.Revision // Of live instances.
-	err       error                               // The first failure.
-}
-
-type answer struct {
-	status api.Status
-	err    error
+// follower follows one revision.
+type follower struct {
+	first    []*Client
+	revision fleet.Revision
+	has      map[fleet.Ref]fleet.Revision // Highest revision that each instance has reported.
 }
 
-func ask(ctx context.Context, clients []*Client) view {
-	answers := iter.Map(clients, func(c **Client) answer {
-		// The last round is let finish after ctx has ended: it says who is behind.
-		status, err := (*c).Status(context.WithoutCancel(ctx))
-		return answer{status: status, err: err}
+// members returns the live instances that the first clients know of. An instance that all of them
+// think dead or leaving does not count.
+func (f *follower) members(ctx context.Context) ([]fleet.Instance, error) {
+	type answer struct {
+		status api.Status
+		err    error
+	}
+	answers := iter.Map(f.first, func(c **Client) answer {
+		status, err := (*c).Status(ctx)
+		return answer{status, err}
 	})
-	v := view{revisions: make(map[fleet.InstanceID]fleet.Revision)}
+	live := make(map[fleet.Ref]fleet.Instance)
+	var failed error
 	for _, a := range answers {
 		if a.err != nil {
-			v.err = cmpErr(v.err, a.err)
+			failed = firstError(failed, a.err)
 			continue
 		}
-		v.add(a.status)
+		f.note(a.status.Self.Ref, a.status.Revision)
+		if a.status.Phase != api.PhaseStopping {
+			live[a.status.Self.Ref] = a.status.Self
+		}
+		for _, m := range a.status.Members {
+			if m.Status == statusAlive || m.Status == statusSuspect {
+				live[m.Instance.Ref] = m.Instance
+			}
+		}
+	}
+	out := make([]fleet.Instance, 0, len(live))
+	for _, instance := range live {
+		out = append(out, instance)
 	}
-	return v
+	slices.SortFunc(out, func(a, b fleet.Instance) int { return strings.Compare(string(a.Ref.ID), string(b.Ref.ID)) })
+	return out, failed
 }
 
-// cmpErr keeps the first failure, unless a later one says that the token was refused.
-func cmpErr(first, next error) error {
+// firstError keeps the first failure, unless a later one says that the token was refused.
+func firstError(first, next error) error {
 	if first == nil || errors.Is(next, ErrNotAuthorized) {
 		return next
 	}
 	return first
 }
 
-func (v view) add(s api.Status) {
-	if s.Phase != api.PhaseStopping {
-		v.raise(s.Self.Ref.ID, s.Revision)
+func (f *follower) note(ref fleet.Ref, revision fleet.Revision) {
+	f.has[ref] = max(f.has[ref], revision)
+}
+
+// round asks each live instance that is behind, and returns those that still are.
+func (f *follower) round(ctx context.Context, live []fleet.Instance) []Lag {
+	var due []fleet.Instance
+	for _, instance := range live {
+		if f.has[instance.Ref] < f.revision {
+			due = append(due, instance)
+		}
 	}
-	for _, member := range s.Members {
-		if member.Status == statusAlive {
-			v.raise(member.Instance.Ref.ID, member.Revision)
+	type answer struct {
+		inForce api.InForce
+		err     error
+	}
+	mapper := iter.Mapper[fleet.Instance, answer]{MaxGoroutines: parallel}
+	answers := mapper.Map(due, func(instance *fleet.Instance) answer {
+		inForce, err := f.ask(ctx, *instance)
+		return answer{inForce, err}
+	})
+	var behind []Lag
+	for i, a := range answers {
+		ref := due[i].Ref
+		cause := ""
+		switch {
+		case a.err != nil:
+			cause = a.err.Error()
+		case a.inForce.Self == ref:
+			f.note(ref, a.inForce.Revision)
+		default:
+			cause = fmt.Sprintf("its address is now %v's", a.inForce.Self)
+		}
+		if f.has[ref] < f.revision {
+			behind = append(behind, Lag{Instance: ref.ID, Revision: f.has[ref], Cause: cause})
 		}
 	}
+	return behind
 }
 
-func (v view) raise(id fleet.InstanceID, revision fleet.Revision) {
-	v.revisions[id] = max(v.revisions[id], revision)
-}
+// errNoOperatorAddr says that an instance does not tell where it can be asked.
+var errNoOperatorAddr = errors.New("its operator address is not known")
 
-func (v view) behind(revision fleet.Revision) []Lag {
-	var out []Lag
-	for id, has := range v.revisions {
-		if has < revision {
-			out = append(out, Lag{Instance: id, Revision: has})
-		}
+func (f *follower) ask(ctx context.Context, instance fleet.Instance) (api.InForce, error) {
+	if instance.OperatorAddr == "" {
+		return api.InForce{}, errNoOperatorAddr
+	}
+	c, err := New(instance.OperatorAddr, f.first[0].token)
+	if err != nil {
+		return api.InForce{}, err
 	}
-	slices.SortFunc(out, func(a, b Lag) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
-	return out
+	defer c.http.CloseIdleConnections()
+	return c.InForce(ctx)
 }
--- a/internal/operator/query/query.go
+++ b/internal/operator/query/query.go
@@ -58,6 +58,13 @@
 	return status, err
 }
 
+// InForce reads api.PathInForce.
+func (c *Client) InForce(ctx context.Context) (api.InForce, error) {
+	var inForce api.InForce
+	err := c.get(ctx, api.PathInForce, nil, &inForce)
+	return inForce, err
+}
+
 // Explain reads api.PathExplain.
 func (c *Client) Explain(ctx context.Context, method, path string, account fleet.Account) (api.Explanation, error) {
 	query := url.Values{api.ParamMethod: {method}, api.ParamPath: {path}, api.ParamAccount: {string(account)}}
--- a/internal/operator/query/query_test.go
+++ b/internal/operator/query/query_test.go
@@ -24,10 +24,9 @@
 	client *Client
 }
 
-func newInstance(t *testing.T, id fleet.InstanceID, revision fleet.Revision, members ...api.Member) *fakeInstance {
+func newInstance(t *testing.T, id fleet.InstanceID, revision fleet.Revision) *fakeInstance {
 	t.Helper()
 	f := &fakeInstance{}
-	f.set(id, revision, members...)
 	server := httptest.NewServer(f)
 	t.Cleanup(server.Close)
 	client, err := New(strings.TrimPrefix(server.URL, "http://"), token)
@@ -35,11 +34,23 @@
 		t.Fatal(err)
 	}
 	f.client = client
+	self := fleet.Instance{Ref: fleet.Ref{ID: id, Incarnation: 1}, OperatorAddr: client.Address()}
+	f.status.Store(&api.Status{Self: self, Phase: api.PhaseServing, Revision: revision})
 	return f
 }
 
-func (f *fakeInstance) set(id fleet.InstanceID, revision fleet.Revision, members ...api.Member) {
-	f.status.Store(&api.Status{Self: fleet.Instance{Ref: fleet.Ref{ID: id, Incarnation: 1}}, Phase: api.PhaseServing, Revision: revision, Members: members})
+// set changes the revision in force and, when there are any, the members that are known.
+func (f *fakeInstance) set(revision fleet.Revision, members ...api.Member) {
+	status := *f.status.Load()
+	status.Revision = revision
+	if len(members) > 0 {
+		status.Members = members
+	}
+	f.status.Store(&status)
+}
+
+func (f *fakeInstance) member(status string) api.Member {
+	return api.Member{Instance: f.status.Load().Self, Status: status}
 }
 
 func (f *fakeInstance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -48,42 +59,55 @@
 		w.WriteHeader(http.StatusUnauthorized)
 		return
 	}
-	if r.URL.Path == api.PathExplain {
+	status := f.status.Load()
+	switch r.URL.Path {
+	case api.PathExplain:
 		_ = json.NewEncoder(w).Encode(api.Explanation{Method: r.URL.Query().Get(api.ParamMethod), Path: r.URL.Query().Get(api.ParamPath)})
-		return
+	case api.PathInForce:
+		_ = json.NewEncoder(w).Encode(api.InForce{Self: status.Self.Ref, Phase: status.Phase, Revision: status.Revision})
+	default:
+		_ = json.NewEncoder(w).Encode(status)
 	}
-	_ = json.NewEncoder(w).Encode(f.status.Load())
 }
 
-func member(id fleet.InstanceID, status string, revision fleet.Revision) api.Member {
-	return api.Member{Instance: fleet.Instance{Ref: fleet.Ref{ID: id}}, Status: status, Revision: revision}
+func ended() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
 }
 
-func TestFollowWaitsForEveryLiveInstance(t *testing.T) {
-	a := newInstance(t, "a", 5, member("c", "alive", 4), member("d", "dead", 1), member("e", "leaving", 1))
-	b := newInstance(t, "b", 4)
+func TestFollowAsksEveryLiveInstance(t *testing.T) {
+	a, b, c, d, e := newInstance(t, "a", 5), newInstance(t, "b", 4), newInstance(t, "c", 4), newInstance(t, "d", 1), newInstance(t, "e", 1)
+	a.set(5, b.member("alive"), c.member("suspect"), d.member("dead"), e.member("leaving"))
 	go func() {
-		for a.asked.Load() == 0 {
+		for b.asked.Load()+c.asked.Load() < 2 {
 			time.Sleep(time.Millisecond)
 		}
-		b.set("b", 5)
-		a.set("a", 5, member("c", "alive", 5))
+		b.set(5)
+		c.set(6)
 	}()
-	live, err := Follow(context.Background(), []*Client{a.client, b.client}, 5)
-	if err != nil || live != 3 {
+	live, err := Follow(context.Background(), []*Client{a.client}, 5)
+	if err != nil || live != 3 || d.asked.Load()+e.asked.Load() != 0 {
 		t.Fatalf("%d live, %v", live, err)
 	}
 }
 
 func TestFollowSaysWhoIsBehind(t *testing.T) {
-	a := newInstance(t, "a", 5, member("c", "alive", 3), member("b", "alive", 5))
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_, err := Follow(ctx, []*Client{a.client}, 5)
+	a, b, c := newInstance(t, "a", 5), newInstance(t, "b", 5), newInstance(t, "c", 3)
+	silent := api.Member{Instance: fleet.Instance{Ref: fleet.Ref{ID: "d"}}, Status: "alive"}
+	replaced := b.member("alive")
+	replaced.Instance.Ref.Incarnation = 9
+	a.set(5, b.member("alive"), c.member("alive"), silent, replaced)
+	_, err := Follow(ended(), []*Client{a.client}, 5)
 	var behind *BehindError
-	if !errors.As(err, &behind) || len(behind.Behind) != 1 || behind.Behind[0] != (Lag{Instance: "c", Revision: 3}) || behind.Live != 3 {
+	if !errors.As(err, &behind) || behind.Live != 5 || len(behind.Behind) != 3 {
 		t.Fatal(err)
 	}
+	for i, want := range []string{"b at revision 0 (its address is now b#1's)", "c at revision 3", "d at revision 0 (its operator address is not known)"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%d: %q is not in %v", i, want, err)
+		}
+	}
 }
 
 func TestFollowWithoutAnAnswer(t *testing.T) {
@@ -91,9 +115,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	if _, err := Follow(ctx, []*Client{client}, 1); !errors.Is(err, ErrBehind) || !strings.Contains(err.Error(), "no instance answered") {
+	if _, err := Follow(ended(), []*Client{client}, 1); !errors.Is(err, ErrBehind) || !strings.Contains(err.Error(), "no instance answered") {
 		t.Fatal(err)
 	}
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -49,6 +49,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+api.PathHealth, s.health)
 	mux.HandleFunc("GET "+api.PathStatus, s.guard(s.status))
+	mux.HandleFunc("GET "+api.PathInForce, s.guard(s.inForce))
 	mux.HandleFunc("GET "+api.PathExplain, s.guard(s.explain))
 	mux.HandleFunc("GET "+api.PathMetrics, s.guard(expvar.Handler().ServeHTTP))
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
@@ -108,6 +109,11 @@
 	writeJSON(w, s.source.Status())
 }
 
+func (s *Server) inForce(w http.ResponseWriter, _ *http.Request) {
+	status := s.source.Status()
+	writeJSON(w, api.InForce{Self: status.Self.Ref, Phase: status.Phase, Revision: status.Revision})
+}
+
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	method := q.Get(api.ParamMethod)
--- a/internal/settings/address.go
+++ b/internal/settings/address.go
@@ -25,19 +25,16 @@
 	}
 }
 
-// advertised wants an address that others can connect to. The port 0 of a listening
-// address is replaced by the port that is taken.
+// advertised wants an address that others can connect to. It may be empty when the listening
+// address takes any free port, which must then be on one IP number.
 func advertised(c *tomlfile.Collector, key, text, listening string) {
-	addr, err := netip.ParseAddrPort(text)
-	if err != nil {
-		if text != listening {
-			listenAddress(c, key, text)
+	if text == listening || text == "" {
+		if addr, err := netip.ParseAddrPort(listening); err == nil && addr.Addr().IsUnspecified() {
+			c.Add(key, tomlfile.Show(text), "must be set to an address that others can connect to: %s is every address", listening)
 		}
 		return
 	}
-	if addr.Addr().IsUnspecified() {
-		c.Add(key, tomlfile.Show(text), "must be set to an address that others can connect to")
-	}
+	remoteAddress(c, key, text)
 }
 
 func distinct(c *tomlfile.Collector, key, text, otherKey, other string) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -43,12 +44,21 @@
 
 // fillIn sets the values that follow from others.
 func (s *Settings) fillIn() {
-	if s.Listen.EntryAdvertised == "" {
-		s.Listen.EntryAdvertised = s.Listen.Entry
+	l := &s.Listen
+	l.EntryAdvertised = advertisedOr(l.EntryAdvertised, l.Entry)
+	l.PeerAdvertised = advertisedOr(l.PeerAdvertised, l.Peer)
+	l.OperatorAdvertised = advertisedOr(l.OperatorAdvertised, l.Operator)
+}
+
+// advertisedOr returns the listening address where no other is set, unless its port is not known yet.
+func advertisedOr(advertised, listening string) string {
+	if advertised != "" {
+		return advertised
 	}
-	if s.Listen.PeerAdvertised == "" {
-		s.Listen.PeerAdvertised = s.Listen.Peer
+	if addr, err := netip.ParseAddrPort(listening); err == nil && addr.Port() == 0 {
+		return ""
 	}
+	return listening
 }
 
 // provision reads the files that the settings name.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,14 +34,15 @@
 }
 
 // Listen holds the addresses of the instance, each an IP number and port. An empty
-// advertised address is the listening one.
+// advertised address is the listening one; it stays empty when the port is 0, for any free one.
 type Listen struct {
-	Entry           string `toml:"entry"` // For callers.
-	EntryAdvertised string `toml:"entry_advertised"`
-	Peer            string `toml:"peer"` // For other instances.
-	PeerAdvertised  string `toml:"peer_advertised"`
-	Operator        string `toml:"operator"` // For operators.
-	Outgoing        string `toml:"outgoing"` // IP number that connections to upstreams and peers come from; empty for the system's choice.
+	Entry              string `toml:"entry"` // For callers.
+	EntryAdvertised    string `toml:"entry_advertised"`
+	Peer               string `toml:"peer"` // For other instances.
+	PeerAdvertised     string `toml:"peer_advertised"`
+	Operator           string `toml:"operator"` // For operators.
+	OperatorAdvertised string `toml:"operator_advertised"`
+	Outgoing           string `toml:"outgoing"` // IP number that connections to upstreams and peers come from; empty for the system's choice.
 }
 
 // Platform says how to reach the platform.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -144,6 +144,33 @@
 	}
 }
 
+func TestAdvertisedAddresses(t *testing.T) {
+	parse := func(listen, extra string) (*Settings, error) {
+		text := strings.Replace(string(Example), `entry = "127.0.0.1:8080"`, `entry = "`+listen+"\"\n"+extra, 1)
+		return Parse("s.toml", []byte(text))
+	}
+	for _, step := range []struct {
+		listen, extra, want string
+		ok                  bool
+	}{
+		{"192.0.2.1:80", "", "192.0.2.1:80", true},
+		{"192.0.2.1:0", "", "", true},
+		{"0.0.0.0:80", "", "", false},
+		{"0.0.0.0:0", "", "", false},
+		{"0.0.0.0:80", `entry_advertised = "192.0.2.1:80"`, "192.0.2.1:80", true},
+		{"0.0.0.0:80", `entry_advertised = "192.0.2.1:0"`, "", false},
+		{"0.0.0.0:80", `entry_advertised = "here:80"`, "", false},
+	} {
+		s, err := parse(step.listen, step.extra)
+		if (err == nil) != step.ok {
+			t.Errorf("%+v: %v", step, err)
+		}
+		if err == nil && s.Listen.EntryAdvertised != step.want {
+			t.Errorf("%+v: advertised %q", step, s.Listen.EntryAdvertised)
+		}
+	}
+}
+
 func TestPlaintextOnLoopbackOnly(t *testing.T) {
 	for address, ok := range map[string]bool{"127.0.0.1:8081": true, "[::1]:8081": true, "192.0.2.1:8081": false, "0.0.0.0:8081": false} {
 		text := strings.Replace(string(Example), "127.0.0.1:8081", address, 1)
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -67,6 +67,7 @@
 	listenAddress(c, "listen.operator", l.Operator)
 	advertised(c, "listen.entry_advertised", l.EntryAdvertised, l.Entry)
 	advertised(c, "listen.peer_advertised", l.PeerAdvertised, l.Peer)
+	advertised(c, "listen.operator_advertised", l.OperatorAdvertised, l.Operator)
 	distinct(c, "listen.peer", l.Peer, "listen.entry", l.Entry)
 	distinct(c, "listen.operator", l.Operator, "listen.entry", l.Entry)
 	distinct(c, "listen.operator", l.Operator, "listen.peer", l.Peer)
