--- a/cmd/damaskctl/main_test.go
+++ b/cmd/damaskctl/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -127,3 +128,22 @@
 		t.Fatalf("exit %d, %q", exit, stderr.String())
 	}
 }
+
+// TestEveryCommandAndExitCodeIsOnTheOperatorsPage wants each command and exit code on the page.
+func TestEveryCommandAndExitCodeIsOnTheOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operating/damaskctl.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range commands(newRoot()) {
+		name, _ := strings.CutPrefix(c.CommandPath(), "damaskctl ")
+		if c.Name() != "help" && c.Name() != "damaskctl" && !strings.Contains(string(page), "`"+name) {
+			t.Errorf("command %s is not on the page", name)
+		}
+	}
+	for exit := exitDone; exit <= exitNotAuthorized; exit++ {
+		if !strings.Contains(string(page), fmt.Sprintf("\n| %d | ", exit)) {
+			t.Errorf("exit code %d is not on the page", exit)
+		}
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -228,3 +228,35 @@
 		}
 	})
 }
+
+// TestEveryKeyIsOnTheOperatorsPage wants each key named on the page.
+func TestEveryKeyIsOnTheOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operating/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range keysOf("", reflect.TypeFor[Settings]()) {
+		last := key[strings.LastIndex(key, ".")+1:]
+		if !strings.Contains(string(page), "`"+key+"`") && !strings.Contains(string(page), "`."+last+"`") {
+			t.Errorf("%s is not on the page", key)
+		}
+	}
+}
+
+func keysOf(prefix string, t reflect.Type) []string {
+	var keys []string
+	for i := range t.NumField() {
+		field := t.Field(i)
+		key := prefix + field.Tag.Get("toml")
+		switch {
+		case field.Tag.Get("toml") == "" || field.Tag.Get("toml") == "-":
+		case field.Type.Kind() == reflect.Struct:
+			keys = append(keys, keysOf(key+".", field.Type)...)
+		case field.Type.Kind() == reflect.Slice:
+			keys = append(keys, keysOf(key+"[].", field.Type.Elem())...)
+		default:
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
--- a/internal/template/template_test.go
+++ b/internal/template/template_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -185,3 +186,18 @@
 		}
 	})
 }
+
+// TestEveryKeyIsOnTheOperatorsPage wants each parameter named on the page.
+func TestEveryKeyIsOnTheOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operating/templates.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, parameters := range []reflect.Type{reflect.TypeFor[serviceParameters](), reflect.TypeFor[accountParameters](), reflect.TypeFor[route]()} {
+		for _, field := range reflect.VisibleFields(parameters) {
+			if key := field.Tag.Get("toml"); !strings.Contains(string(page), "`"+key+"`") {
+				t.Errorf("%s is not on the page", key)
+			}
+		}
+	}
+}
