Routing model draws more open endpoints and judges results by its own list

Mutants that the former model missed: a broken attempt counted as never run (the model used the code's own judgement), a rejected retry called not run (retries rarely waited), a deposit for each resumed retry.

--- a/coord/routing/behavior_test.go
+++ b/coord/routing/behavior_test.go
@@ -272,6 +272,17 @@
 	}
 }
 
+func TestRetryThatWaitsIsPaidOnce(t *testing.T) {
+	b := newTestBalancer(Config{RetryShare: 0.5, RetryBurst: 2, HedgeQuantile: -1},
+		target(endpointA, 1, StandingOpen), target(endpointB, 1, StandingOpen))
+	b.Submit(testStart, lookup(1))
+	b.Submit(testStart, lookup(2))
+	b.Finish(testStart, 1, 1, AttemptNotSent, 0)
+	if b.queue.count != 0 || b.budget.balance != 1 {
+		t.Fatalf("%d wait, balance %f; want a retry on the freed endpoint's neighbor or a wait", b.queue.count, b.budget.balance)
+	}
+}
+
 func TestBaselinePolicies(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	candidates := []Candidate{
--- a/coord/routing/model_test.go
+++ b/coord/routing/model_test.go
@@ -13,6 +13,15 @@
 
 var testStart = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// drawnStandings are drawn from, open ones most often.
+var drawnStandings = []Standing{
+	StandingOpen, StandingOpen, StandingOpen, StandingOpen,
+	StandingCold, StandingTrial, StandingAvoided, StandingLeaving,
+}
+
+// didNotRun lists the results after which a request is known not to have run.
+var didNotRun = map[AttemptResult]bool{AttemptNotSent: true, AttemptRefused: true}
+
 // attemptKey names one attempt.
 type attemptKey struct {
 	id     uint64
@@ -114,7 +123,7 @@
 		return
 	}
 	for i, result := range r.results[:len(r.results)-1] {
-		if !result.neverRan() {
+		if !didNotRun[result] {
 			m.t.Fatalf("request %d is not idempotent; attempt %d ended with %d and another was sent", r.ID, i+1, result)
 		}
 	}
@@ -159,8 +168,10 @@
 	if r.ends > 1 {
 		m.t.Fatalf("request %d ended twice", e.ID)
 	}
-	if e.NotRun && r.dispatched > 0 {
-		m.t.Fatalf("request %d rejected as not run after %d attempts", e.ID, r.dispatched)
+	for i, result := range r.results {
+		if e.NotRun && !didNotRun[result] {
+			m.t.Fatalf("request %d rejected as not run, but attempt %d ended with %d", e.ID, i+1, result)
+		}
 	}
 }
 
@@ -230,8 +241,8 @@
 		name := fleet.Endpoint(fmt.Sprintf("192.0.2.%d:80", i))
 		target := Target{
 			Upstream: fleet.Upstream{Endpoint: name, Zone: rapid.SampledFrom([]fleet.Zone{"a", "b"}).Draw(t, "zone")},
-			Standing: Standing(rapid.IntRange(0, int(StandingLeaving)).Draw(t, "standing")),
-			Limit:    rapid.IntRange(0, 3).Draw(t, "limit"),
+			Standing: rapid.SampledFrom(drawnStandings).Draw(t, "standing"),
+			Limit:    rapid.SampledFrom([]int{1, 1, 2, 3, 0}).Draw(t, "limit"),
 			LoadHint: rapid.Float64Range(0, 1).Draw(t, "load"),
 		}
 		m.targets[name] = target
