--- a/cmd/damaskctl/demo.go
+++ b/cmd/damaskctl/demo.go
@@ -18,7 +18,7 @@
 // defaultDemoDuration is the length of the demo without --duration.
 const defaultDemoDuration = 20 * time.Second
 
-func demoCommand() *cobra.Command {
+func newDemo() *cobra.Command {
 	var (
 		duration time.Duration
 		seed     uint64
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -399,7 +399,6 @@
 	n.router.Store(entry.NewRouter(c))
 	n.appliedAt.Store(&now)
 	n.endpoints.SetConfig(now, c)
-	n.log.Info("configuration in force", "revision", c.Revision, "services", len(c.Services), "accounts", len(c.Accounts))
 }
 
 // targetsChanged runs on the control goroutine.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -31,7 +31,7 @@
 	wait.Go(func() { n.part(n.entry.Run()) })
 	wait.Go(func() { n.loop.Run(parts) })
 	n.start(parts)
-	n.log.Info("instance started", "instance", n.self.Ref.String(), "zone", n.self.Zone,
+	n.log.Info("instance started", "incarnation", n.self.Ref.Incarnation, "zone", n.self.Zone,
 		"entry", n.self.EntryAddr, "peer", n.self.PeerAddr, "operator", n.OperatorAddr())
 
 	err := n.await(ctx)
@@ -42,7 +42,7 @@
 	}
 	endParts()
 	wait.Wait()
-	n.log.Info("instance stopped", "instance", n.self.Ref.String(), "served", n.entry.Served())
+	n.log.Info("instance stopped", "incarnation", n.self.Ref.Incarnation, "served", n.entry.Served())
 	return err
 }
 
@@ -98,7 +98,7 @@
 // forgotten it, hands its keys over, finishes what is in flight and leaves.
 func (n *Node) stop(cause error) {
 	n.stopping.Store(true)
-	n.log.Info("planned stop begins", "instance", n.self.Ref.String(), "in_flight", n.entry.InFlight())
+	n.log.Info("planned stop begins", "incarnation", n.self.Ref.Incarnation, "in_flight", n.entry.InFlight())
 	ctx, cancel := context.WithTimeout(context.Background(), n.opts.Settings.Stop.Timeout)
 	defer cancel()
 	if cause == nil {
