Claim: focused tests of tables, clocks, planned stops and other lives

Cause: hand-made mutants survived: a clock that goes back, a submission to another life, a full witness that grants, a stopping instance that takes keys, a witness that does not ask for the outcome. Change: a focused test for each; the random fleets now also send old tickets to restarted instances, with six keys of different expiries and fuller tables. Conclusion: an order takes four messages when none is lost.

--- a/coord/claim/machine_rapid_test.go
+++ b/coord/claim/machine_rapid_test.go
@@ -63,7 +63,7 @@
 		w.packets = append(w.packets, packet{to: to, role: role, caller: c})
 		return
 	}
-	if n := w.node(to); n != nil && !n.paused {
+	if n := w.named(to.ID); !n.paused {
 		w.submit(n, role, c)
 	}
 }
@@ -138,6 +138,8 @@
 func (w *world) heal() {
 	for _, n := range w.nodes {
 		n.paused = false
+		behind := n.machine.clock.last - n.clock(w).UnixNano()
+		n.skew += time.Duration(max(behind, 0))
 	}
 	for _, k := range w.keys {
 		if n := w.node(k.ticket.Home); n != nil {
--- /dev/null
+++ b/coord/claim/machine_test.go
@@ -0,0 +1,304 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+// pair is a home and a witness with a link that delivers at once, unless cut.
+type pair struct {
+	t        *testing.T
+	now      time.Time
+	machines map[fleet.Ref]*Machine
+	cut      map[fleet.Ref]bool // Nothing arrives there.
+	sent     map[MessageKind]int
+	answers  []Answer
+	refused  []Reason
+	running  []fleet.Ref
+}
+
+func newPair(t *testing.T, limits Limits) *pair {
+	return &pair{
+		t:   t,
+		now: testStart,
+		machines: map[fleet.Ref]*Machine{
+			homeRef:    NewMachine(homeRef, limits),
+			witnessRef: NewMachine(witnessRef, limits),
+		},
+		cut:  make(map[fleet.Ref]bool),
+		sent: make(map[MessageKind]int),
+	}
+}
+
+func (p *pair) apply(from fleet.Ref, effects []Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case Send:
+			p.sent[effect.Message.Kind]++
+			if p.cut[effect.To] {
+				continue
+			}
+			msg := effect.Message
+			msg.Ticket = oneTicket
+			p.apply(effect.To, p.machines[effect.To].Deliver(p.now, from, msg))
+		case Dispatch:
+			p.running = append(p.running, from)
+		case Answer:
+			p.answers = append(p.answers, effect)
+		case Refusal:
+			p.refused = append(p.refused, effect.Reason)
+		}
+	}
+}
+
+func (p *pair) submit(at fleet.Ref, unique string) {
+	role := p.machines[at].roleIn(oneTicket)
+	p.apply(at, p.machines[at].Submit(p.now, role, submissionOf(p.now, unique)))
+}
+
+func submissionOf(now time.Time, unique string) Submission {
+	return Submission{Key: Key{Ticket: "t", Unique: unique}, Ticket: oneTicket, Deadline: now.Add(2 * time.Second)}
+}
+
+func (p *pair) finish(at fleet.Ref, unique string, o Outcome) {
+	p.apply(at, p.machines[at].Finish(p.now, Key{Ticket: "t", Unique: unique}, o))
+}
+
+func (p *pair) tick(d time.Duration) {
+	p.now = p.now.Add(d)
+	for ref, m := range p.machines {
+		p.apply(ref, m.Tick(p.now))
+	}
+}
+
+func (p *pair) lastAnswer() Outcome {
+	p.t.Helper()
+	if len(p.answers) == 0 {
+		p.t.Fatal("no answer")
+	}
+	return p.answers[len(p.answers)-1].Outcome
+}
+
+func (p *pair) lastRefusal() Reason {
+	p.t.Helper()
+	if len(p.refused) == 0 {
+		p.t.Fatal("no refusal")
+	}
+	return p.refused[len(p.refused)-1]
+}
+
+func TestOrderTakesFourMessages(t *testing.T) {
+	p := newPair(t, Limits{})
+	p.submit(homeRef, "u")
+	p.finish(homeRef, "u", Outcome{Result: ResultAnswered, Answer: []byte("a")})
+	if o := p.lastAnswer(); o.Result != ResultAnswered || string(o.Answer) != "a" {
+		t.Fatalf("answer %+v", o)
+	}
+	p.tick(time.Minute)
+	for _, kind := range []MessageKind{MessageClaim, MessageAck, MessageOutcome, MessageOutcomeAck} {
+		if p.sent[kind] != 1 {
+			t.Errorf("kind %d sent %d times", kind, p.sent[kind])
+		}
+	}
+	if len(p.sent) != 4 {
+		t.Errorf("sent %v", p.sent)
+	}
+}
+
+func TestWitnessTellsTheHomesOutcome(t *testing.T) {
+	p := newPair(t, Limits{})
+	p.submit(homeRef, "u")
+	p.cut[witnessRef] = true
+	p.finish(homeRef, "u", Outcome{Result: ResultAnswered, Answer: []byte("a")})
+	p.cut[witnessRef] = false
+	p.answers = nil
+	p.submit(witnessRef, "u")
+	if o := p.lastAnswer(); o.Result != ResultAnswered || string(o.Answer) != "a" {
+		t.Fatalf("answer at the witness %+v", o)
+	}
+}
+
+func TestHomeWithoutWitnessSealsAndDoesNotSayNotRun(t *testing.T) {
+	p := newPair(t, Limits{})
+	p.cut[witnessRef] = true
+	p.submit(homeRef, "u")
+	for range 60 {
+		p.tick(50 * time.Millisecond)
+	}
+	if o := p.lastAnswer(); o.Result != ResultUnknown || o.Reason != ReasonPeerGone {
+		t.Fatalf("answer %+v", o)
+	}
+	p.cut[witnessRef] = false
+	p.tick(time.Minute)
+	if o := p.machines[homeRef].Lookup(p.now, Key{Ticket: "t", Unique: "u"}); o.Result != ResultNotRun {
+		t.Fatalf("look-up after the link is back: %+v", o)
+	}
+	if len(p.running) != 0 {
+		t.Fatalf("dispatched at %v", p.running)
+	}
+}
+
+func TestSingleInstanceRunsAlone(t *testing.T) {
+	m := NewMachine(homeRef, Limits{})
+	alone := Ticket{Home: homeRef, Expires: testExpiry}
+	s := Submission{Key: oneKey, Ticket: alone, Deadline: testStart.Add(time.Second)}
+	effects := m.Submit(testStart, RoleHome, s)
+	if _, ok := effects[0].(Dispatch); !ok || len(effects) != 1 {
+		t.Fatalf("effects %+v", effects)
+	}
+	m.Stop(testStart)
+	if m.Idle() {
+		t.Fatal("idle while it runs a key")
+	}
+	m.Finish(testStart, oneKey, Outcome{Result: ResultNotRun})
+	if o := m.Lookup(testStart, oneKey); o.Result != ResultNotRun {
+		t.Fatalf("outcome %+v", o)
+	}
+	if !m.Idle() {
+		t.Fatal("not idle with nothing to hand over")
+	}
+}
+
+func TestOtherLivesRefuse(t *testing.T) {
+	for _, self := range []fleet.Ref{{ID: "home", Incarnation: 2}, {ID: "other", Incarnation: 1}} {
+		m := NewMachine(self, Limits{})
+		for _, role := range []Role{RoleNone, RoleHome, RoleWitness} {
+			effects := m.Submit(testStart, role, submissionOf(testStart, "u"))
+			if r, ok := effects[0].(Refusal); !ok || r.Reason != ReasonIncarnation {
+				t.Errorf("%s as %d: %+v", self, role, effects)
+			}
+		}
+	}
+}
+
+func TestClockThatGoesBackRunsNoExpiredKey(t *testing.T) {
+	p := newPair(t, Limits{})
+	p.submit(homeRef, "u")
+	p.finish(homeRef, "u", Outcome{Result: ResultAnswered})
+	p.tick(2 * time.Hour)
+	if n := p.machines[homeRef].Len(); n != 0 {
+		t.Fatalf("%d keys after expiry", n)
+	}
+	p.now = testStart
+	p.submit(homeRef, "u")
+	if r := p.lastRefusal(); r != ReasonExpired {
+		t.Fatalf("reason %d", r)
+	}
+}
+
+func TestFullWitnessGrantsNothing(t *testing.T) {
+	p := newPair(t, Limits{MaxKeys: 1})
+	w := p.machines[witnessRef]
+	w.add(Key{Ticket: "t", Unique: "v"}, oneTicket, RoleWitness, Fingerprint{}).state = stateSealed
+	p.submit(homeRef, "u")
+	for range 60 {
+		p.tick(50 * time.Millisecond)
+	}
+	if len(p.running) != 0 || p.sent[MessageAck] != 0 || p.sent[MessageSealAck] != 0 {
+		t.Fatalf("dispatched at %v, sent %v", p.running, p.sent)
+	}
+	if o := p.lastAnswer(); o.Result != ResultUnknown {
+		t.Fatalf("answer %+v", o)
+	}
+	p.submit(homeRef, "second")
+	if r := p.lastRefusal(); r != ReasonTableFull {
+		t.Fatalf("reason %d", r)
+	}
+}
+
+func TestStoppingWitnessGrantsWithoutRoom(t *testing.T) {
+	p := newPair(t, Limits{MaxKeys: 1})
+	w := p.machines[witnessRef]
+	w.add(Key{Ticket: "t", Unique: "v"}, oneTicket, RoleWitness, Fingerprint{}).state = stateSealed
+	p.apply(witnessRef, w.Stop(p.now))
+	p.submit(witnessRef, "u")
+	if r := p.lastRefusal(); r != ReasonStopping {
+		t.Fatalf("reason %d", r)
+	}
+	p.submit(homeRef, "u")
+	if len(p.running) != 1 || p.running[0] != homeRef {
+		t.Fatalf("dispatched at %v", p.running)
+	}
+}
+
+func TestPlannedStopHandsOver(t *testing.T) {
+	p := newPair(t, Limits{})
+	home := p.machines[homeRef]
+	p.cut[homeRef] = true
+	p.submit(homeRef, "claiming")
+	p.cut[homeRef] = false
+	p.submit(homeRef, "running")
+	p.cut[witnessRef] = true
+	p.submit(homeRef, "done")
+	p.machines[witnessRef].add(Key{Ticket: "t", Unique: "done"}, oneTicket, RoleWitness, Fingerprint{}).state = stateGranted
+	p.apply(homeRef, home.Deliver(p.now, witnessRef, Message{Kind: MessageAck, Key: Key{Ticket: "t", Unique: "done"}}))
+	p.finish(homeRef, "done", Outcome{Result: ResultAnswered})
+	p.apply(homeRef, home.Stop(p.now))
+	if home.Idle() {
+		t.Fatal("idle with three keys to settle")
+	}
+	p.cut[witnessRef] = false
+	p.finish(homeRef, "running", Outcome{Result: ResultAnswered})
+	p.tick(2 * time.Second)
+	if !home.Idle() {
+		t.Fatalf("not idle: %d timers", len(home.timers.items))
+	}
+	for unique, want := range map[string]Result{"claiming": ResultNotRun, "running": ResultAnswered, "done": ResultAnswered} {
+		if o := p.machines[witnessRef].Lookup(p.now, Key{Ticket: "t", Unique: unique}); o.Result != want {
+			t.Errorf("%s at the witness: %+v", unique, o)
+		}
+	}
+	p.submit(homeRef, "new")
+	if r := p.lastRefusal(); r != ReasonStopping {
+		t.Errorf("new key: reason %d", r)
+	}
+}
+
+func TestLargeAnswerIsNotKept(t *testing.T) {
+	p := newPair(t, Limits{MaxAnswerBytes: 4})
+	p.submit(homeRef, "u")
+	p.finish(homeRef, "u", Outcome{Result: ResultAnswered, Answer: []byte("large")})
+	if o := p.lastAnswer(); string(o.Answer) != "large" {
+		t.Fatalf("waiting caller got %+v", o)
+	}
+	p.submit(homeRef, "u")
+	if o := p.lastAnswer(); o.Result != ResultAnswered || o.Reason != ReasonAnswerDropped || o.Answer != nil {
+		t.Fatalf("later caller got %+v", o)
+	}
+}
+
+// The table's estimate of its bytes returns to zero, whatever was in it.
+func TestTableBytesAreGivenBack(t *testing.T) {
+	p := newPair(t, Limits{MaxBytes: 20_000, MaxAnswerBytes: 100})
+	for i := range 100 {
+		unique := string(rune('a' + i*7%26))
+		p.submit(homeRef, unique)
+		p.finish(homeRef, unique, Outcome{Result: ResultAnswered, Answer: make([]byte, i)})
+		for ref, m := range p.machines {
+			if m.Bytes() > 20_000*9/8 {
+				t.Fatalf("%s holds %d bytes", ref, m.Bytes())
+			}
+		}
+	}
+	p.tick(2 * time.Hour)
+	for ref, m := range p.machines {
+		if m.Bytes() != 0 || m.Len() != 0 {
+			t.Errorf("%s: %d bytes, %d keys after expiry", ref, m.Bytes(), m.Len())
+		}
+	}
+}
+
+func TestResendsBackOff(t *testing.T) {
+	p := newPair(t, Limits{})
+	p.submit(homeRef, "u")
+	p.cut[witnessRef] = true
+	p.finish(homeRef, "u", Outcome{Result: ResultAnswered})
+	for range 50 * 60 * 20 {
+		p.tick(50 * time.Millisecond)
+	}
+	if n := p.sent[MessageOutcome]; n < 8 || n > 16 {
+		t.Fatalf("%d outcomes sent in 50 minutes", n)
+	}
+}
--- a/coord/claim/world_test.go
+++ b/coord/claim/world_test.go
@@ -74,14 +74,14 @@
 		t.Fatalf("keyring: %v", err)
 	}
 	w := &world{t: t, now: testStart, cut: cut, ring: ring}
-	w.limits = Limits{MaxAnswerBytes: 64, MaxKeys: rapid.SampledFrom([]int{2, 100}).Draw(t, "max keys")}
+	w.limits = Limits{MaxAnswerBytes: 64, MaxKeys: rapid.SampledFrom([]int{2, 3, 100}).Draw(t, "max keys")}
 	for i := range 3 {
 		skew := time.Duration(rapid.IntRange(-20, 20).Draw(t, "skew")) * time.Second
 		n := &node{ref: fleet.Ref{ID: fleet.InstanceID(fmt.Sprint("n", i)), Incarnation: 1}, skew: skew}
 		w.nodes = append(w.nodes, n)
 		w.start(n)
 	}
-	for i := range 4 {
+	for i := range 6 {
 		w.issue(i)
 	}
 	return w
@@ -97,7 +97,7 @@
 func (w *world) issue(i int) {
 	home := w.nodes[i%len(w.nodes)]
 	witness := w.nodes[(i+1)%len(w.nodes)]
-	ticket := Ticket{Fleet: "f", Home: home.ref, Witness: witness.ref, Expires: w.now.Add(2 * time.Minute)}
+	ticket := Ticket{Fleet: "f", Home: home.ref, Witness: witness.ref, Expires: w.now.Add(time.Duration(20+i*40) * time.Second)}
 	text, err := w.ring.Sign(ticket)
 	if err != nil {
 		w.t.Fatalf("sign: %v", err)
@@ -134,6 +134,16 @@
 	return nil
 }
 
+// named returns the life that an instance now has.
+func (w *world) named(id fleet.InstanceID) *node {
+	for _, n := range w.nodes {
+		if n.ref.ID == id {
+			return n
+		}
+	}
+	return nil
+}
+
 // clock returns the wall clock of a node.
 func (n *node) clock(w *world) time.Time {
 	return w.now.Add(n.skew)
