--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,21 +34,21 @@
 }
 
 // Listen holds the addresses of the instance, each an IP number and port. An empty
-// advertised address is the listening one.
+// advertised address is the listening one; it stays empty when the port is 0, for any free one.
 type Listen struct {
-	Entry           string `toml:"entry"` // For callers.
-	EntryAdvertised string `toml:"entry_advertised"`
-	Peer            string `toml:"peer"` // For other instances.
-	PeerAdvertised  string `toml:"peer_advertised"`
-	Operator        string `toml:"operator"` // For operators.
-	Outgoing        string `toml:"outgoing"` // IP number that connections to upstreams and peers come from; empty for the system's choice.
+	Entry              string `toml:"entry"` // For callers.
+	EntryAdvertised    string `toml:"entry_advertised"`
+	Peer               string `toml:"peer"` // For other instances.
+	PeerAdvertised     string `toml:"peer_advertised"`
+	Operator           string `toml:"operator"` // For operators.
+	OperatorAdvertised string `toml:"operator_advertised"`
+	Outgoing           string `toml:"outgoing"` // IP number that connections to upstreams and peers come from; empty for the system's choice.
 }
 
 // Platform says how to reach the platform.
 type Platform struct {
 	Address     string        `toml:"address"`      // IP number and port of the store and the list.
 	CallTimeout time.Duration `toml:"call_timeout"` // Of one call, a watch excepted.
-	Prefix      string        `toml:"prefix"`       // Of the fleet's keys in the store; empty for "damaskcove/<fleet>/".
 }
 
 // Peer says how instances prove themselves to each other.
