Claims: tests of the duty on a fleet with cut links, and the mends they led to

Cause: the duty had no test of lost replies, dead homes, one-way partitions, bad keys and planned stops. Change: three instances with links that can be cut one way run in a bubble with its own clock. A caller that leaves at its deadline now gets what the table knows (a sealed key is told as attempt-not-run, not as outcome-unknown); a relayed request leaves time for its reply; a look-up prefers a witness that knows of the key to a home that did not answer. Conclusion: each bad key has its code; whatever a table refuses for one attempt says "unknown" of the key.

--- a/coord/claim/machine.go
+++ b/coord/claim/machine.go
@@ -196,7 +196,8 @@
 }
 
 // Lookup returns what this instance knows of a key. ReasonUnknownKey says that it has no
-// record, ReasonPending that there is no outcome yet.
+// record, ReasonPending that there is no outcome yet, ReasonPeerGone that this instance has
+// sealed the key and the other has not said whether it ran it.
 func (m *Machine) Lookup(_ time.Time, key Key) Outcome {
 	e := m.table.find(key)
 	switch {
@@ -205,7 +206,7 @@
 	case e.final():
 		return e.outcome
 	default:
-		return Outcome{Result: ResultUnknown, Reason: ReasonPending}
+		return Outcome{Result: ResultUnknown, Reason: e.lateReason()}
 	}
 }
 
--- /dev/null
+++ b/internal/claims/claims_test.go
@@ -0,0 +1,315 @@
+package claims
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/claim"
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/exchange"
+)
+
+func TestRetriesAtAnyInstanceGetTheOneAnswer(t *testing.T) {
+	for _, first := range []fleet.Ref{home, witness, third} {
+		inFleet(t, claim.Limits{}, func(f *testFleet) {
+			r := f.request("a")
+			for _, at := range []fleet.Ref{first, home, witness, third} {
+				a := f.do(at, r)
+				f.expect(at.String(), a, result.CodeAnswered, result.Ran)
+				if string(a.Body) != "ran a" || a.Status != 201 {
+					t.Errorf("at %s: %d %q", at, a.Status, a.Body)
+				}
+				f.expect("look-up", f.lookup(at, r), result.CodeAnswered, result.Ran)
+			}
+			f.expectRuns(1)
+		})
+	}
+}
+
+func TestCallersAtOnceGetTheOneAnswer(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		f.slowly(time.Second)
+		r := f.request("a")
+		answers := make(chan exchange.Answer)
+		for _, at := range []fleet.Ref{home, home, third, third, witness, witness} {
+			go func() { answers <- f.do(at, r) }()
+		}
+		for range 6 {
+			f.expect("caller", <-answers, result.CodeAnswered, result.Ran)
+		}
+		f.expectRuns(1)
+	})
+}
+
+func TestLostReplyIsToldByTheWitness(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		f.setCut(home, third, true)
+		f.expect("order", f.do(third, f.request("a")), result.CodeAnswered, result.Ran)
+		f.expectRuns(1)
+	})
+}
+
+func TestWitnessRunsWhatTheHomeCannotBeAsked(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		f.kill(home)
+		r := f.request("a")
+		f.expect("order", f.do(third, r), result.CodeAnswered, result.Ran)
+		f.expect("retry", f.do(witness, r), result.CodeAnswered, result.Ran)
+		f.expectRuns(1)
+	})
+}
+
+func TestHomeThatDiesAfterItsClaimLeavesTheOutcomeUnknown(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		f.slowly(time.Second)
+		time.AfterFunc(500*time.Millisecond, func() { f.kill(home) })
+		r := f.request("a")
+		f.expect("order", f.do(third, r), result.CodeOutcomeUnknown, result.Unknown)
+		f.expect("look-up", f.lookup(third, r), result.CodeOutcomePending, result.Unknown)
+		f.expectRuns(1)
+	})
+}
+
+// The witness's grants never arrive: the home seals the key and does not say that it knows more.
+func TestOneWayPartitionRunsNothing(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		f.setCut(witness, home, true)
+		r := f.request("a")
+		f.expect("order", f.do(home, r), result.CodeAttemptNotRun, result.Unknown)
+		f.expect("order at the witness", f.do(witness, r), result.CodeKeySealed, result.NotRun)
+		f.setCut(witness, home, false)
+		time.Sleep(10 * time.Second)
+		f.expect("look-up", f.lookup(third, r), result.CodeKeySealed, result.NotRun)
+		f.expectRuns(0)
+	})
+}
+
+func TestRelayedOrderThatTheHomeSealsIsToldSo(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		f.kill(witness)
+		f.expect("order", f.do(third, f.request("a")), result.CodeAttemptNotRun, result.Unknown)
+		f.expectRuns(0)
+	})
+}
+
+func TestBothInstancesGoneRunsNothing(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		f.kill(home)
+		f.kill(witness)
+		r := f.request("a")
+		f.expect("order", f.do(third, r), result.CodeAttemptNotRun, result.Unknown)
+		f.expect("look-up", f.lookup(third, r), result.CodeOutcomeUnknown, result.Unknown)
+	})
+}
+
+func TestRestartedHomeLeavesTheKeyToTheWitness(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		r := f.request("a")
+		f.kill(home)
+		next := fleet.Ref{ID: "reborn", Incarnation: 2}
+		f.start(next, claim.Limits{})
+		f.expect("relayed", f.nodes[next].claims.Relayed(context.Background(), third, claim.RoleHome, r), result.CodeTicketIncarnation, result.Unknown)
+		f.expect("order", f.do(next, r), result.CodeAnswered, result.Ran)
+		f.expectRuns(1)
+	})
+}
+
+func TestBadKeysAreRefusedByCode(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		good := f.request("a")
+		ticket := good.Key[:len(good.Key)-2]
+		expired := claim.Ticket{Home: home, Witness: witness, Service: "drums", Account: "kerri", Expires: time.Now()}
+		foreign := expired
+		foreign.Fleet, foreign.Expires = "g", time.Now().Add(time.Hour)
+		forger := ring(t, claim.SigningKey{ID: 1, Secret: []byte("not the fleet's secret")})
+		retired := ring(t, claim.SigningKey{ID: 9, Secret: fleetKey.Secret})
+		cases := []struct {
+			name, key string
+			code      result.Code
+			execution result.Execution
+		}{
+			{"no unique part", ticket, result.CodeTicketMalformed, result.NotRun},
+			{"long unique part", ticket + "." + strings.Repeat("x", MaxUniqueBytes+1), result.CodeTicketMalformed, result.NotRun},
+			{"line break", ticket + ".\n", result.CodeTicketMalformed, result.NotRun},
+			{"truncated", ticket[:40] + ".a", result.CodeTicketMalformed, result.NotRun},
+			{"forged", sign(t, forger, foreign) + ".a", result.CodeTicketForged, result.NotRun},
+			{"retired signing key", sign(t, retired, foreign) + ".a", result.CodeTicketForged, result.Unknown},
+			{"other fleet", sign(t, ring(t, fleetKey), foreign) + ".a", result.CodeTicketOtherFleet, result.Unknown},
+			{"expired", f.nodes[home].claims.Issue(expired) + ".a", result.CodeTicketExpired, result.Unknown},
+		}
+		for _, c := range cases {
+			r := good
+			r.Key = c.key
+			for _, at := range []fleet.Ref{home, third} {
+				f.expect(c.name, f.do(at, r), c.code, c.execution)
+				f.expect(c.name+" look-up", f.lookup(at, r), c.code, c.execution)
+			}
+		}
+		r := good
+		r.Account = "other"
+		f.expect("other account", f.do(home, r), result.CodeTicketOtherAccount, result.Unknown)
+		f.expectRuns(0)
+		if got := f.nodes[home].claims.Vars().Get("ticket-expired").String(); got != "2" {
+			t.Errorf("ticket-expired counted %s times", got)
+		}
+	})
+}
+
+func sign(t *testing.T, r *claim.Keyring, ticket claim.Ticket) string {
+	t.Helper()
+	text, err := r.Sign(ticket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func TestReusedKeyIsRefused(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		r := f.request("a")
+		f.do(home, r)
+		r.Body = []byte("another order")
+		for _, at := range []fleet.Ref{home, witness, third} {
+			f.expect(at.String(), f.do(at, r), result.CodeKeyReused, result.None)
+		}
+		f.expectRuns(1)
+	})
+}
+
+func TestCallerGoneWhileItRuns(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		f.slowly(time.Second)
+		r := f.request("a")
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		time.AfterFunc(50*time.Millisecond, cancel)
+		f.expect("order", f.nodes[home].claims.Do(ctx, r), result.CodeCallerGone, result.Unknown)
+		time.Sleep(2 * time.Second)
+		f.expect("look-up", f.lookup(third, r), result.CodeAnswered, result.Ran)
+		f.expectRuns(1)
+	})
+}
+
+func TestCallerGoneBeforeTheGrantSealsTheKey(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		f.setCut(home, witness, true)
+		r := f.request("a")
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(50*time.Millisecond, cancel)
+		f.expect("order", f.nodes[home].claims.Do(ctx, r), result.CodeCallerGone, result.Unknown)
+		f.setCut(home, witness, false)
+		f.expect("retry", f.do(third, r), result.CodeKeySealed, result.NotRun)
+		f.expectRuns(0)
+	})
+}
+
+func TestShedOrderIsSealed(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		f.runWith(func(context.Context, exchange.Request) exchange.Answer {
+			return exchange.Refusal(result.CodeShedDeadline, "")
+		})
+		r := f.request("a")
+		for _, at := range []fleet.Ref{third, home, witness} {
+			f.expect(at.String(), f.do(at, r), result.CodeShedDeadline, result.NotRun)
+		}
+		f.expectRuns(1)
+	})
+}
+
+func TestExecutorsFailures(t *testing.T) {
+	runs := map[string]func(context.Context, exchange.Request) exchange.Answer{
+		"panic": func(context.Context, exchange.Request) exchange.Answer { panic("executor") },
+		"cut off": func(context.Context, exchange.Request) exchange.Answer {
+			return exchange.Refusal(result.CodeAnswerCutOff, "")
+		},
+		"no state": func(context.Context, exchange.Request) exchange.Answer { return exchange.Answer{Status: 200} },
+	}
+	for name, run := range runs {
+		inFleet(t, claim.Limits{}, func(f *testFleet) {
+			f.runWith(run)
+			r := f.request("a")
+			for _, at := range []fleet.Ref{third, home, witness} {
+				if a := f.do(at, r); a.Execution != result.Unknown {
+					t.Errorf("%s at %s: %+v", name, at, a)
+				}
+			}
+			f.expectRuns(1)
+		})
+	}
+}
+
+func TestLargeAnswerReachesTheCallerThatWaits(t *testing.T) {
+	inFleet(t, claim.Limits{MaxAnswerBytes: 10}, func(f *testFleet) {
+		f.setCut(third, home, true)
+		r := f.request("a")
+		f.expect("order", f.do(third, r), result.CodeAnswered, result.Ran)
+		f.expect("retry", f.do(witness, r), result.CodeAnswerNotKept, result.Ran)
+		f.expect("retry at the home", f.do(home, r), result.CodeAnswerNotKept, result.Ran)
+		f.expectRuns(1)
+	})
+}
+
+func TestFullTableSaysNothingOfTheKey(t *testing.T) {
+	inFleet(t, claim.Limits{MaxKeys: 1}, func(f *testFleet) {
+		f.do(home, f.request("a"))
+		f.expect("order", f.do(home, f.request("b")), result.CodeClaimTableFull, result.Unknown)
+		f.expectRuns(1)
+	})
+}
+
+func TestPlannedStopLeavesTheOutcomesWithTheWitness(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		f.setCut(witness, home, true)
+		f.setCut(home, witness, true)
+		early := f.request("early")
+		go f.do(home, early)
+		time.Sleep(100 * time.Millisecond)
+		f.setCut(witness, home, false)
+		f.setCut(home, witness, false)
+		f.slowly(time.Second)
+		running := f.request("running")
+		answered := make(chan exchange.Answer)
+		go func() { answered <- f.do(home, running) }()
+		time.Sleep(10 * time.Millisecond)
+		if err := f.nodes[home].claims.Stop(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		f.expect("running order", <-answered, result.CodeAnswered, result.Ran)
+		f.expect("new order at the stopping home", f.do(home, f.request("new")), result.CodeAnswered, result.Ran)
+		f.kill(home)
+		f.expect("running", f.lookup(third, running), result.CodeAnswered, result.Ran)
+		if a := f.do(third, early); a.Execution == result.Unknown {
+			t.Errorf("order that waited at the stop: %+v", a)
+		}
+		f.expectRuns(3)
+	})
+}
+
+func TestStopIsBoundedByItsContext(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		f.do(home, f.request("a"))
+		time.Sleep(time.Second)
+		f.slowly(time.Hour)
+		go f.do(home, f.request("b"))
+		synctest.Wait()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if err := f.nodes[home].claims.Stop(ctx); err == nil {
+			t.Error("stopped while an order runs")
+		}
+		time.Sleep(time.Hour)
+	})
+}
+
+func TestEndedLoopRefuses(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		f.kill(home)
+		synctest.Wait()
+		f.kill(witness)
+		f.expect("order", f.do(home, f.request("a")), result.CodeStopping, result.Unknown)
+	})
+}
--- a/internal/claims/local.go
+++ b/internal/claims/local.go
@@ -10,6 +10,7 @@
 
 	"github.com/damaskcove/damaskcove/coord/claim"
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/control"
 	"github.com/damaskcove/damaskcove/internal/exchange"
 	"github.com/damaskcove/damaskcove/internal/wire"
 )
@@ -19,6 +20,9 @@
 	outcome chan claim.Outcome // Holds one.
 }
 
+// lateWait bounds the wait for the control goroutine when a caller's deadline has passed.
+const lateWait = control.TickInterval
+
 // call is a key with callers waiting at this instance.
 type call struct {
 	ctx     context.Context // Of the first caller, for its values.
@@ -38,6 +42,21 @@
 		return answerOf(o)
 	case <-ctx.Done():
 		c.loop.Post(func(now time.Time) { c.leave(now, s.Key, w) })
+		return c.lateAnswer(ctx, w)
+	}
+}
+
+// lateAnswer returns what the machine says of the key of a caller that leaves at its deadline.
+func (c *Claims) lateAnswer(ctx context.Context, w *waiter) exchange.Answer {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return endedAnswer(ctx)
+	}
+	late := time.NewTimer(lateWait)
+	defer late.Stop()
+	select {
+	case o := <-w.outcome:
+		return answerOf(o)
+	case <-late.C:
 		return endedAnswer(ctx)
 	}
 }
@@ -67,18 +86,20 @@
 	c.apply(effects)
 }
 
-// leave removes a caller whose context has ended.
+// leave removes a caller whose context has ended and tells it what is known.
 func (c *Claims) leave(now time.Time, key claim.Key, w *waiter) {
 	waiting, ok := c.calls[key]
 	if !ok {
 		return
 	}
 	waiting.waiters = slices.DeleteFunc(waiting.waiters, func(other *waiter) bool { return other == w })
-	if len(waiting.waiters) > 0 {
-		return
+	if len(waiting.waiters) == 0 {
+		delete(c.calls, key)
+		c.apply(c.machine.GiveUp(now, key))
+	}
+	if len(w.outcome) == 0 {
+		w.outcome <- c.machine.Lookup(now, key)
 	}
-	delete(c.calls, key)
-	c.apply(c.machine.GiveUp(now, key))
 }
 
 // apply carries out the machine's effects. It runs on the control goroutine.
--- a/internal/claims/lookup.go
+++ b/internal/claims/lookup.go
@@ -59,15 +59,25 @@
 	return lookupAnswer(fuller(first, second))
 }
 
-// fuller returns the outcome that says more.
+// fuller returns the outcome that says more; the first when they say the same.
 func fuller(first, second claim.Outcome) claim.Outcome {
-	switch {
-	case second.Result != claim.ResultUnknown:
-		return second
-	case first.Reason == claim.ReasonUnknownKey:
+	if weight(second) > weight(first) {
 		return second
+	}
+	return first
+}
+
+// weight orders outcomes by how much they say.
+func weight(o claim.Outcome) int {
+	switch {
+	case o.Result != claim.ResultUnknown:
+		return 3
+	case o.Reason == claim.ReasonNone:
+		return 0
+	case o.Reason == claim.ReasonUnknownKey:
+		return 1
 	default:
-		return first
+		return 2
 	}
 }
 
--- a/internal/claims/route.go
+++ b/internal/claims/route.go
@@ -8,6 +8,7 @@
 	"github.com/damaskcove/damaskcove/coord/claim"
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/control"
 	"github.com/damaskcove/damaskcove/internal/exchange"
 	"github.com/damaskcove/damaskcove/internal/relay"
 )
@@ -17,6 +18,8 @@
 	defaultDeadline = 10 * time.Second // Of a request without one.
 	homeShare       = 4                // The home has this part of the time left, as a divisor.
 	homeShareMost   = time.Second      // Bound of the home's part.
+	replyShare      = 10               // A relayed request leaves this part of the time for its reply, as a divisor.
+	replyShareMost  = control.TickInterval
 )
 
 // try asks one of the two instances of a ticket.
@@ -91,7 +94,10 @@
 	}
 	return func(ctx context.Context) exchange.Answer {
 		r := r
-		r.Remaining = time.Until(r.Deadline)
+		remaining := time.Until(r.Deadline)
+		reply := min(remaining/replyShare, replyShareMost)
+		r.Deadline = r.Deadline.Add(-reply)
+		r.Remaining = remaining - reply
 		a, err := c.relay.Call(ctx, to, role, r)
 		switch {
 		case err == nil:
