--- /dev/null
+++ b/coord/claim/bench_test.go
@@ -0,0 +1,175 @@
+package claim
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+)
+
+// benchTicket names instances with ids of a usual length.
+func benchTicket(i int) Ticket {
+	return Ticket{
+		Fleet:   "qalqan",
+		Home:    fleet.Ref{ID: "entry-almaty1-017", Incarnation: 1_772_000_000_000},
+		Witness: fleet.Ref{ID: "entry-almaty2-023", Incarnation: 1_772_000_000_001},
+		Service: "cutting-orders",
+		Account: fleet.Account("shop-" + strconv.Itoa(10_000+i)),
+		Expires: testExpiry,
+	}
+}
+
+// order runs one order through a home and a witness and returns the messages and their bytes.
+func order(b *testing.B, home, witness *Machine, now time.Time, s Submission, encode bool) (messages, size int) {
+	effects := home.Submit(now, RoleHome, s)
+	at := home
+	for len(effects) > 0 {
+		effect := effects[0]
+		effects = effects[1:]
+		switch effect := effect.(type) {
+		case Send:
+			messages++
+			msg := effect.Message
+			if encode {
+				size += through(b, &msg)
+			}
+			msg.Ticket = s.Ticket
+			from := at.self
+			at = home
+			if effect.To == witness.self {
+				at = witness
+			}
+			effects = append(effects, at.Deliver(now, from, msg)...)
+		case Dispatch:
+			effects = append(effects, home.Finish(now, s.Key, Outcome{Result: ResultAnswered, Answer: bytes.Clone(benchAnswer)})...)
+			at = home
+		}
+	}
+	return messages, size
+}
+
+// benchAnswer is an answer of the length of a small order confirmation with its headers.
+var benchAnswer = make([]byte, 300)
+
+// through encodes and decodes a message and returns its bytes.
+func through(b *testing.B, msg *Message) int {
+	data, err := cbor.Marshal(msg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var received Message
+	if err := cbor.Unmarshal(data, &received); err != nil {
+		b.Fatal(err)
+	}
+	*msg = received
+	return len(data)
+}
+
+func benchmarkOrders(b *testing.B, encode bool) {
+	ticket := benchTicket(0)
+	text := signedBy(b, ringOf(b, oldKey), ticket)
+	limits := Limits{MaxKeys: 1 << 30, MaxBytes: 1 << 40}
+	home, witness := NewMachine(ticket.Home, limits), NewMachine(ticket.Witness, limits)
+	now := testStart
+	messages, size := 0, 0
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		s := Submission{Key: Key{Ticket: text, Unique: strconv.Itoa(i)}, Ticket: ticket, Deadline: now.Add(time.Second)}
+		m, n := order(b, home, witness, now, s, encode)
+		messages += m
+		size += n
+	}
+	b.ReportMetric(float64(messages)/float64(b.N), "messages/order")
+	if encode {
+		b.ReportMetric(float64(size)/float64(b.N), "wire-bytes/order")
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "orders/s")
+}
+
+// BenchmarkOrder is the decisions of both instances for one order.
+func BenchmarkOrder(b *testing.B) { benchmarkOrders(b, false) }
+
+// BenchmarkOrderOnWire adds the encoding and decoding of the messages.
+func BenchmarkOrderOnWire(b *testing.B) { benchmarkOrders(b, true) }
+
+func BenchmarkSign(b *testing.B) {
+	ring, ticket := ringOf(b, oldKey), benchTicket(0)
+	b.ReportAllocs()
+	var text string
+	for b.Loop() {
+		text = signedBy(b, ring, ticket)
+	}
+	b.ReportMetric(float64(len(text)), "ticket-bytes")
+}
+
+func BenchmarkOpen(b *testing.B) {
+	ring := ringOf(b, oldKey)
+	text := signedBy(b, ring, benchTicket(0))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := ring.Open(text); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkTick is a tick over a table whose keys are all settled.
+func BenchmarkTick(b *testing.B) {
+	for _, keys := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(keys), func(b *testing.B) {
+			home, _ := filled(b, keys, 4)
+			for b.Loop() {
+				home.Tick(testStart)
+			}
+		})
+	}
+}
+
+// filled returns a home and a witness that hold settled keys, so many of each ticket.
+func filled(b *testing.B, keys, perTicket int) (home, witness *Machine) {
+	limits := Limits{MaxKeys: 1 << 30, MaxBytes: 1 << 40}
+	home, witness = NewMachine(benchTicket(0).Home, limits), NewMachine(benchTicket(0).Witness, limits)
+	ring := ringOf(b, oldKey)
+	for i := 0; i < keys; i += perTicket {
+		ticket := benchTicket(i)
+		text := signedBy(b, ring, ticket)
+		for j := range perTicket {
+			s := Submission{Key: Key{Ticket: text, Unique: fmt.Sprintf("order-%08d-%d", i, j)}, Ticket: ticket, Deadline: testStart.Add(time.Second)}
+			order(b, home, witness, testStart, s, true)
+		}
+	}
+	return home, witness
+}
+
+// BenchmarkTableBytes reports the heap that one key takes at one instance, answer included,
+// against the table's own estimate.
+func BenchmarkTableBytes(b *testing.B) {
+	const keys = 40_000
+	for _, perTicket := range []int{1, 4, 40} {
+		b.Run(fmt.Sprint(perTicket, "-per-ticket"), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				home, witness := filled(b, keys, perTicket)
+				used := heap() - before
+				b.ReportMetric(float64(used)/2/keys, "heap-bytes/key")
+				b.ReportMetric(float64(home.Bytes())/keys, "estimated-bytes/key")
+				runtime.KeepAlive(home)
+				runtime.KeepAlive(witness)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- a/coord/claim/exhaustive_test.go
+++ b/coord/claim/exhaustive_test.go
@@ -30,9 +30,11 @@
 	machines   [2]*Machine // Nil once crashed.
 	late       [2]bool     // The ticket has expired by the clock of the side.
 	sent       []Send      // Each different message once.
-	started    int
+	started    [2]int
 	mayHaveRun bool // A dispatch has not been finished as not run.
 	saidNotRun bool
+	ranLate    bool    // Dispatched where the ticket had expired.
+	saidNotMe  [2]bool // The side has told its callers that it will not run the key.
 }
 
 func newExhaustive(s shortcuts) *exhaustive {
@@ -90,23 +92,23 @@
 	switch ev.what {
 	case "submit":
 		s := Submission{Key: oneKey, Ticket: oneTicket, Deadline: now.Add(time.Minute)}
-		x.note(m.Submit(now, Role(ev.side+1), s))
+		x.note(ev.side, m.Submit(now, Role(ev.side+1), s))
 	case "give up":
-		x.note(m.GiveUp(now, oneKey))
+		x.note(ev.side, m.GiveUp(now, oneKey))
 	case "stop":
-		x.note(m.Stop(now))
+		x.note(ev.side, m.Stop(now))
 	case "expire":
 		x.late[ev.side] = true
-		x.note(m.Tick(x.now(ev.side)))
+		x.note(ev.side, m.Tick(x.now(ev.side)))
 	case "crash":
 		x.machines[ev.side] = nil
 	case "answered":
-		x.note(m.Finish(now, oneKey, Outcome{Result: ResultAnswered, Answer: []byte("a")}))
+		x.note(ev.side, m.Finish(now, oneKey, Outcome{Result: ResultAnswered, Answer: []byte("a")}))
 	case "unknown":
-		x.note(m.Finish(now, oneKey, Outcome{Result: ResultUnknown, Reason: ReasonNoAnswer}))
+		x.note(ev.side, m.Finish(now, oneKey, Outcome{Result: ResultUnknown, Reason: ReasonNoAnswer}))
 	case "not run":
 		x.mayHaveRun = false
-		x.note(m.Finish(now, oneKey, Outcome{Result: ResultNotRun, Reason: ReasonShed}))
+		x.note(ev.side, m.Finish(now, oneKey, Outcome{Result: ResultNotRun, Reason: ReasonShed}))
 	}
 }
 
@@ -118,12 +120,12 @@
 		from, side = witnessRef, sideHome
 	}
 	if m := x.machines[side]; m != nil {
-		x.note(m.Deliver(x.now(side), from, msg))
+		x.note(side, m.Deliver(x.now(side), from, msg))
 	}
 }
 
 // note records effects.
-func (x *exhaustive) note(effects []Effect) {
+func (x *exhaustive) note(side int, effects []Effect) {
 	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case Send:
@@ -131,24 +133,32 @@
 				x.sent = append(x.sent, effect)
 			}
 		case Dispatch:
-			x.started++
+			x.started[side]++
+			x.ranLate = x.ranLate || x.late[side]
 			x.mayHaveRun = true
 		case Answer:
 			x.saidNotRun = x.saidNotRun || effect.Outcome.Result == ResultNotRun
 		}
 	}
-	for _, m := range x.machines {
-		if m != nil && m.Lookup(testStart, oneKey).Result == ResultNotRun {
-			x.saidNotRun = true
+	for side, m := range x.machines {
+		if m == nil {
+			continue
 		}
+		o := m.Lookup(testStart, oneKey)
+		x.saidNotRun = x.saidNotRun || o.Result == ResultNotRun
+		x.saidNotMe[side] = x.saidNotMe[side] || o.Reason == ReasonPeerGone
 	}
 }
 
 // fault names the promise that is broken, or is empty.
 func (x *exhaustive) fault() string {
 	switch {
-	case x.started > 1:
+	case x.started[sideHome]+x.started[sideWitness] > 1:
 		return "dispatched twice"
+	case x.saidNotMe[sideHome] && x.started[sideHome] > 0, x.saidNotMe[sideWitness] && x.started[sideWitness] > 0:
+		return "dispatched where it was said not to be"
+	case x.ranLate:
+		return "dispatched after the ticket expired"
 	case x.saidNotRun && x.mayHaveRun:
 		return "said not run of a key that may have run"
 	default:
@@ -195,7 +205,8 @@
 	sides                  [2]sideID
 	late                   [2]bool
 	sent                   uint64 // One bit for each message of seen.
-	started                int
+	started                [2]int
+	saidNotMe              [2]bool
 	mayHaveRun, saidNotRun bool
 }
 
@@ -216,7 +227,7 @@
 func (ex *explorer) stateOf(x *exhaustive) stateID {
 	id := stateID{
 		sides: [2]sideID{sideOf(x.machines[sideHome]), sideOf(x.machines[sideWitness])},
-		late:  x.late, started: x.started, mayHaveRun: x.mayHaveRun, saidNotRun: x.saidNotRun,
+		late:  x.late, started: x.started, saidNotMe: x.saidNotMe, mayHaveRun: x.mayHaveRun, saidNotRun: x.saidNotRun,
 	}
 	for _, s := range x.sent {
 		bit, ok := ex.bits[sentOf(s)]
--- a/coord/claim/keyring_test.go
+++ b/coord/claim/keyring_test.go
@@ -183,12 +183,12 @@
 			x.step(event{what: ev, side: side})
 		}
 		state := sideOf(x.machines[side]).state
-		x.note(x.machines[side].Deliver(testStart, x.machines[1-side].self, msg))
+		x.note(side, x.machines[side].Deliver(testStart, x.machines[1-side].self, msg))
 		after := sideOf(x.machines[side]).state
 		if (state == stateSealed || state == stateDone || state == stateRunning) && state != after {
 			t.Fatalf("message %+v moved state %d to %d", msg, state, after)
 		}
-		if x.started > 1 {
+		if x.started[side] > 1 {
 			t.Fatalf("message %+v dispatched again", msg)
 		}
 	})
--- a/coord/claim/machine_test.go
+++ b/coord/claim/machine_test.go
@@ -188,6 +188,18 @@
 	}
 }
 
+// A witness whose clock is ahead may refuse a doubled claim that it has granted before.
+func TestRefusalAfterTheGrantChangesNothing(t *testing.T) {
+	p := newPair(t, Limits{})
+	p.submit(homeRef, "u")
+	late := Message{Kind: MessageRefuse, Key: Key{Ticket: "t", Unique: "u"}, Outcome: Outcome{Result: ResultRefused, Reason: ReasonExpired}}
+	p.apply(homeRef, p.machines[homeRef].Deliver(p.now, witnessRef, late))
+	p.finish(homeRef, "u", Outcome{Result: ResultAnswered})
+	if o := p.lastAnswer(); o.Result != ResultAnswered {
+		t.Fatalf("answer %+v", o)
+	}
+}
+
 func TestFullWitnessGrantsNothing(t *testing.T) {
 	p := newPair(t, Limits{MaxKeys: 1})
 	w := p.machines[witnessRef]
--- a/coord/claim/table.go
+++ b/coord/claim/table.go
@@ -15,8 +15,8 @@
 
 // Estimated bytes that the table needs besides the texts and answers.
 const (
-	entryOverheadBytes = 288
-	bookOverheadBytes  = 320
+	entryOverheadBytes = 224
+	bookOverheadBytes  = 240
 )
 
 // book holds the keys of one ticket; they expire together.
--- a/internal/claims/fleet_test.go
+++ b/internal/claims/fleet_test.go
@@ -19,11 +19,13 @@
 	"github.com/damaskcove/damaskcove/internal/wire"
 )
 
+// hopTime is the time of a message from one instance to another.
 const hopTime = time.Millisecond
 
 // testFleet is a home, a witness and a third instance with links that can be cut one way.
 type testFleet struct {
-	t     *testing.T
+	t     testing.TB
+	hop   time.Duration
 	mu    sync.Mutex
 	nodes map[fleet.Ref]*testNode
 	cut   map[[2]fleet.InstanceID]bool // From, to.
@@ -51,18 +53,7 @@
 // inFleet runs a test on a fleet in a bubble with a clock of its own.
 func inFleet(t *testing.T, limits claim.Limits, test func(f *testFleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &testFleet{
-			t:     t,
-			nodes: make(map[fleet.Ref]*testNode),
-			cut:   make(map[[2]fleet.InstanceID]bool),
-			down:  make(map[fleet.InstanceID]bool),
-		}
-		f.run = func(_ context.Context, r exchange.Request) exchange.Answer {
-			return exchange.Answer{Status: 201, Body: append([]byte("ran "), r.Body...), Code: result.CodeAnswered, Execution: result.Ran}
-		}
-		for _, ref := range []fleet.Ref{home, witness, third} {
-			f.start(ref, limits)
-		}
+		f := newFleet(t, hopTime, limits)
 		test(f)
 		time.Sleep(time.Minute) // Past every deadline.
 		for _, n := range f.nodes {
@@ -72,7 +63,24 @@
 	})
 }
 
-func ring(t *testing.T, keys ...claim.SigningKey) *claim.Keyring {
+func newFleet(t testing.TB, hop time.Duration, limits claim.Limits) *testFleet {
+	f := &testFleet{
+		t:     t,
+		hop:   hop,
+		nodes: make(map[fleet.Ref]*testNode),
+		cut:   make(map[[2]fleet.InstanceID]bool),
+		down:  make(map[fleet.InstanceID]bool),
+	}
+	f.run = func(_ context.Context, r exchange.Request) exchange.Answer {
+		return exchange.Answer{Status: 201, Body: append([]byte("ran "), r.Body...), Code: result.CodeAnswered, Execution: result.Ran}
+	}
+	for _, ref := range []fleet.Ref{home, witness, third} {
+		f.start(ref, limits)
+	}
+	return f
+}
+
+func ring(t testing.TB, keys ...claim.SigningKey) *claim.Keyring {
 	t.Helper()
 	r, err := claim.NewKeyring(keys)
 	if err != nil {
@@ -130,7 +138,7 @@
 		n.f.t.Errorf("encode: %v", err)
 	}
 	go func() {
-		time.Sleep(hopTime)
+		time.Sleep(n.f.hop)
 		e, err := wire.Decode(data)
 		if err != nil {
 			n.f.t.Errorf("decode: %v", err)
@@ -155,7 +163,7 @@
 	}
 	reply := make(chan exchange.Answer, 1)
 	go func() {
-		time.Sleep(hopTime)
+		time.Sleep(n.f.hop)
 		if !n.f.passes(n.ref, to) {
 			return
 		}
