A retry that waits goes to an endpoint it has not tried

A retry that found no free slot was served from the front of the queue and took the slot that its own failed attempt had just freed. Retries that wait now have a list of their own: they take only endpoints they have not tried, hold no slot back from others, and end with the former outcome when no such endpoint is left.

--- a/coord/routing/balancer.go
+++ b/coord/routing/balancer.go
@@ -21,7 +21,8 @@
 	endpoints []*endpoint
 	byName    map[fleet.Endpoint]*endpoint
 	requests  map[uint64]*request
-	queue     fairQueue
+	queue     fairQueue  // Requests that wait for their first attempt.
+	retries   []*request // Requests that wait for an endpoint they have not tried, oldest first.
 	wakes     wakeHeap
 	budget    retryBudget
 	latencies latencyWindowed
@@ -76,8 +77,8 @@
 	if r == nil || r.ended {
 		return nil
 	}
-	if r.waitsIn != nil {
-		b.shed(now, r, RejectCancelled)
+	if r.waits() {
+		b.shed(r, RejectCancelled)
 		return b.takeEffects()
 	}
 	r.stopped = true
@@ -100,7 +101,7 @@
 		return time.Time{}, false
 	}
 	at := b.wakes[0].wakeAt
-	if step := now.Add(rampStep); b.queue.count > 0 && b.anyRamping(now) && step.Before(at) {
+	if step := now.Add(rampStep); b.waiting() > 0 && b.anyRamping(now) && step.Before(at) {
 		at = step
 	}
 	return at, true
@@ -126,7 +127,7 @@
 
 // dueTrial returns an endpoint on trial that r may be sent to beside its ordinary attempt.
 func (b *Balancer) dueTrial(now time.Time, r *request) *endpoint {
-	if !r.Idempotent || b.queue.count > 0 || b.cfg.MaxAttempts < 2 {
+	if !r.Idempotent || b.waiting() > 0 || b.cfg.MaxAttempts < 2 {
 		return nil
 	}
 	for _, e := range b.endpoints {
--- a/coord/routing/behavior_test.go
+++ b/coord/routing/behavior_test.go
@@ -272,14 +272,36 @@
 	}
 }
 
-func TestRetryThatWaitsIsPaidOnce(t *testing.T) {
+func TestRetryWaitsForAnotherEndpoint(t *testing.T) {
 	b := newTestBalancer(Config{RetryShare: 0.5, RetryBurst: 2, HedgeQuantile: -1},
 		target(endpointA, 1, StandingOpen), target(endpointB, 1, StandingOpen))
+	first := one[Dispatch](t, b.Submit(testStart, lookup(1)))
+	second := one[Dispatch](t, b.Submit(testStart, lookup(2)))
+	if got := b.Finish(testStart, 1, 1, AttemptBroken, 0); len(got) != 0 {
+		t.Fatalf("the retry did not wait: %+v", got)
+	}
+	third := one[Dispatch](t, b.Submit(testStart, lookup(3)))
+	if third.Endpoint != first.Endpoint {
+		t.Fatalf("the free slot on %s was kept from others: %+v", first.Endpoint, third)
+	}
+	retry := one[Dispatch](t, b.Finish(testStart, 2, 1, AttemptAnswered, time.Millisecond))
+	if retry.ID != 1 || retry.Attempt != 2 || retry.Endpoint != second.Endpoint {
+		t.Fatalf("retried %+v", retry)
+	}
+	if b.budget.balance != 1.5 {
+		t.Fatalf("balance %f after a burst of 2, a retry and one request more", b.budget.balance)
+	}
+}
+
+func TestRetryThatCannotBeSentDeliversTheFormerOutcome(t *testing.T) {
+	b := newTestBalancer(Config{RetryShare: 0.5, HedgeQuantile: -1},
+		target(endpointA, 1, StandingOpen), target(endpointB, 1, StandingOpen))
 	b.Submit(testStart, lookup(1))
-	b.Submit(testStart, lookup(2))
-	b.Finish(testStart, 1, 1, AttemptNotSent, 0)
-	if b.queue.count != 0 || b.budget.balance != 1 {
-		t.Fatalf("%d wait, balance %f; want a retry on the freed endpoint's neighbor or a wait", b.queue.count, b.budget.balance)
+	second := one[Dispatch](t, b.Submit(testStart, lookup(2)))
+	b.Finish(testStart, 1, 1, AttemptBroken, 0)
+	effects := b.Leave(testStart, second.Endpoint)
+	if d := one[Deliver](t, effects); d.ID != 1 || d.Attempt != 1 || len(effects) != 1 {
+		t.Fatalf("effects %+v", effects)
 	}
 }
 
--- a/coord/routing/model_test.go
+++ b/coord/routing/model_test.go
@@ -319,8 +319,8 @@
 			m.t.Fatalf("request %d ended %d times", id, r.ends)
 		}
 	}
-	if len(m.b.requests) != 0 || len(m.b.wakes) != 0 || m.b.queue.count != 0 {
-		m.t.Fatalf("the balancer holds %d requests, %d wakes, %d waiting at the end", len(m.b.requests), len(m.b.wakes), m.b.queue.count)
+	if len(m.b.requests) != 0 || len(m.b.wakes) != 0 || m.b.waiting() != 0 {
+		m.t.Fatalf("the balancer holds %d requests, %d wakes, %d waiting at the end", len(m.b.requests), len(m.b.wakes), m.b.waiting())
 	}
 	if _, ok := m.b.NextWake(m.now); ok {
 		m.t.Fatalf("the balancer asks to be woken without a request")
--- a/coord/routing/property_test.go
+++ b/coord/routing/property_test.go
@@ -73,7 +73,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"push": func(t *rapid.T) {
 				r := &request{Request: Request{Account: fleet.Account(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "account"))}}
-				q.push(r, rapid.Float64Range(1, 4).Draw(t, "weight"), rapid.Bool().Draw(t, "front"))
+				q.push(r, rapid.Float64Range(1, 4).Draw(t, "weight"))
 				waiting = append(waiting, r)
 			},
 			"serve": func(*rapid.T) {
--- a/coord/routing/queue.go
+++ b/coord/routing/queue.go
@@ -28,8 +28,8 @@
 	return fairQueue{accounts: make(map[fleet.Account]*accountQueue), purgeAt: purgeMin}
 }
 
-// push adds a request at its account's end, or at its front.
-func (q *fairQueue) push(r *request, weight float64, front bool) {
+// push adds a request at its account's end.
+func (q *fairQueue) push(r *request, weight float64) {
 	a := q.accounts[r.Account]
 	if a == nil {
 		a = &accountQueue{account: r.Account}
@@ -40,7 +40,7 @@
 		a.virtualTime = max(a.virtualTime, q.virtualTime)
 		q.active = append(q.active, a)
 	}
-	a.insert(r, front)
+	a.insert(r)
 	r.waitsIn = a
 	q.count++
 }
@@ -138,20 +138,15 @@
 	return float64(a.count-1) / a.weight
 }
 
-func (a *accountQueue) insert(r *request, front bool) {
+func (a *accountQueue) insert(r *request) {
 	a.count++
-	switch {
-	case a.head == nil:
+	if a.head == nil {
 		a.head, a.tail = r, r
-	case front:
-		r.after = a.head
-		a.head.before = r
-		a.head = r
-	default:
-		r.before = a.tail
-		a.tail.after = r
-		a.tail = r
+		return
 	}
+	r.before = a.tail
+	a.tail.after = r
+	a.tail = r
 }
 
 func (a *accountQueue) unlink(r *request) {
--- a/coord/routing/request.go
+++ b/coord/routing/request.go
@@ -43,13 +43,17 @@
 	stopped  bool // Its caller is gone or its deadline has passed: nothing more is sent.
 	hedgeAt  time.Time
 
-	waitsIn       *accountQueue // Nil unless it waits.
-	before, after *request      // Neighbors in the account's queue.
+	waitsIn       *accountQueue // Nil unless it waits for its first attempt.
+	waitsToRetry  bool
+	before, after *request // Neighbors in the account's queue.
 
 	wakeAt    time.Time
 	wakeIndex int // Position in the wake heap; -1 when absent.
 }
 
+// waits reports whether the request waits for an endpoint.
+func (r *request) waits() bool { return r.waitsIn != nil || r.waitsToRetry }
+
 // tried reports whether an attempt of the request went to e.
 func (r *request) tried(e *endpoint) bool {
 	for i := range r.attempts {
--- a/coord/routing/running.go
+++ b/coord/routing/running.go
@@ -69,8 +69,10 @@
 		b.dispatch(now, r, e, false)
 		return true
 	}
-	if b.queue.count < b.cfg.QueueLimit {
-		b.enqueue(now, r, b.cfg.weight(r.Account), true)
+	if b.waiting() < b.cfg.QueueLimit {
+		r.waitsToRetry = true
+		b.retries = append(b.retries, r)
+		b.scheduleWaiting(now, r)
 		return true
 	}
 	b.budget.refund()
@@ -116,9 +118,9 @@
 // wake looks at a request whose wake time has come.
 func (b *Balancer) wake(now time.Time, r *request) {
 	switch {
-	case r.waitsIn != nil && b.hopeless(now, r):
-		b.shed(now, r, RejectDeadline)
-	case r.waitsIn != nil:
+	case r.waits() && b.hopeless(now, r):
+		b.shed(r, RejectDeadline)
+	case r.waits():
 		b.scheduleWaiting(now, r)
 	case !now.Before(r.Deadline):
 		r.stopped = true
@@ -133,7 +135,7 @@
 func (b *Balancer) hedge(now time.Time, r *request) {
 	r.hedgeAt = time.Time{}
 	b.scheduleRunning(r)
-	if r.running != 1 || r.stopped || r.ended || b.queue.count > 0 || b.hopeless(now, r) {
+	if r.running != 1 || r.stopped || r.ended || b.waiting() > 0 || b.hopeless(now, r) {
 		return
 	}
 	if len(r.attempts) >= b.cfg.MaxAttempts {
--- a/coord/routing/selection.go
+++ b/coord/routing/selection.go
@@ -114,21 +114,15 @@
 	return b.pick()
 }
 
-// chooseAny returns an endpoint with a free slot, or nil.
-func (b *Balancer) chooseAny(now time.Time) *endpoint {
-	b.collect(now, nil)
-	return b.pick()
-}
-
-// collect gathers the candidates, apart for this instance's zone and for others.
-func (b *Balancer) collect(now time.Time, except *request) {
+// collect gathers the candidates for r, apart for this instance's zone and for others.
+func (b *Balancer) collect(now time.Time, r *request) {
 	b.near, b.far = b.near[:0], b.far[:0]
 	for i, e := range b.endpoints {
 		if !e.usable() {
 			continue
 		}
 		limit := e.limit(now, b.cfg.SlowStart)
-		if e.outstanding >= limit || (except != nil && except.tried(e)) {
+		if e.outstanding >= limit || r.tried(e) {
 			continue
 		}
 		c := e.candidate(now, i, limit, b.cfg.SlowStart)
--- a/coord/routing/waiting.go
+++ b/coord/routing/waiting.go
@@ -1,23 +1,25 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// waiting returns how many requests wait for an endpoint.
+func (b *Balancer) waiting() int { return b.queue.count + len(b.retries) }
 
 // wait puts r in the queue, or sheds a request when the queue is full.
 func (b *Balancer) wait(now time.Time, r *request) {
 	weight := b.cfg.weight(r.Account)
-	if b.queue.count >= b.cfg.QueueLimit {
+	if b.waiting() >= b.cfg.QueueLimit {
 		victim := b.queue.victim(r.Account, weight)
 		if victim == nil {
 			b.end(r, RejectQueueFull)
 			return
 		}
-		b.shed(now, victim, RejectQueueFull)
+		b.shed(victim, RejectQueueFull)
 	}
-	b.enqueue(now, r, weight, false)
-}
-
-func (b *Balancer) enqueue(now time.Time, r *request, weight float64, front bool) {
-	b.queue.push(r, weight, front)
+	b.queue.push(r, weight)
 	b.scheduleWaiting(now, r)
 }
 
@@ -36,11 +38,21 @@
 }
 
 // shed takes r out of the queue and ends it.
-func (b *Balancer) shed(_ time.Time, r *request, reason RejectReason) {
-	b.queue.remove(r)
+func (b *Balancer) shed(r *request, reason RejectReason) {
+	if r.waitsToRetry {
+		b.leaveRetries(r)
+	} else {
+		b.queue.remove(r)
+	}
 	b.end(r, reason)
 }
 
+func (b *Balancer) leaveRetries(r *request) {
+	r.waitsToRetry = false
+	i := slices.Index(b.retries, r)
+	b.retries = slices.Delete(b.retries, i, i+1)
+}
+
 // end ends a request with nothing under way: with what an earlier attempt told, if there was one.
 func (b *Balancer) end(r *request, reason RejectReason) {
 	if best := r.best(); best > 0 {
@@ -51,43 +63,51 @@
 	b.release(r)
 }
 
-// pump gives free slots to the requests that wait, in fair order.
+// pump gives free slots to the requests that wait: first to retries, which the budget
+// bounds, then to the others in fair order.
 func (b *Balancer) pump(now time.Time) {
+	b.pumpRetries(now)
 	for {
 		r := b.queue.next()
 		if r == nil {
 			return
 		}
 		if b.hopeless(now, r) {
-			b.shed(now, r, RejectDeadline)
+			b.shed(r, RejectDeadline)
 			continue
 		}
-		if !b.resume(now, r) {
+		if !b.start(now, r) {
 			return
 		}
 		b.queue.served(r)
 	}
 }
 
-// resume sends the next attempt of a request that waits and reports whether there was a free slot.
-func (b *Balancer) resume(now time.Time, r *request) bool {
-	if len(r.attempts) == 0 {
-		return b.start(now, r)
-	}
-	e := b.choose(now, r)
-	if e == nil {
-		e = b.chooseAny(now)
-	}
-	if e == nil {
-		return false
+// pumpRetries sends the retries that wait and whose deadline leaves time. One for which
+// every endpoint that it has not tried is gone ends.
+func (b *Balancer) pumpRetries(now time.Time) {
+	for i := 0; i < len(b.retries); {
+		r := b.retries[i]
+		if b.hopeless(now, r) || !b.anyUntried(r) {
+			b.shed(r, RejectDeadline)
+			continue
+		}
+		e := b.choose(now, r)
+		if e == nil {
+			i++
+			continue
+		}
+		b.leaveRetries(r)
+		b.dispatch(now, r, e, false)
 	}
-	b.dispatch(now, r, e, false)
-	return true
 }
 
 // rejectWaiting ends every request that waits.
 func (b *Balancer) rejectWaiting(now time.Time, reason RejectReason) {
+	for len(b.retries) > 0 {
+		b.shed(b.retries[0], reason)
+	}
 	for r := b.queue.next(); r != nil; r = b.queue.next() {
-		b.shed(now, r, reason)
+		b.shed(r, reason)
 	}
 }
--- a/internal/dispatch/answer_test.go
+++ b/internal/dispatch/answer_test.go
@@ -121,6 +121,7 @@
 		{"bad length", "HTTP/1.1 200 OK\r\nContent-Length: ten\r\n\r\nabc", result.CodeAnswerMalformed},
 		{"bad chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n", result.CodeAnswerMalformed},
 		{"not final", "HTTP/1.1 103 Early Hints\r\n\r\n" + ok("abc"), result.CodeAnswerMalformed},
+		{"not final, alone", "HTTP/1.1 103 Early Hints\r\n\r\n", result.CodeAnswerMalformed},
 		{"bytes after the end", ok("abc") + ok("of another"), result.CodeAnswerMalformed},
 		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nContent-Length: 3\r\n\r\nabcdefghi", result.CodeAnswerMalformed},
 		{"too large", ok(big), result.CodeAnswerMalformed},
