An endpoint slower than its peers scores worse

Cause: with a share of the slots as limit, own work tells little of an endpoint that is ten times slower than its peers. Change: the score grows with the excess of the endpoint's mean latency over that of all, which fades without answers.

--- a/coord/routing/balancer.go
+++ b/coord/routing/balancer.go
@@ -26,6 +26,7 @@
 	wakes     wakeHeap
 	budget    retryBudget
 	latencies latencyWindowed
+	latency   latencyMean // Over all endpoints.
 	free      []*request
 	near, far []Candidate
 	effects   []Effect
--- a/coord/routing/endpoint.go
+++ b/coord/routing/endpoint.go
@@ -25,6 +25,7 @@
 	nextTrial   time.Time
 	failures    float64
 	failedAt    time.Time
+	latency     latencyMean
 	listed      bool
 }
 
@@ -104,8 +105,9 @@
 }
 
 // candidate describes the endpoint to a policy.
-func (e *endpoint) candidate(now time.Time, index, limit int, slowStart time.Duration) Candidate {
+func (e *endpoint) candidate(now time.Time, index, limit int, slowStart time.Duration, all *latencyMean) Candidate {
 	score := float64(e.outstanding+1) / float64(max(limit, 1))
+	score *= 1 + e.latency.excess(now, all)
 	score += loadWeight * e.load(now)
 	score += failureWeight * e.recentFailures(now)
 	score += coldWeight * (1 - e.ramp(now, slowStart))
--- a/coord/routing/policy.go
+++ b/coord/routing/policy.go
@@ -10,7 +10,7 @@
 type Candidate struct {
 	Endpoint    fleet.Endpoint
 	Outstanding int     // Attempts under way from this instance.
-	Score       float64 // Estimated cost: own utilization, reported load, recent failures and slow start. Lower is better.
+	Score       float64 // Estimated cost: own utilization times slowness, reported load, recent failures and slow start. Lower is better.
 	index       int
 }
 
--- a/coord/routing/running.go
+++ b/coord/routing/running.go
@@ -31,12 +31,12 @@
 	e.outstanding--
 	switch a.result {
 	case AttemptAnswered:
-		b.latencies.add(now, latency)
+		b.learn(now, e, latency)
 	case AttemptCancelled:
 		// An attempt that lost to its hedge took at least this long; without it
 		// the quantile would drift down as hedges hide the slow tail.
 		if r.ended && !a.hedge {
-			b.latencies.add(now, latency)
+			b.learn(now, e, latency)
 		}
 	default:
 		e.failed(now)
@@ -46,6 +46,13 @@
 	}
 }
 
+// learn takes the latency of an attempt.
+func (b *Balancer) learn(now time.Time, e *endpoint, latency time.Duration) {
+	b.latencies.add(now, latency)
+	b.latency.add(now, latency, slownessPeerStep)
+	e.latency.add(now, latency, slownessOwnStep)
+}
+
 // settle decides what follows the end of an attempt of a request that has not ended.
 func (b *Balancer) settle(now time.Time, r *request, number int) {
 	if r.attempts[number-1].result == AttemptAnswered {
--- a/coord/routing/selection.go
+++ b/coord/routing/selection.go
@@ -125,7 +125,7 @@
 		if e.outstanding >= limit || r.tried(e) {
 			continue
 		}
-		c := e.candidate(now, i, limit, b.cfg.SlowStart)
+		c := e.candidate(now, i, limit, b.cfg.SlowStart, &b.latency)
 		if b.cfg.Zone == "" || e.target.Upstream.Zone == b.cfg.Zone {
 			b.near = append(b.near, c)
 		} else {
