--- a/cmd/damaskcove/main.go
+++ b/cmd/damaskcove/main.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -106,16 +107,20 @@
 	}
 	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: s.Log.Level})).With("instance", s.Instance.ID)
 	tracer, flush, err := tracing.Start(ctx, tracing.Config{
-		Exporter: tracing.Exporter(s.Trace.Exporter),
-		URL:      s.Trace.URL,
-		Instance: string(s.Instance.ID),
-		Zone:     string(s.Instance.Zone),
-		Output:   os.Stdout,
+		Exporter:    tracing.Exporter(s.Trace.Exporter),
+		URL:         s.Trace.URL,
+		Instance:    string(s.Instance.ID),
+		Zone:        string(s.Instance.Zone),
+		Output:      os.Stdout,
+		SampleShare: s.Trace.SampleShare,
 	})
 	if err != nil {
 		return err
 	}
 	defer func() { flushSpans(flush, log) }()
+	if s.Limits.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(s.Limits.MemoryLimit))
+	}
 	store := client.New(s.Platform.Address, string(s.Instance.ID))
 	defer store.Close()
 	options := node.Options{Settings: s, Store: store, List: store, Log: log, Tracer: tracer, Seed: uint64(time.Now().UnixNano())}
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -30,7 +30,7 @@
 }
 
 func newLane(endpoint fleet.Endpoint, s Settings) *lane {
-	l := &lane{dialer: net.Dialer{Timeout: s.DialTimeout}}
+	l := &lane{dialer: net.Dialer{Timeout: s.DialTimeout, LocalAddr: localAddr(s.Outgoing)}}
 	l.client = &fasthttp.HostClient{
 		Addr:                          string(endpoint),
 		Dial:                          l.dial,
@@ -48,6 +48,15 @@
 	return l
 }
 
+// localAddr returns the address to connect from, or nil for the system's choice.
+func localAddr(ip string) net.Addr {
+	addr := net.ParseIP(ip)
+	if addr == nil {
+		return nil
+	}
+	return &net.TCPAddr{IP: addr}
+}
+
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
 
 // dial opens the lane's connection for the attempt under way.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -43,12 +43,16 @@
 
 // Config is what the server needs.
 type Config struct {
-	Listen       string // IP number and port.
-	MaxBodyBytes int
-	MaxInFlight  int64 // Requests without an answer, past which new ones are refused; 0 for no bound.
-	Tracer       trace.Tracer
-	Log          *slog.Logger
-	Wrap         func(net.Listener) net.Listener // Faults of callers' connections for tests; nil for none.
+	Listen         string // IP number and port.
+	MaxBodyBytes   int
+	MaxInFlight    int64         // Requests without an answer, past which new ones are refused; 0 for no bound.
+	MaxHeaderBytes int           // Of a request's head; 0 for headerBytes.
+	MaxConnections int           // Of callers; 0 for the library's bound.
+	IdleTimeout    time.Duration // Of callers' connections; 0 for idleTimeout.
+	ReadTimeout    time.Duration // Of one request from its first byte; 0 for none.
+	Tracer         trace.Tracer
+	Log            *slog.Logger
+	Wrap           func(net.Listener) net.Listener // Faults of callers' connections for tests; nil for none.
 }
 
 // Server answers callers.
@@ -73,12 +77,20 @@
 	if cfg.Wrap != nil {
 		listener = cfg.Wrap(listener)
 	}
+	if cfg.MaxHeaderBytes == 0 {
+		cfg.MaxHeaderBytes = headerBytes
+	}
+	if cfg.IdleTimeout == 0 {
+		cfg.IdleTimeout = idleTimeout
+	}
 	s := &Server{cfg: cfg, backend: backend, listener: listener, started: time.Now()}
 	s.app = fiber.New(fiber.Config{
 		DisableStartupMessage:        true,
 		BodyLimit:                    cfg.MaxBodyBytes,
-		ReadBufferSize:               headerBytes,
-		IdleTimeout:                  idleTimeout,
+		ReadBufferSize:               cfg.MaxHeaderBytes,
+		Concurrency:                  cfg.MaxConnections,
+		IdleTimeout:                  cfg.IdleTimeout,
+		ReadTimeout:                  cfg.ReadTimeout,
 		ErrorHandler:                 s.fail,
 		DisablePreParseMultipartForm: true,
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,12 +116,16 @@
 	}
 	var err error
 	n.entry, err = entry.New(entry.Config{
-		Listen:       s.Listen.Entry,
-		MaxBodyBytes: int(s.Limits.MaxBodyBytes),
-		MaxInFlight:  int64(s.Limits.MaxInFlight),
-		Tracer:       n.opts.Tracer,
-		Log:          n.log,
-		Wrap:         n.opts.Wrap,
+		Listen:         s.Listen.Entry,
+		MaxBodyBytes:   int(s.Limits.MaxBodyBytes),
+		MaxInFlight:    int64(s.Limits.MaxInFlight),
+		MaxHeaderBytes: int(s.Limits.MaxHeaderBytes),
+		MaxConnections: s.Limits.MaxConnections,
+		IdleTimeout:    s.Limits.IdleTimeout,
+		ReadTimeout:    s.Limits.ReadTimeout,
+		Tracer:         n.opts.Tracer,
+		Log:            n.log,
+		Wrap:           n.opts.Wrap,
 	}, n)
 	if err != nil {
 		return err
@@ -237,6 +241,7 @@
 		MaxAnswerBytes: int(s.Limits.MaxAnswerBytes),
 		DialTimeout:    s.Limits.UpstreamDial,
 		IdleTimeout:    s.Limits.UpstreamIdle,
+		Outgoing:       s.Listen.Outgoing,
 		Seed:           n.opts.Seed,
 	}, dispatch.Hooks{Observe: n.endpoints.Observe, Leaving: n.upstreamLeaving})
 	n.claims = claims.New(claims.Options{
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -86,16 +86,15 @@
 	o.Token = strings.TrimSpace(string(data))
 }
 
+// provision checks the certificates; the links read the files again when they change.
 func (p *Peer) provision(c *tomlfile.Collector, dir string) {
 	p.CertFile = resolve(dir, p.CertFile)
 	p.KeyFile = resolve(dir, p.KeyFile)
 	p.CAFile = resolve(dir, p.CAFile)
 	if p.CertFile != "" && p.KeyFile != "" {
-		certificate, err := tls.LoadX509KeyPair(p.CertFile, p.KeyFile)
-		if err != nil {
+		if _, err := tls.LoadX509KeyPair(p.CertFile, p.KeyFile); err != nil {
 			c.Add("peer.cert_file", p.CertFile, "with peer.key_file %s: %s", p.KeyFile, err)
 		}
-		p.Certificate = certificate
 	}
 	if p.CAFile == "" {
 		return
@@ -105,8 +104,7 @@
 		c.Add("peer.ca_file", p.CAFile, "%s", err)
 		return
 	}
-	p.CAs = x509.NewCertPool()
-	if !p.CAs.AppendCertsFromPEM(data) {
+	if !x509.NewCertPool().AppendCertsFromPEM(data) {
 		c.Add("peer.ca_file", p.CAFile, "holds no PEM certificate")
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,8 +1,6 @@
 package settings
 
 import (
-	"crypto/tls"
-	"crypto/x509"
 	"log/slog"
 	"time"
 
@@ -42,13 +40,12 @@
 	PeerAdvertised     string `toml:"peer_advertised"`
 	Operator           string `toml:"operator"` // For operators.
 	OperatorAdvertised string `toml:"operator_advertised"`
-	Outgoing           string `toml:"outgoing"` // IP number that connections to upstreams and peers come from; empty for the system's choice.
+	Outgoing           string `toml:"outgoing"` // IP number that connections to upstreams come from; empty for the system's choice.
 }
 
 // Platform says how to reach the platform.
 type Platform struct {
-	Address     string        `toml:"address"`      // IP number and port of the store and the list.
-	CallTimeout time.Duration `toml:"call_timeout"` // Of one call, a watch excepted.
+	Address string `toml:"address"` // IP number and port of the store and the list.
 }
 
 // Peer says how instances prove themselves to each other.
@@ -57,9 +54,6 @@
 	KeyFile   string `toml:"key_file"`  // PEM.
 	CAFile    string `toml:"ca_file"`   // PEM; signs the certificates of every instance.
 	Plaintext bool   `toml:"plaintext"` // No TLS; taken on loopback addresses only.
-
-	Certificate tls.Certificate `toml:"-"` // As read at the start.
-	CAs         *x509.CertPool  `toml:"-"` // As read at the start.
 }
 
 // Operator guards the operator endpoints.
@@ -104,7 +98,6 @@
 	ReadTimeout    time.Duration `toml:"read_timeout"`     // Of one request from its first byte.
 	UpstreamIdle   time.Duration `toml:"upstream_idle"`    // Of connections to upstreams.
 	UpstreamDial   time.Duration `toml:"upstream_dial"`    // Of connecting to an upstream.
-	UpstreamConns  int           `toml:"upstream_conns"`   // Connections to one endpoint.
 }
 
 // Stop bounds a planned stop.
@@ -134,8 +127,7 @@
 // Default returns the settings that hold where a file sets nothing.
 func Default() Settings {
 	return Settings{
-		Platform: Platform{CallTimeout: 2 * time.Second},
-		Tickets:  Tickets{Lifetime: 10 * time.Minute},
+		Tickets: Tickets{Lifetime: 10 * time.Minute},
 		Fleet: Fleet{
 			CarriersPerService: 12,
 			WatchersPerZone:    2,
@@ -153,7 +145,6 @@
 			ReadTimeout:    30 * time.Second,
 			UpstreamIdle:   30 * time.Second,
 			UpstreamDial:   500 * time.Millisecond,
-			UpstreamConns:  64,
 		},
 		Stop:  Stop{Timeout: 60 * time.Second},
 		Trace: Trace{Exporter: ExporterNone, SampleShare: 0.01},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -98,7 +98,6 @@
 outgoing = "here"
 [platform]
 address = "127.0.0.1:0"
-call_timeout = "0s"
 [peer]
 plaintext = true
 [operator]
@@ -130,7 +129,7 @@
 		got[f.Key] = true
 	}
 	for _, key := range []string{"instance.colour", "instance.id", "instance.zone", "listen.entry", "listen.entry_advertised", "listen.outgoing",
-		"platform.address", "platform.call_timeout", "peer.plaintext", "operator.token", "tickets.lifetime", "tickets.keys[0].secret",
+		"platform.address", "peer.plaintext", "operator.token", "tickets.lifetime", "tickets.keys[0].secret",
 		"tickets.keys[1].id", "tickets.keys[1].secret", "fleet.carriers_per_service", "limits.max_body", "limits.max_in_flight",
 		"stop.timeout", "trace.exporter", "trace.sample_share", "log.level"} {
 		if !got[key] {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -13,26 +13,25 @@
 
 // Bounds of settings.
 const (
-	MinSecretBytes       = 32 // Of a ticket key.
-	MinTokenBytes        = 16 // Of the operators' token.
-	MaxTicketKeys        = 8
-	MaxBodyBound         = 64 * tomlfile.MiB
-	MinTicketLifetime    = time.Minute
-	MaxTicketLifetime    = 24 * time.Hour
-	MinDiscoveryMaxAge   = time.Second
-	MaxDiscoveryMaxAge   = 10 * time.Minute
-	MaxStopTimeout       = time.Hour
-	MaxCarriers          = 1024
-	MaxWatchers          = 16
-	MaxEntriesPerAnswer  = 16
-	MaxConnectionsBound  = 1_000_000
-	MaxClaimKeysBound    = 10_000_000
-	maxNameBytes         = 64
-	shortestTimeout      = time.Millisecond
-	longestTimeout       = 10 * time.Minute
-	lowestHeaderBound    = 4 * tomlfile.KiB
-	highestHeaderBound   = 1 * tomlfile.MiB
-	highestUpstreamConns = 100_000
+	MinSecretBytes      = 32 // Of a ticket key.
+	MinTokenBytes       = 16 // Of the operators' token.
+	MaxTicketKeys       = 8
+	MaxBodyBound        = 64 * tomlfile.MiB
+	MinTicketLifetime   = time.Minute
+	MaxTicketLifetime   = 24 * time.Hour
+	MinDiscoveryMaxAge  = time.Second
+	MaxDiscoveryMaxAge  = 10 * time.Minute
+	MaxStopTimeout      = time.Hour
+	MaxCarriers         = 1024
+	MaxWatchers         = 16
+	MaxEntriesPerAnswer = 16
+	MaxConnectionsBound = 1_000_000
+	MaxClaimKeysBound   = 10_000_000
+	maxNameBytes        = 64
+	shortestTimeout     = time.Millisecond
+	longestTimeout      = 10 * time.Minute
+	lowestHeaderBound   = 4 * tomlfile.KiB
+	highestHeaderBound  = 1 * tomlfile.MiB
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
@@ -80,7 +79,6 @@
 
 func (p Platform) validate(c *tomlfile.Collector) {
 	remoteAddress(c, "platform.address", p.Address)
-	inRange(c, "platform.call_timeout", p.CallTimeout, shortestTimeout, longestTimeout)
 }
 
 func (s *Settings) validatePeer(c *tomlfile.Collector) {
@@ -153,7 +151,6 @@
 	inRange(c, "limits.read_timeout", l.ReadTimeout, shortestTimeout, longestTimeout)
 	inRange(c, "limits.upstream_idle", l.UpstreamIdle, shortestTimeout, longestTimeout)
 	inRange(c, "limits.upstream_dial", l.UpstreamDial, shortestTimeout, longestTimeout)
-	inRange(c, "limits.upstream_conns", l.UpstreamConns, 1, highestUpstreamConns)
 }
 
 func (t Trace) validate(c *tomlfile.Collector) {
--- a/internal/tracing/tracing.go
+++ b/internal/tracing/tracing.go
@@ -45,6 +45,9 @@
 	Instance string
 	Zone     string
 	Output   io.Writer // For ExporterStdout.
+	// SampleShare is the share of requests that are traced when they come without a
+	// trace context, 0 to 1; those that come with one follow it.
+	SampleShare float64
 }
 
 // Start returns a tracer and the function that sends what is left and stops it.
@@ -58,6 +61,7 @@
 	}
 	provider := sdktrace.NewTracerProvider(
 		sdktrace.WithBatcher(exporter),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(cfg.SampleShare))),
 		sdktrace.WithResource(resource.NewSchemaless(
 			semconv.ServiceName("damaskcove"),
 			semconv.ServiceInstanceID(cfg.Instance),
