--- a/cmd/damaskctl/apply.go
+++ b/cmd/damaskctl/apply.go
@@ -25,11 +25,12 @@
 	author    string
 	rebase    bool
 	wait      bool
+	all       bool
 }
 
 const applyHelp = `apply makes what you changed in the templates the configuration of the fleet. The change is accepted
 as a whole, or not at all. It touches only the templates that you changed since you last
-applied them, which the file beside them (.damaskctl-base.json) keeps.
+applied them, which the file beside them (.damaskctl-base.json.gz) keeps.
 
 When another operator has changed the same template in the meantime, nothing is written and
 you are told what they changed. Take that into your templates, look at "damaskctl diff",
@@ -58,6 +59,7 @@
 	c.Flags().StringVar(&f.changeID, "change-id", "", "ID of the change, to repeat an apply whose result is unknown")
 	c.Flags().StringVar(&f.author, "author", "", "your name, for other operators to see")
 	c.Flags().BoolVar(&f.rebase, "rebase", false, "compare with the store in place of what was last applied from here")
+	c.Flags().BoolVar(&f.all, "all", false, "show every difference")
 	c.Flags().BoolVar(&f.wait, "wait", false, "wait until every live instance reports the revision")
 	return c
 }
@@ -106,10 +108,10 @@
 	}
 	change := edit.Between(base, wanted)
 	change.Author = f.author
-	writeDifferences(w, "changes", rollout.Diff(base, wanted))
+	writeDifferences(w, "changes", rollout.Diff(base, wanted), f.all)
 	if change.Empty() {
 		_, _ = fmt.Fprintf(w, "nothing to change at revision %d\n", revisionOf(current))
-		return current, nil
+		return current, keepBase(path, wanted, current)
 	}
 	_, _ = fmt.Fprintf(w, "change ID: %s\n", f.changeID)
 	noted := &notingStore{Store: store}
@@ -118,7 +120,15 @@
 		return nil, noted.explain(err, f.changeID)
 	}
 	_, _ = fmt.Fprintf(w, "accepted as revision %d\n", accepted.Revision)
-	return accepted.Config, edit.WriteBase(edit.BaseFile(path), wanted, accepted.Config)
+	return accepted.Config, keepBase(path, wanted, accepted.Config)
+}
+
+// keepBase keeps the templates as the base of the next apply.
+func keepBase(path string, applied, accepted *rollout.Config) error {
+	if accepted == nil {
+		return nil
+	}
+	return edit.WriteBase(edit.BaseFile(path), applied, accepted)
 }
 
 // errNoBase says that it is not known what the operator started from.
--- a/cmd/damaskctl/apply_test.go
+++ b/cmd/damaskctl/apply_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -102,7 +103,7 @@
 	b.run("apply").want(t, exitConflict, "--rebase")
 	b.run("apply", "--rebase").want(t, exitDone, "nothing to change")
 	b.edit("floor_slots = 27", "floor_slots = 30")
-	b.run("apply", "--rebase").want(t, exitDone, "revision 2")
+	b.run("apply").want(t, exitDone, "revision 2")
 	a.edit("floor_slots = 27", "floor_slots = 21")
 	a.run("apply").want(t, exitConflict, "2201 config-conflict", "floor_slots: 27 -> 30")
 	a.run("diff").want(t, exitDone, "changed by others: 1")
@@ -196,3 +197,16 @@
 	ctl(context.Background(), "status", "--operator", address, "--report", "json").want(t, exitDone, `"revision":4`)
 	ctl(context.Background(), "explain", "/fabrics", "--account", "x", "--operator", address).want(t, exitDone, "carried here")
 }
+
+func TestManyDifferencesAreCutShort(t *testing.T) {
+	s := newStore(t)
+	var names []string
+	for i := range 2 * maxShown {
+		names = append(names, fmt.Sprintf("%q", fmt.Sprint("more-", i)))
+	}
+	s.edit("[accounts.tablets]", "[accounts.many]\ntemplate = \"tablet\"\nnames = ["+strings.Join(names, ", ")+"]\n[accounts.tablets]")
+	s.run("diff").want(t, exitDone, "more; --all shows them")
+	if got := s.run("diff", "--all"); strings.Count(got.stdout, "account more-") != 2*maxShown {
+		t.Fatalf("%s", got.stdout)
+	}
+}
--- a/cmd/damaskctl/diff.go
+++ b/cmd/damaskctl/diff.go
@@ -15,6 +15,7 @@
 
 func newDiff() *cobra.Command {
 	var store storeFlags
+	var all bool
 	c := &cobra.Command{
 		Use:   "diff TEMPLATES",
 		Short: "Show what apply would change, and what others have changed",
@@ -40,28 +41,36 @@
 			if err != nil {
 				return err
 			}
-			writeDiff(c.OutOrStdout(), base, current, set.Config())
+			writeDiff(c.OutOrStdout(), base, current, set.Config(), all)
 			return nil
 		},
 	}
 	store.add(c)
+	c.Flags().BoolVar(&all, "all", false, "show every difference")
 	return c
 }
 
-func writeDiff(w io.Writer, base, current, wanted *rollout.Config) {
+func writeDiff(w io.Writer, base, current, wanted *rollout.Config, all bool) {
 	_, _ = fmt.Fprintf(w, "store: revision %d\n", revisionOf(current))
 	if base == nil {
 		_, _ = fmt.Fprintln(w, "templates: not applied from here before; compared with the store")
-		writeDifferences(w, "would change", rollout.Diff(current, wanted))
+		writeDifferences(w, "would change", rollout.Diff(current, wanted), all)
 		return
 	}
-	writeDifferences(w, "changed here", rollout.Diff(base, wanted))
-	writeDifferences(w, "changed by others", rollout.Diff(base, current))
+	writeDifferences(w, "changed here", rollout.Diff(base, wanted), all)
+	writeDifferences(w, "changed by others", rollout.Diff(base, current), all)
 }
 
-func writeDifferences(w io.Writer, title string, differences []rollout.Difference) {
+// maxShown bounds the differences that are shown of one kind, unless all are asked for.
+const maxShown = 100
+
+func writeDifferences(w io.Writer, title string, differences []rollout.Difference, all bool) {
 	_, _ = fmt.Fprintf(w, "%s: %d\n", title, len(differences))
-	for _, d := range differences {
+	for i, d := range differences {
+		if i == maxShown && !all {
+			_, _ = fmt.Fprintf(w, "  and %d more; --all shows them\n", len(differences)-maxShown)
+			return
+		}
 		_, _ = fmt.Fprintln(w, "  "+d.String())
 	}
 }
--- a/internal/edit/edit.go
+++ b/internal/edit/edit.go
@@ -6,9 +6,12 @@
 package edit
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -18,6 +21,12 @@
 	"github.com/damaskcove/damaskcove/coord/rollout"
 )
 
+// maxBaseBytes bounds a base file once it is unpacked.
+const maxBaseBytes = 1 << 30
+
+// baseMode is the mode of base files.
+const baseMode = 0o600
+
 // Between returns the change that leads from base to wanted. base may be nil.
 func Between(base, wanted *rollout.Config) rollout.Change {
 	if base == nil {
@@ -65,23 +74,28 @@
 func BaseFile(templates string) string {
 	info, err := os.Stat(templates)
 	if err == nil && info.IsDir() {
-		return filepath.Join(templates, ".damaskctl-base.json")
+		return filepath.Join(templates, ".damaskctl-base.json.gz")
 	}
-	return templates + ".base.json"
+	return templates + ".base.json.gz"
 }
 
 // ReadBase reads a base file. It returns nil when there is none.
 func ReadBase(path string) (*rollout.Config, error) {
-	data, err := os.ReadFile(path)
+	file, err := os.Open(path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
 	if err != nil {
 		return nil, fmt.Errorf("read base: %w", err)
 	}
+	defer func() { _ = file.Close() }()
+	packed, err := gzip.NewReader(file)
+	if err != nil {
+		return nil, fmt.Errorf("read base %s: %w", path, err)
+	}
 	var config rollout.Config
-	if err := json.Unmarshal(data, &config); err != nil {
-		return nil, fmt.Errorf("read base %s of %d bytes: %w", path, len(data), err)
+	if err := json.NewDecoder(io.LimitReader(packed, maxBaseBytes)).Decode(&config); err != nil {
+		return nil, fmt.Errorf("read base %s: %w", path, err)
 	}
 	return &config, nil
 }
@@ -95,12 +109,12 @@
 	if len(rollout.Diff(applied, accepted)) == 0 {
 		base.Revision = accepted.Revision
 	}
-	data, err := json.MarshalIndent(base, "", "  ")
+	data, err := packed(base)
 	if err != nil {
 		return fmt.Errorf("encode base: %w", err)
 	}
 	next := path + ".new"
-	if err := os.WriteFile(next, data, 0o600); err != nil {
+	if err := os.WriteFile(next, data, baseMode); err != nil {
 		return fmt.Errorf("write base: %w", err)
 	}
 	if err := os.Rename(next, path); err != nil {
@@ -108,3 +122,16 @@
 	}
 	return nil
 }
+
+// packed returns a base as compressed JSON.
+func packed(base rollout.Config) ([]byte, error) {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	if err := json.NewEncoder(w).Encode(base); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
--- a/internal/edit/edit_test.go
+++ b/internal/edit/edit_test.go
@@ -78,7 +78,7 @@
 	if _, err := ReadBase(path); err == nil {
 		t.Fatal("a broken base was taken")
 	}
-	if got := BaseFile(filepath.Join(dir, "t.toml")); got != filepath.Join(dir, "t.toml")+".base.json" {
+	if got := BaseFile(filepath.Join(dir, "t.toml")); got != filepath.Join(dir, "t.toml")+".base.json.gz" {
 		t.Fatal(got)
 	}
 }
