--- /dev/null
+++ b/internal/listing/bench_test.go
@@ -0,0 +1,117 @@
+package listing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/wire"
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+// sizes are the numbers of endpoints that the slopes are taken over; each service has endpointsPerService.
+var sizes = []int{1500, 3000, 6000, 12000}
+
+const (
+	endpointsPerService = 45
+	endpointsPerFleet   = 15 // Per entry instance.
+)
+
+func listOf(endpoints int) *platform.Listing {
+	l := &platform.Listing{Version: 1, Upstreams: make(map[fleet.Service][]fleet.Upstream)}
+	for i := range endpoints {
+		service := fleet.Service(fmt.Sprint("service-", i/endpointsPerService))
+		l.Upstreams[service] = append(l.Upstreams[service], fleet.Upstream{
+			Endpoint: fleet.Endpoint(fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255)),
+			Zone:     fleet.Zone(fmt.Sprint("zone-", i%5)), Slots: 4, State: fleet.UpstreamReady,
+		})
+	}
+	for i := range endpoints / endpointsPerFleet {
+		l.Instances = append(l.Instances, fleet.Instance{
+			Ref: fleet.Ref{ID: fleet.InstanceID(fmt.Sprint("entry-", i)), Incarnation: 1796362262156}, Zone: fleet.Zone(fmt.Sprint("zone-", i%5)), Region: "region-1",
+			EntryAddr: fmt.Sprintf("10.200.%d.%d:8080", i>>8, i&255), PeerAddr: fmt.Sprintf("10.200.%d.%d:8081", i>>8, i&255),
+		})
+	}
+	return l
+}
+
+// next returns the list after one endpoint began to leave.
+func next(l *platform.Listing) *platform.Listing {
+	out := change(l, l).apply(l)
+	out.Version = l.Version + 1
+	changed := append([]fleet.Upstream(nil), out.Upstreams["service-3"]...)
+	changed[0].State = fleet.UpstreamLeaving
+	out.Upstreams["service-3"] = changed
+	return out
+}
+
+func encodedBytes(b *testing.B, m Message) float64 {
+	b.Helper()
+	data, err := wire.Encode(wire.KindListing, m)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(len(data))
+}
+
+// BenchmarkChange makes the message that carries one changed endpoint, and tells its bytes and those of the others.
+func BenchmarkChange(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			before := listOf(size)
+			after := next(before)
+			var m Message
+			for b.Loop() {
+				m = change(before, after)
+			}
+			b.ReportMetric(encodedBytes(b, m), "change-bytes")
+			b.ReportMetric(encodedBytes(b, whole(after)), "whole-bytes")
+			b.ReportMetric(encodedBytes(b, Message{Kind: MessageCurrent, Version: 1 << 40}), "current-bytes")
+		})
+	}
+}
+
+// BenchmarkApply applies the message of one changed endpoint.
+func BenchmarkApply(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			before := listOf(size)
+			m := change(before, next(before))
+			for b.Loop() {
+				m.clean()
+				_ = m.apply(before)
+			}
+		})
+	}
+}
+
+// BenchmarkClean checks a whole list, as a watcher does with each that it reads.
+func BenchmarkClean(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			l := listOf(size)
+			for b.Loop() {
+				_, _ = clean(l)
+			}
+		})
+	}
+}
+
+// BenchmarkCurrent delivers the message that a watcher sends while nothing changes.
+func BenchmarkCurrent(b *testing.B) {
+	w := newWorld(2, 1)
+	data, err := wire.Encode(wire.KindListing, Message{Kind: MessageCurrent})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		e, err := wire.Decode(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := w.duties[1].Deliver(w.now.Add(time.Second), ref(0), e); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/listing/duty.go
+++ b/internal/listing/duty.go
@@ -166,10 +166,14 @@
 		d.counts.ReadErrors++
 		return
 	}
+	before := d.snapshot.Load()
+	if !d.later(l.Version) {
+		return
+	}
 	cleaned, dropped := clean(&l)
 	d.counts.Dropped += uint64(dropped)
-	before := d.snapshot.Load()
-	if !d.take(now, cleaned) || !d.watching {
+	d.take(now, cleaned)
+	if !d.watching {
 		return
 	}
 	if before == nil {
@@ -179,18 +183,20 @@
 	d.push(now, change(before, cleaned))
 }
 
-// take puts a later list in place of the one held, and reports whether it was later.
-func (d *Duty) take(now time.Time, l *platform.Listing) bool {
-	if held := d.snapshot.Load(); held != nil && l.Version <= held.Version {
-		if l.Version < held.Version {
-			d.counts.Stale++
-		}
-		return false
+// later reports whether a list of a version may replace the one held.
+func (d *Duty) later(version uint64) bool {
+	held := d.snapshot.Load()
+	if held != nil && version < held.Version {
+		d.counts.Stale++
 	}
+	return held == nil || version > held.Version
+}
+
+// take puts a later list in place of the one held.
+func (d *Duty) take(now time.Time, l *platform.Listing) {
 	d.snapshot.Store(l)
 	d.counts.Applied++
 	d.o.OnChange(now, l)
-	return true
 }
 
 // push sends a message to every member that this watcher serves.
@@ -255,15 +261,19 @@
 		d.compare(now, from, m)
 		return
 	}
-	d.takeCleaned(now, m.apply(held))
+	if !d.later(m.Version) {
+		return
+	}
+	dropped := m.clean()
+	d.counts.Dropped += uint64(dropped)
+	d.take(now, m.apply(held))
 }
 
 func (d *Duty) replace(now time.Time, m Message) {
-	d.takeCleaned(now, m.list())
-}
-
-func (d *Duty) takeCleaned(now time.Time, l *platform.Listing) {
-	cleaned, dropped := clean(l)
+	if !d.later(m.Version) {
+		return
+	}
+	cleaned, dropped := clean(m.list())
 	d.counts.Dropped += uint64(dropped)
 	d.take(now, cleaned)
 }
--- a/internal/listing/listing_test.go
+++ b/internal/listing/listing_test.go
@@ -302,6 +302,13 @@
 		endpoint(4, 4, 9), {Endpoint: "localhost:80", Slots: 1, State: fleet.UpstreamReady},
 	}}, Instances: []fleet.Instance{{Ref: ref(1), PeerAddr: "here"}, {Ref: ref(2), PeerAddr: "127.0.0.1:5"}}}
 	got, dropped := clean(l)
+	m := Message{Kind: MessageChange, Version: 2, Base: 1, Upstreams: l.Upstreams, Instances: append([]fleet.Instance{{Ref: ref(2), PeerAddr: "gone"}}, l.Instances[0])}
+	if n := m.clean(); n != 7 {
+		t.Errorf("dropped %d of the message", n)
+	}
+	if after := m.apply(got); len(after.Instances) != 0 || !slices.Equal(after.Upstreams["a"], []fleet.Upstream{good}) {
+		t.Errorf("after the message: %+v", after)
+	}
 	if dropped != 6 || !slices.Equal(got.Upstreams["a"], []fleet.Upstream{good}) || len(got.Instances) != 1 {
 		t.Fatalf("dropped %d: %+v", dropped, got)
 	}
--- a/internal/listing/message.go
+++ b/internal/listing/message.go
@@ -101,6 +101,23 @@
 	return after
 }
 
+// clean drops the entries that cannot be used and returns their number. An instance that
+// cannot be used counts as removed.
+func (m *Message) clean() int {
+	parts, dropped := clean(&platform.Listing{Upstreams: m.Upstreams, Instances: m.Instances})
+	kept := make(map[fleet.Ref]bool, len(parts.Instances))
+	for _, instance := range parts.Instances {
+		kept[instance.Ref] = true
+	}
+	for _, instance := range m.Instances {
+		if !kept[instance.Ref] {
+			m.RemovedInstances = append(m.RemovedInstances, instance.Ref)
+		}
+	}
+	m.Upstreams, m.Instances = parts.Upstreams, parts.Instances
+	return dropped
+}
+
 func (m Message) applyInstances(before []fleet.Instance) []fleet.Instance {
 	replaced := make(map[fleet.Ref]bool, len(m.Instances)+len(m.RemovedInstances))
 	for _, ref := range m.RemovedInstances {
