Score only the endpoints that a policy looks at

The decision path scored every endpoint and then drew two. Policies now read the candidates through an interface.

A try that is not kept: giving an endpoint at three times its peers' mean latency fewer attempts at once.

--- a/coord/routing/balancer.go
+++ b/coord/routing/balancer.go
@@ -28,7 +28,7 @@
 	latencies latencyWindowed
 	latency   latencyMean // Over all endpoints.
 	free      []*request
-	near, far []Candidate
+	near, far candidates
 	effects   []Effect
 }
 
--- a/coord/routing/behavior_test.go
+++ b/coord/routing/behavior_test.go
@@ -305,25 +305,35 @@
 	}
 }
 
-func TestBaselinePolicies(t *testing.T) {
+// listed is a fixed set of candidates.
+type listed []struct {
+	endpoint    fleet.Endpoint
+	outstanding int
+	score       float64
+}
+
+func (l listed) Len() int                      { return len(l) }
+func (l listed) Endpoint(i int) fleet.Endpoint { return l[i].endpoint }
+func (l listed) Outstanding(i int) int         { return l[i].outstanding }
+func (l listed) Score(i int) float64           { return l[i].score }
+
+func TestPolicies(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
-	candidates := []Candidate{
-		{Endpoint: endpointB, Outstanding: 1},
-		{Endpoint: endpointA, Outstanding: 2},
-		{Endpoint: endpointC, Outstanding: 3},
-	}
-	if got := (LeastConnections{}).Pick(random, candidates); got != 0 {
-		t.Errorf("least connections took %s", candidates[got].Endpoint)
+	c := listed{{endpointB, 1, 3}, {endpointA, 2, 2}, {endpointC, 3, 1}}
+	if got := (LeastConnections{}).Pick(random, c); got != 0 {
+		t.Errorf("least connections took %s", c[got].endpoint)
 	}
 	order := ""
 	policy := &RoundRobin{}
 	for range 4 {
-		order += fmt.Sprint(policy.Pick(random, candidates))
+		order += fmt.Sprint(policy.Pick(random, c))
 	}
 	if order != "1021" {
 		t.Errorf("round robin took %s, want 1021", order)
 	}
-	if got := (TwoChoices{}).Pick(random, []Candidate{{Score: 2}, {Score: 1}}); got != 1 {
-		t.Errorf("two choices took the higher score")
+	for range 20 {
+		if got := (TwoChoices{}).Pick(random, c); got == 0 {
+			t.Errorf("two choices took the highest score")
+		}
 	}
 }
--- a/coord/routing/endpoint.go
+++ b/coord/routing/endpoint.go
@@ -104,19 +104,13 @@
 	e.failedAt = now
 }
 
-// candidate describes the endpoint to a policy.
-func (e *endpoint) candidate(now time.Time, index, limit int, slowStart time.Duration, all *latencyMean) Candidate {
-	score := float64(e.outstanding+1) / float64(max(limit, 1))
+// score returns the estimated cost of an attempt here; lower is better.
+func (e *endpoint) score(now time.Time, slowStart time.Duration, all *latencyMean) float64 {
+	score := float64(e.outstanding+1) / float64(max(e.limit(now, slowStart), 1))
 	score *= 1 + e.latency.excess(now, all)
 	score += loadWeight * e.load(now)
 	score += failureWeight * e.recentFailures(now)
-	score += coldWeight * (1 - e.ramp(now, slowStart))
-	return Candidate{
-		Endpoint:    e.target.Upstream.Endpoint,
-		Outstanding: e.outstanding,
-		Score:       score,
-		index:       index,
-	}
+	return score + coldWeight*(1-e.ramp(now, slowStart))
 }
 
 // decay returns the weight of a value after age.
--- a/coord/routing/policy.go
+++ b/coord/routing/policy.go
@@ -6,26 +6,30 @@
 	"github.com/damaskcove/damaskcove/coord/fleet"
 )
 
-// Candidate is an endpoint that may take an attempt now.
-type Candidate struct {
-	Endpoint    fleet.Endpoint
-	Outstanding int     // Attempts under way from this instance.
-	Score       float64 // Estimated cost: own utilization times slowness, reported load, recent failures and slow start. Lower is better.
-	index       int
+// Candidates are the endpoints that may take an attempt now, numbered from 0.
+type Candidates interface {
+	Len() int
+	// Endpoint returns the address of candidate i.
+	Endpoint(i int) fleet.Endpoint
+	// Outstanding returns the attempts that this instance has under way on candidate i.
+	Outstanding(i int) int
+	// Score returns the estimated cost of candidate i: own utilization times slowness,
+	// reported load, recent failures and slow start. Lower is better.
+	Score(i int) float64
 }
 
 // Policy picks one of the candidates.
 type Policy interface {
-	// Pick returns the index of the pick. There is at least one candidate.
-	Pick(random *rand.Rand, candidates []Candidate) int
+	// Pick returns the number of the pick. There is at least one candidate.
+	Pick(random *rand.Rand, c Candidates) int
 }
 
 // TwoChoices draws two candidates and takes the one with the lower score.
 type TwoChoices struct{}
 
 // Pick implements Policy.
-func (TwoChoices) Pick(random *rand.Rand, candidates []Candidate) int {
-	n := len(candidates)
+func (TwoChoices) Pick(random *rand.Rand, c Candidates) int {
+	n := c.Len()
 	if n == 1 {
 		return 0
 	}
@@ -34,7 +38,7 @@
 	if second >= first {
 		second++
 	}
-	if candidates[second].Score < candidates[first].Score {
+	if c.Score(second) < c.Score(first) {
 		return second
 	}
 	return first
@@ -44,28 +48,29 @@
 type Random struct{}
 
 // Pick implements Policy.
-func (Random) Pick(random *rand.Rand, candidates []Candidate) int {
-	return random.IntN(len(candidates))
+func (Random) Pick(random *rand.Rand, c Candidates) int {
+	return random.IntN(c.Len())
 }
 
 // RoundRobin takes the candidates in the order of their names. It is a baseline for measurements.
 type RoundRobin struct{ last fleet.Endpoint }
 
 // Pick implements Policy.
-func (p *RoundRobin) Pick(_ *rand.Rand, candidates []Candidate) int {
+func (p *RoundRobin) Pick(_ *rand.Rand, c Candidates) int {
 	next, first := -1, 0
-	for i, c := range candidates {
-		if c.Endpoint < candidates[first].Endpoint {
+	for i := range c.Len() {
+		name := c.Endpoint(i)
+		if name < c.Endpoint(first) {
 			first = i
 		}
-		if c.Endpoint > p.last && (next < 0 || c.Endpoint < candidates[next].Endpoint) {
+		if name > p.last && (next < 0 || name < c.Endpoint(next)) {
 			next = i
 		}
 	}
 	if next < 0 {
 		next = first
 	}
-	p.last = candidates[next].Endpoint
+	p.last = c.Endpoint(next)
 	return next
 }
 
@@ -74,13 +79,13 @@
 type LeastConnections struct{}
 
 // Pick implements Policy.
-func (LeastConnections) Pick(random *rand.Rand, candidates []Candidate) int {
+func (LeastConnections) Pick(random *rand.Rand, c Candidates) int {
 	best, equals := 0, 1
-	for i := 1; i < len(candidates); i++ {
+	for i := 1; i < c.Len(); i++ {
 		switch {
-		case candidates[i].Outstanding < candidates[best].Outstanding:
+		case c.Outstanding(i) < c.Outstanding(best):
 			best, equals = i, 1
-		case candidates[i].Outstanding == candidates[best].Outstanding:
+		case c.Outstanding(i) == c.Outstanding(best):
 			equals++
 			if random.IntN(equals) == 0 {
 				best = i
--- a/coord/routing/selection.go
+++ b/coord/routing/selection.go
@@ -108,52 +108,76 @@
 	return false
 }
 
+// candidates implements Candidates for a set of the balancer's endpoints.
+type candidates struct {
+	balancer  *Balancer
+	now       time.Time
+	endpoints []*endpoint
+}
+
+// Len implements Candidates.
+func (c *candidates) Len() int { return len(c.endpoints) }
+
+// Endpoint implements Candidates.
+func (c *candidates) Endpoint(i int) fleet.Endpoint { return c.endpoints[i].name() }
+
+// Outstanding implements Candidates.
+func (c *candidates) Outstanding(i int) int { return c.endpoints[i].outstanding }
+
+// Score implements Candidates.
+func (c *candidates) Score(i int) float64 {
+	return c.endpoints[i].score(c.now, c.balancer.cfg.SlowStart, &c.balancer.latency)
+}
+
+func (c *candidates) reset(b *Balancer, now time.Time) {
+	c.balancer = b
+	c.now = now
+	c.endpoints = c.endpoints[:0]
+}
+
+// pick returns the policy's choice; nil when there is no candidate.
+func (c *candidates) pick() *endpoint {
+	if len(c.endpoints) == 0 {
+		return nil
+	}
+	return c.endpoints[c.balancer.cfg.Policy.Pick(c.balancer.random, c)]
+}
+
 // choose returns an endpoint with a free slot that r has not been sent to, or nil.
+// Another zone is used when this one has no free slot, or when its choice is above
+// ZoneSpill and the other's is lower by zoneMargin.
 func (b *Balancer) choose(now time.Time, r *request) *endpoint {
 	b.collect(now, r)
-	return b.pick()
+	near := b.near.pick()
+	if near == nil {
+		return b.far.pick()
+	}
+	if b.far.Len() == 0 {
+		return near
+	}
+	cost := near.score(now, b.cfg.SlowStart, &b.latency)
+	if cost <= b.cfg.ZoneSpill {
+		return near
+	}
+	far := b.far.pick()
+	if far.score(now, b.cfg.SlowStart, &b.latency)+zoneMargin < cost {
+		return far
+	}
+	return near
 }
 
 // collect gathers the candidates for r, apart for this instance's zone and for others.
 func (b *Balancer) collect(now time.Time, r *request) {
-	b.near, b.far = b.near[:0], b.far[:0]
-	for i, e := range b.endpoints {
-		if !e.usable() {
-			continue
-		}
-		limit := e.limit(now, b.cfg.SlowStart)
-		if e.outstanding >= limit || r.tried(e) {
+	b.near.reset(b, now)
+	b.far.reset(b, now)
+	for _, e := range b.endpoints {
+		if !e.usable() || e.outstanding >= e.limit(now, b.cfg.SlowStart) || r.tried(e) {
 			continue
 		}
-		c := e.candidate(now, i, limit, b.cfg.SlowStart, &b.latency)
 		if b.cfg.Zone == "" || e.target.Upstream.Zone == b.cfg.Zone {
-			b.near = append(b.near, c)
+			b.near.endpoints = append(b.near.endpoints, e)
 		} else {
-			b.far = append(b.far, c)
+			b.far.endpoints = append(b.far.endpoints, e)
 		}
 	}
 }
-
-// pick applies the policy. Another zone is used when this one has no free slot, or
-// when its choice is above ZoneSpill and the other's is lower by zoneMargin.
-func (b *Balancer) pick() *endpoint {
-	if len(b.near) == 0 && len(b.far) == 0 {
-		return nil
-	}
-	if len(b.near) == 0 {
-		return b.pickFrom(b.far)
-	}
-	near := b.near[b.cfg.Policy.Pick(b.random, b.near)]
-	if near.Score <= b.cfg.ZoneSpill || len(b.far) == 0 {
-		return b.endpoints[near.index]
-	}
-	far := b.far[b.cfg.Policy.Pick(b.random, b.far)]
-	if far.Score+zoneMargin < near.Score {
-		return b.endpoints[far.index]
-	}
-	return b.endpoints[near.index]
-}
-
-func (b *Balancer) pickFrom(candidates []Candidate) *endpoint {
-	return b.endpoints[candidates[b.cfg.Policy.Pick(b.random, candidates)].index]
-}
