--- a/internal/measure/routing/main.go
+++ b/internal/measure/routing/main.go
@@ -13,6 +13,8 @@
 	noLimit        = 1 << 20
 	unlimitedBurst = 1 << 30
 	mostAttempts   = 8
+	longWait       = 100 // Requests that wait at an endpoint that queues.
+	severalCarry   = 8
 )
 
 // settings are the service's own: the defaults with a retry share of 0.1.
@@ -58,6 +60,17 @@
 	{"least connections, no limits, unlimited retries", unlimited(leastConnections, -1), noLimit},
 }
 
+// sharedVariants are the variants with each instance's share of the slots as its limits.
+func sharedVariants() []variant {
+	shared := append([]variant(nil), variants...)
+	for i := range shared {
+		if shared[i].limit == endpointSlots {
+			shared[i].limit = 0
+		}
+	}
+	return shared
+}
+
 // outageVariants are measured with every request failing; selection makes no difference there.
 var outageVariants = []variant{variants[0], variants[4], variants[5]}
 
@@ -67,9 +80,15 @@
 	seeds := flag.Int("seeds", 5, "number of seeds, starting at 1")
 	flag.Parse()
 	fmt.Printf("One endpoint of %d runs 10 times slower.\n\n", endpointCount)
-	printTable(variants, *seeds, func(load float64) scenario { return scenario{load: load, slowdown: 10} })
+	printTable(variants, *seeds, func(load float64) scenario { return scenario{load: load, slowdown: 10, carriers: 1, maxWait: longWait} })
+	fmt.Printf("\nThe same from %d instances; an endpoint refuses what is over its slots.\n\n", severalCarry)
+	printTable(sharedVariants(), *seeds, func(load float64) scenario {
+		return scenario{load: load, slowdown: 10, carriers: severalCarry}
+	})
 	fmt.Printf("\nEvery request fails on every endpoint.\n\n")
-	printTable(outageVariants, *seeds, func(load float64) scenario { return scenario{load: load, slowdown: 1, failures: 1} })
+	printTable(outageVariants, *seeds, func(load float64) scenario {
+		return scenario{load: load, slowdown: 1, failures: 1, carriers: 1, maxWait: longWait}
+	})
 }
 
 // printTable prints one row for each variant and load.
--- a/internal/measure/routing/run.go
+++ b/internal/measure/routing/run.go
@@ -8,6 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/routing"
+	"github.com/damaskcove/damaskcove/internal/endpoints"
 )
 
 // The service that is measured: the stock lookups of a firm of today's size.
@@ -21,7 +22,6 @@
 	accountCount    = 5
 	warmUp          = 5 * time.Second
 	measured        = 20 * time.Second
-	upstreamMaxWait = 100 // Requests that wait at an endpoint.
 )
 
 // A latency histogram in microseconds.
@@ -37,7 +37,7 @@
 type variant struct {
 	name   string
 	config func() routing.Config
-	limit  int // Concurrency limit of each endpoint.
+	limit  int // Concurrency limit of each endpoint; zero for the instance's share of the slots.
 }
 
 // scenario is what the service undergoes.
@@ -45,6 +45,8 @@
 	load     float64 // Offered work over the service's slots.
 	slowdown float64 // Of the first endpoint.
 	failures float64 // Share of requests that fail, on every endpoint.
+	carriers int     // Instances that carry the service.
+	maxWait  int     // Requests that wait at an endpoint.
 }
 
 // figures are the results of one run.
@@ -66,13 +68,12 @@
 type bench struct {
 	eventQueue
 	random    *rand.Rand
-	balancer  *routing.Balancer
+	carriers  []*carrier
 	upstreams map[fleet.Endpoint]*upstream
 	jobs      map[attemptKey]*job
 	endpoints map[attemptKey]fleet.Endpoint
 	submitted map[uint64]time.Time
 	results   map[attemptKey]routing.AttemptResult
-	wakeAt    time.Time
 	nextID    uint64
 	interval  time.Duration // Mean time between two requests.
 
@@ -80,6 +81,12 @@
 	offered, taken, sent, good, shed int
 }
 
+// carrier is one instance with its balancer.
+type carrier struct {
+	balancer *routing.Balancer
+	wakeAt   time.Time
+}
+
 // run measures one variant in one scenario.
 func run(v variant, s scenario, seed uint64) figures {
 	b := newBench(v, s, seed)
@@ -103,7 +110,6 @@
 	rate := s.load * float64(endpointCount*endpointSlots) / meanRun.Seconds()
 	b := &bench{
 		random:    rand.New(rand.NewPCG(seed, 1)),
-		balancer:  routing.NewBalancer(v.config(), rand.New(rand.NewPCG(seed, 2))),
 		upstreams: make(map[fleet.Endpoint]*upstream),
 		jobs:      make(map[attemptKey]*job),
 		endpoints: make(map[attemptKey]fleet.Endpoint),
@@ -112,7 +118,7 @@
 		interval:  time.Duration(float64(time.Second) / rate),
 		latencies: hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
 	}
-	var targets []routing.Target
+	var listed []fleet.Upstream
 	for i := range endpointCount {
 		endpoint := fleet.Endpoint(fmt.Sprintf("192.0.2.%d:80", i+1))
 		mean := meanRun
@@ -123,16 +129,45 @@
 			queue:    &b.eventQueue,
 			random:   b.random,
 			slots:    endpointSlots,
-			maxWait:  upstreamMaxWait,
+			maxWait:  s.maxWait,
 			mean:     mean,
 			failures: s.failures,
 		}
-		targets = append(targets, routing.Target{Upstream: fleet.Upstream{Endpoint: endpoint}, Limit: v.limit})
+		listed = append(listed, fleet.Upstream{Endpoint: endpoint, Slots: endpointSlots})
 	}
-	b.apply(b.balancer.SetTargets(start, targets))
+	b.addCarriers(v, s.carriers, listed, seed)
 	return b
 }
 
+// addCarriers starts the balancers, each with its share of the slots.
+func (b *bench) addCarriers(v variant, count int, listed []fleet.Upstream, seed uint64) {
+	instances := make([]fleet.Instance, count)
+	for i := range instances {
+		ref := fleet.Ref{ID: fleet.InstanceID(fmt.Sprint("instance-", i)), Incarnation: 1}
+		instances[i] = fleet.Instance{Ref: ref}
+	}
+	for i, instance := range instances {
+		random := rand.New(rand.NewPCG(seed, uint64(2+i)))
+		c := &carrier{balancer: routing.NewBalancer(v.config(), random)}
+		b.carriers = append(b.carriers, c)
+		var targets []routing.Target
+		for j, limit := range endpoints.Limits(listed, instances, instance.Ref) {
+			if v.limit > 0 {
+				limit = v.limit
+			}
+			if limit > 0 {
+				targets = append(targets, routing.Target{Upstream: listed[j], Limit: limit})
+			}
+		}
+		b.apply(c, c.balancer.SetTargets(start, targets))
+	}
+}
+
+// carrierOf returns the instance that a request came to.
+func (b *bench) carrierOf(id uint64) *carrier {
+	return b.carriers[id%uint64(len(b.carriers))]
+}
+
 // arrivals submits requests with exponentially distributed intervals.
 func (b *bench) arrivals() {
 	b.after(time.Duration(b.random.ExpFloat64()*float64(b.interval)), func() {
@@ -145,7 +180,8 @@
 	b.nextID++
 	b.offered++
 	b.submitted[b.nextID] = b.now
-	b.apply(b.balancer.Submit(b.now, routing.Request{
+	c := b.carrierOf(b.nextID)
+	b.apply(c, c.balancer.Submit(b.now, routing.Request{
 		ID:         b.nextID,
 		Account:    fleet.Account(fmt.Sprint("account-", b.random.IntN(accountCount))),
 		Idempotent: b.random.Float64() < idempotentShare,
@@ -154,7 +190,7 @@
 }
 
 // apply carries out effects and sets the wake.
-func (b *bench) apply(effects []routing.Effect) {
+func (b *bench) apply(c *carrier, effects []routing.Effect) {
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case routing.Dispatch:
@@ -168,19 +204,19 @@
 			delete(b.submitted, e.ID)
 		}
 	}
-	b.setWake()
+	b.setWake(c)
 }
 
-func (b *bench) setWake() {
-	at, ok := b.balancer.NextWake(b.now)
-	if !ok || (b.wakeAt.After(b.now) && !at.Before(b.wakeAt)) {
+func (b *bench) setWake(c *carrier) {
+	at, ok := c.balancer.NextWake(b.now)
+	if !ok || (c.wakeAt.After(b.now) && !at.Before(c.wakeAt)) {
 		return
 	}
-	b.wakeAt = at
+	c.wakeAt = at
 	b.at(at, func() {
-		if b.wakeAt.Equal(at) {
-			b.wakeAt = time.Time{}
-			b.apply(b.balancer.Tick(b.now))
+		if c.wakeAt.Equal(at) {
+			c.wakeAt = time.Time{}
+			b.apply(c, c.balancer.Tick(b.now))
 		}
 	})
 }
@@ -218,8 +254,9 @@
 	delete(b.jobs, key)
 	delete(b.endpoints, key)
 	b.results[key] = result
-	b.balancer.SetLoad(b.now, endpoint, b.upstreams[endpoint].load())
-	b.apply(b.balancer.Finish(b.now, key.id, key.number, result, b.now.Sub(sentAt)))
+	c := b.carrierOf(key.id)
+	c.balancer.SetLoad(b.now, endpoint, b.upstreams[endpoint].load())
+	b.apply(c, c.balancer.Finish(b.now, key.id, key.number, result, b.now.Sub(sentAt)))
 	delete(b.results, key)
 }
 
