Discovery leaves out instances whose link from here fails; a caller renews a key that did not run

Cause: for about two seconds after an instance dies, tickets still name it. Orders whose witness is dead were answered attempt-not-run at their deadline and counted as unknown. Change: an entry names instances with failing links neither as entries nor in tickets. The client makes a new key after attempt-not-run or claim-table-full when that attempt was the key's only one; both say that the attempt will not run, so that no other attempt can have.

--- a/client/request.go
+++ b/client/request.go
@@ -129,7 +129,7 @@
 	switch code {
 	case result.CodeStopping, result.CodeNotReady:
 		return true
-	case result.CodeTicketIncarnation, result.CodeTicketExpired:
+	case result.CodeTicketIncarnation, result.CodeTicketExpired, result.CodeAttemptNotRun, result.CodeClaimTableFull:
 		return t.renewKey()
 	case result.CodeRelayFailed:
 		t.unsure = t.unsure || t.key == ""
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -12,6 +12,7 @@
 	"github.com/damaskcove/damaskcove/client"
 	"github.com/damaskcove/damaskcove/coord/claim"
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/placement"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/internal/entry"
 	"github.com/damaskcove/damaskcove/internal/exchange"
@@ -136,17 +137,43 @@
 		return client.Discovery{}, code
 	}
 	f := n.opts.Settings.Fleet
-	d := client.Discovery{
-		MaxAgeMS: f.DiscoveryMaxAge.Milliseconds(),
-		Revision: router.Config().Revision,
-		Ticket:   n.issue(service, account, zone),
-	}
+	d := client.Discovery{MaxAgeMS: f.DiscoveryMaxAge.Milliseconds(), Revision: router.Config().Revision}
+	m = n.avoidFailing(m, service, account, zone)
 	for _, in := range m.Entries(service, account, zone, f.CarriersPerService, f.EntriesPerAnswer) {
 		d.Entries = append(d.Entries, client.Entry{Address: in.EntryAddr, Zone: in.Zone})
 	}
+	d.Ticket = n.issue(m, service, account, zone)
 	return d, result.CodeAnswered
 }
 
+// avoidFailing returns the map that discovery uses. When the link from here to an
+// instance that it would name fails, the instances with failing links are left out:
+// the roster learns of a dead instance seconds later than its neighbours.
+func (n *Node) avoidFailing(m *placement.Map, service fleet.Service, account fleet.Account, zone fleet.Zone) *placement.Map {
+	f := n.opts.Settings.Fleet
+	named := m.Entries(service, account, zone, f.CarriersPerService, f.EntriesPerAnswer)
+	home, witness, _ := m.HomeAndWitnessNear(service, account, zone, f.CarriersPerService)
+	if !n.anyFailing(named) && !n.anyFailing([]fleet.Instance{home, witness}) {
+		return m
+	}
+	var working []fleet.Instance
+	for _, in := range m.Instances() {
+		if in.Ref == n.self.Ref || !n.links.Failing(in.Ref) {
+			working = append(working, in)
+		}
+	}
+	return placement.NewMap(working)
+}
+
+func (n *Node) anyFailing(instances []fleet.Instance) bool {
+	for _, in := range instances {
+		if !in.Ref.IsZero() && in.Ref != n.self.Ref && n.links.Failing(in.Ref) {
+			return true
+		}
+	}
+	return false
+}
+
 func known(router *entry.Router, service fleet.Service, account fleet.Account) result.Code {
 	c := router.Config()
 	if _, ok := c.Services[service]; !ok {
@@ -163,9 +190,8 @@
 }
 
 // issue returns the text of a new ticket, or nothing when no instance can be its home.
-func (n *Node) issue(service fleet.Service, account fleet.Account, zone fleet.Zone) string {
+func (n *Node) issue(m *placement.Map, service fleet.Service, account fleet.Account, zone fleet.Zone) string {
 	s := n.opts.Settings
-	m := n.members.Snapshot().Map
 	home, witness, ok := m.HomeAndWitnessNear(service, account, zone, s.Fleet.CarriersPerService)
 	if !ok {
 		return ""
