--- a/coord/claim/exhaustive_test.go
+++ b/coord/claim/exhaustive_test.go
@@ -60,7 +60,7 @@
 		if m == nil {
 			continue
 		}
-		for _, what := range []string{"submit", "give up", "stop", "crash", "expire"} {
+		for _, what := range []string{"submit", "submit past expiry", "give up", "stop", "crash", "expire"} {
 			events = append(events, event{what: what, side: side})
 		}
 		if e := m.table.find(oneKey); e != nil && e.state == stateRunning {
@@ -90,8 +90,11 @@
 	}
 	m, now := x.machines[ev.side], x.now(ev.side)
 	switch ev.what {
-	case "submit":
+	case "submit", "submit past expiry":
 		s := Submission{Key: oneKey, Ticket: oneTicket, Deadline: now.Add(time.Minute)}
+		if ev.what != "submit" {
+			s.Deadline = testExpiry.Add(time.Hour)
+		}
 		x.note(ev.side, m.Submit(now, Role(ev.side+1), s))
 	case "give up":
 		x.note(ev.side, m.GiveUp(now, oneKey))
@@ -180,10 +183,10 @@
 
 // sideID is all that later events at one side depend on.
 type sideID struct {
-	dead, stopping, held, waiting, known bool
-	state                                state
-	result                               Result
-	reason                               Reason
+	dead, stopping, held, waiting, known, long bool
+	state                                      state
+	result                                     Result
+	reason                                     Reason
 }
 
 func sideOf(m *Machine) sideID {
@@ -195,7 +198,7 @@
 		return sideID{stopping: m.stopping}
 	}
 	return sideID{
-		stopping: m.stopping, held: true, waiting: e.waiting, known: e.known,
+		stopping: m.stopping, held: true, waiting: e.waiting, known: e.known, long: e.deadline > testExpiry.UnixNano(),
 		state: e.state, result: e.outcome.Result, reason: e.outcome.Reason,
 	}
 }
@@ -208,6 +211,7 @@
 	started                [2]int
 	saidNotMe              [2]bool
 	mayHaveRun, saidNotRun bool
+	ranLate                bool
 }
 
 // explorer visits every reachable state, the nearest first.
@@ -227,7 +231,7 @@
 func (ex *explorer) stateOf(x *exhaustive) stateID {
 	id := stateID{
 		sides: [2]sideID{sideOf(x.machines[sideHome]), sideOf(x.machines[sideWitness])},
-		late:  x.late, started: x.started, saidNotMe: x.saidNotMe, mayHaveRun: x.mayHaveRun, saidNotRun: x.saidNotRun,
+		late:  x.late, started: x.started, saidNotMe: x.saidNotMe, ranLate: x.ranLate, mayHaveRun: x.mayHaveRun, saidNotRun: x.saidNotRun,
 	}
 	for _, s := range x.sent {
 		bit, ok := ex.bits[sentOf(s)]
@@ -243,27 +247,32 @@
 // explore returns the number of reachable states, or the events that led to a fault.
 func explore(s shortcuts) (states int, fault string, path []event) {
 	ex := &explorer{visited: make(map[stateID]bool), bits: make(map[sentID]uint64)}
-	ex.todo = append(ex.todo, visit{x: newExhaustive(s), parent: -1})
+	ex.add(visit{x: newExhaustive(s), parent: -1})
 	for at := 0; at < len(ex.todo); at++ {
 		x := ex.todo[at].x
 		ex.todo[at].x = nil
 		if fault := x.fault(); fault != "" {
 			return len(ex.visited), fault, ex.path(at)
 		}
-		id := ex.stateOf(x)
-		if ex.visited[id] {
-			continue
-		}
-		ex.visited[id] = true
 		for _, ev := range x.events() {
 			next := x.clone()
 			next.step(ev)
-			ex.todo = append(ex.todo, visit{x: next, ev: ev, parent: at})
+			ex.add(visit{x: next, ev: ev, parent: at})
 		}
 	}
 	return len(ex.visited), "", nil
 }
 
+// add puts a state on the list unless it was there before.
+func (ex *explorer) add(v visit) {
+	id := ex.stateOf(v.x)
+	if ex.visited[id] {
+		return
+	}
+	ex.visited[id] = true
+	ex.todo = append(ex.todo, v)
+}
+
 func (ex *explorer) path(at int) []event {
 	var path []event
 	for ; ex.todo[at].parent >= 0; at = ex.todo[at].parent {
@@ -318,6 +327,7 @@
 }
 
 func TestEveryOrderOfOneKey(t *testing.T) {
+	t.Parallel()
 	states, fault, path := explore(shortcuts{})
 	if fault != "" {
 		t.Fatalf("%s after %+v", fault, path)
--- a/coord/claim/keyring_test.go
+++ b/coord/claim/keyring_test.go
@@ -162,11 +162,15 @@
 // A message of any content changes nothing that the promises rest on and never panics.
 func FuzzDeliver(f *testing.F) {
 	for kind := MessageClaim; kind <= MessageHandOver; kind++ {
-		data, err := cbor.Marshal(Message{Kind: kind, Key: oneKey, Outcome: Outcome{Result: ResultNotRun}})
-		if err != nil {
-			f.Fatal(err)
+		for before := range uint8(5) {
+			msg := Message{Kind: kind, Key: oneKey, Outcome: Outcome{Result: Result(kind%3) + 1}}
+			data, err := cbor.Marshal(msg)
+			if err != nil {
+				f.Fatal(err)
+			}
+			f.Add(data, true, before)
+			f.Add(data, false, before)
 		}
-		f.Add(data, kind%2 == 0, uint8(kind))
 	}
 	f.Fuzz(func(t *testing.T, data []byte, home bool, before uint8) {
 		var msg Message
@@ -179,7 +183,7 @@
 			side = sideHome
 		}
 		x := newExhaustive(shortcuts{})
-		for _, ev := range []string{"submit", "give up", "answered", "not run"}[:before%5] {
+		for _, ev := range []string{"submit", "not run", "give up", "answered"}[:before%5] {
 			x.step(event{what: ev, side: side})
 		}
 		state := sideOf(x.machines[side]).state
--- a/coord/claim/machine_test.go
+++ b/coord/claim/machine_test.go
@@ -220,6 +220,19 @@
 	}
 }
 
+func TestFullWitnessConfirmsSeals(t *testing.T) {
+	p := newPair(t, Limits{MaxKeys: 8})
+	w := p.machines[witnessRef]
+	for i := range 8 {
+		w.add(Key{Ticket: "t", Unique: string(rune('a' + i))}, oneTicket, RoleWitness, Fingerprint{}).state = stateSealed
+	}
+	p.submit(homeRef, "u")
+	p.apply(homeRef, p.machines[homeRef].GiveUp(p.now, Key{Ticket: "t", Unique: "u"}))
+	if o := p.machines[homeRef].Lookup(p.now, Key{Ticket: "t", Unique: "u"}); o.Result != ResultNotRun {
+		t.Fatalf("outcome %+v", o)
+	}
+}
+
 func TestStoppingWitnessGrantsWithoutRoom(t *testing.T) {
 	p := newPair(t, Limits{MaxKeys: 1})
 	w := p.machines[witnessRef]
