--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,12 +116,16 @@
 	}
 	var err error
 	n.entry, err = entry.New(entry.Config{
-		Listen:       s.Listen.Entry,
-		MaxBodyBytes: int(s.Limits.MaxBodyBytes),
-		MaxInFlight:  int64(s.Limits.MaxInFlight),
-		Tracer:       n.opts.Tracer,
-		Log:          n.log,
-		Wrap:         n.opts.Wrap,
+		Listen:         s.Listen.Entry,
+		MaxBodyBytes:   int(s.Limits.MaxBodyBytes),
+		MaxInFlight:    int64(s.Limits.MaxInFlight),
+		MaxHeaderBytes: int(s.Limits.MaxHeaderBytes),
+		MaxConnections: s.Limits.MaxConnections,
+		IdleTimeout:    s.Limits.IdleTimeout,
+		ReadTimeout:    s.Limits.ReadTimeout,
+		Tracer:         n.opts.Tracer,
+		Log:            n.log,
+		Wrap:           n.opts.Wrap,
 	}, n)
 	if err != nil {
 		return err
@@ -238,6 +242,7 @@
 		MaxAnswerBytes: int(s.Limits.MaxAnswerBytes),
 		DialTimeout:    s.Limits.UpstreamDial,
 		IdleTimeout:    s.Limits.UpstreamIdle,
+		Outgoing:       s.Listen.Outgoing,
 		Seed:           n.opts.Seed,
 	}, dispatch.Hooks{Observe: n.endpoints.Observe, Leaving: n.upstreamLeaving})
 	n.claims = claims.New(claims.Options{
@@ -399,7 +404,6 @@
 	n.router.Store(entry.NewRouter(c))
 	n.appliedAt.Store(&now)
 	n.endpoints.SetConfig(now, c)
-	n.log.Info("configuration in force", "revision", c.Revision, "services", len(c.Services), "accounts", len(c.Accounts))
 }
 
 // targetsChanged runs on the control goroutine.
