A home gives up on a grant early, so that its caller has time for another key

Cause: a home whose witness is dead held the caller until the deadline; the caller had no time left to use another ticket. Change: a home waits for a grant 600 ms at most and for the confirmation of its seal 300 ms, then says that the attempt did not run. The client makes another key from another ticket. The exhaustive and the property tests of the protocol pass as they were.

--- a/coord/claim/limits.go
+++ b/coord/claim/limits.go
@@ -9,7 +9,8 @@
 	MaxAnswerBytes int           // Largest answer kept for callers that retry.
 	ResendFirst    time.Duration // Wait before the first resend; it doubles from there.
 	ResendMost     time.Duration // Longest wait between resends while a caller waits.
-	SealTime       time.Duration // Time before a deadline at which a home that has no grant gives up.
+	SealTime       time.Duration // Time before a deadline at which a home that has no grant gives up; then the wait for the seal's confirmation.
+	GrantTime      time.Duration // Longest wait of a home for a grant, so that its caller has time left for another key.
 }
 
 // Default limits.
@@ -20,6 +21,7 @@
 	DefaultResendFirst    = 100 * time.Millisecond
 	DefaultResendMost     = time.Second
 	DefaultSealTime       = 300 * time.Millisecond
+	DefaultGrantTime      = 600 * time.Millisecond
 )
 
 // sealReserveShare is the part of MaxKeys and MaxBytes, as a divisor, that is kept free for seals.
@@ -34,6 +36,7 @@
 		ResendFirst:    DefaultResendFirst,
 		ResendMost:     DefaultResendMost,
 		SealTime:       DefaultSealTime,
+		GrantTime:      DefaultGrantTime,
 	}
 }
 
@@ -46,6 +49,7 @@
 	l.ResendFirst = orDefault(l.ResendFirst, d.ResendFirst)
 	l.ResendMost = orDefault(l.ResendMost, d.ResendMost)
 	l.SealTime = orDefault(l.SealTime, d.SealTime)
+	l.GrantTime = orDefault(l.GrantTime, d.GrantTime)
 	return l
 }
 
--- a/coord/claim/machine.go
+++ b/coord/claim/machine.go
@@ -57,7 +57,7 @@
 		return m.take()
 	}
 	e = m.add(s.Key, s.Ticket, role, s.Fingerprint)
-	e.wait(at, deadline, m.limits.SealTime)
+	e.wait(at, deadline, m.limits)
 	if role == RoleWitness || s.Ticket.Witness.IsZero() || m.shortcuts.dispatchUngranted {
 		m.dispatch(e)
 		return m.take()
@@ -108,7 +108,7 @@
 	if e.state == stateGranted && m.shortcuts.runGranted {
 		m.dispatch(e)
 	}
-	e.wait(at, deadline, m.limits.SealTime)
+	e.wait(at, deadline, m.limits)
 	e.backoff = 0
 	m.resend(at, e)
 }
--- a/coord/claim/steps.go
+++ b/coord/claim/steps.go
@@ -1,18 +1,17 @@
 package claim
 
-import "time"
-
 // maxBackoff bounds the doublings of the wait between resends.
 const maxBackoff = 24
 
-// wait adds a caller with a deadline. A home without a grant gives up sealTime before the
-// deadline, or halfway to it when less is left.
-func (e *entry) wait(at, deadline int64, sealTime time.Duration) {
+// wait adds a caller with a deadline. A home without a grant gives up SealTime before the
+// deadline, or halfway to it when less is left, and GrantTime from now at the latest.
+func (e *entry) wait(at, deadline int64, limits Limits) {
 	if !e.waiting {
 		e.deadline, e.giveUp = 0, 0
 	}
 	e.waiting = true
-	giveUp := max(deadline-int64(sealTime), at+(deadline-at)/2)
+	giveUp := max(deadline-int64(limits.SealTime), at+(deadline-at)/2)
+	giveUp = min(giveUp, at+int64(limits.GrantTime))
 	e.deadline = max(e.deadline, deadline)
 	e.giveUp = max(e.giveUp, giveUp)
 }
@@ -29,6 +28,7 @@
 func (m *Machine) seal(at int64, e *entry) {
 	e.state = stateSealing
 	e.backoff = 0
+	e.deadline = min(e.deadline, at+int64(m.limits.SealTime))
 	if m.shortcuts.sealAlone {
 		m.settle(e, Outcome{Result: ResultNotRun, Reason: ReasonSealed})
 	}
