--- a/cmd/damaskctl/standin_test.go
+++ b/cmd/damaskctl/standin_test.go
@@ -145,3 +145,20 @@
 	got := ctl(context.Background(), "load", "--direct", freeAddress(t), "--account", "a", "--path", "/", "--duration", "50ms", "--warmup", "0s")
 	got.want(t, exitDone, "from the drawn start", "no-answer")
 }
+
+func TestSettingsOfTheLocalStandinsAreValid(t *testing.T) {
+	if _, err := readPlatformSettings("../../examples/local/platform.toml"); err != nil {
+		t.Error(err)
+	}
+	s, err := readHostSettings("../../examples/local/upstreams.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts := make(map[string]int)
+	for _, g := range s.Groups {
+		counts[g.Service] += g.Count
+	}
+	if counts["stock"] != 10 || counts["drums"] != 20 || counts["pickups"] != 6 {
+		t.Errorf("endpoints %v", counts)
+	}
+}
