--- a/coord/routing/running.go
+++ b/coord/routing/running.go
@@ -31,12 +31,12 @@
 	e.outstanding--
 	switch a.result {
 	case AttemptAnswered:
-		b.latencies.add(now, latency)
+		b.learn(now, e, latency)
 	case AttemptCancelled:
 		// An attempt that lost to its hedge took at least this long; without it
 		// the quantile would drift down as hedges hide the slow tail.
 		if r.ended && !a.hedge {
-			b.latencies.add(now, latency)
+			b.learn(now, e, latency)
 		}
 	default:
 		e.failed(now)
@@ -46,6 +46,13 @@
 	}
 }
 
+// learn takes the latency of an attempt.
+func (b *Balancer) learn(now time.Time, e *endpoint, latency time.Duration) {
+	b.latencies.add(now, latency)
+	b.latency.add(now, latency, slownessPeerStep)
+	e.latency.add(now, latency, slownessOwnStep)
+}
+
 // settle decides what follows the end of an attempt of a request that has not ended.
 func (b *Balancer) settle(now time.Time, r *request, number int) {
 	if r.attempts[number-1].result == AttemptAnswered {
@@ -69,8 +76,10 @@
 		b.dispatch(now, r, e, false)
 		return true
 	}
-	if b.queue.count < b.cfg.QueueLimit {
-		b.enqueue(now, r, b.cfg.weight(r.Account), true)
+	if b.waiting() < b.cfg.QueueLimit {
+		r.waitsToRetry = true
+		b.retries = append(b.retries, r)
+		b.scheduleWaiting(now, r)
 		return true
 	}
 	b.budget.refund()
@@ -116,9 +125,9 @@
 // wake looks at a request whose wake time has come.
 func (b *Balancer) wake(now time.Time, r *request) {
 	switch {
-	case r.waitsIn != nil && b.hopeless(now, r):
-		b.shed(now, r, RejectDeadline)
-	case r.waitsIn != nil:
+	case r.waits() && b.hopeless(now, r):
+		b.shed(r, RejectDeadline)
+	case r.waits():
 		b.scheduleWaiting(now, r)
 	case !now.Before(r.Deadline):
 		r.stopped = true
@@ -133,7 +142,7 @@
 func (b *Balancer) hedge(now time.Time, r *request) {
 	r.hedgeAt = time.Time{}
 	b.scheduleRunning(r)
-	if r.running != 1 || r.stopped || r.ended || b.queue.count > 0 || b.hopeless(now, r) {
+	if r.running != 1 || r.stopped || r.ended || b.waiting() > 0 || b.hopeless(now, r) {
 		return
 	}
 	if len(r.attempts) >= b.cfg.MaxAttempts {
