--- a/internal/upstream/work.go
+++ b/internal/upstream/work.go
@@ -4,30 +4,18 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/damaskcove/damaskcove/client"
 	"github.com/damaskcove/damaskcove/coord/fleet"
 )
 
 // MaxBodyBytes bounds the body of a request and the size that an answer may be asked for.
 const MaxBodyBytes = 16 << 20
 
-// Query parameters of work, for tests of bodies and answers.
-const (
-	ParamSize    = "size"    // Bytes to add to the answer.
-	ParamChunked = "chunked" // "1": the answer is sent in chunks, without a length.
-	ParamStatus  = "status"  // Status of the answer.
-	ParamTime    = "time_ms" // Service time in place of the distribution's.
-)
-
 // Answer is the body of an answer to work. A caller compares RequestID, Account and BodyHash with its own.
 type Answer struct {
 	RequestID string         `json:"request_id"`
@@ -46,20 +34,6 @@
 	return xxhash.Sum64(body)
 }
 
-// job is one request for work.
-type job struct {
-	id       string
-	account  string
-	order    bool
-	body     []byte
-	deadline time.Time // Zero without one.
-	faults   Faults
-	size     int
-	chunked  bool
-	status   int
-	time     time.Duration // Negative for the distribution's.
-}
-
 // ServeHTTP answers one request.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == PathHealth || r.URL.Path == PathLoad {
@@ -82,89 +56,6 @@
 	e.work(ctx, w, r, j)
 }
 
-func (e *Endpoint) readJob(r *http.Request) (job, error) {
-	now := time.Now()
-	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes+1))
-	if err != nil {
-		return job{}, fmt.Errorf("read body: %w", err)
-	}
-	if len(body) > MaxBodyBytes {
-		return job{}, fmt.Errorf("body is over %d bytes", MaxBodyBytes)
-	}
-	j := job{
-		id:      r.Header.Get(HeaderRequestID),
-		account: r.Header.Get(client.HeaderAccount),
-		order:   e.isOrder(r),
-		body:    body,
-		faults:  e.currentFaults(now),
-		status:  http.StatusOK,
-		time:    -1,
-	}
-	return j, j.readParameters(r, now)
-}
-
-func (j *job) readParameters(r *http.Request, now time.Time) error {
-	deadline, err := readNumber(HeaderDeadline, r.Header.Get(HeaderDeadline), int64(time.Hour/time.Millisecond))
-	if err != nil {
-		return err
-	}
-	if r.Header.Get(HeaderDeadline) != "" {
-		j.deadline = now.Add(time.Duration(deadline) * time.Millisecond)
-	}
-	query := r.URL.Query()
-	size, err := readNumber(ParamSize, query.Get(ParamSize), MaxBodyBytes)
-	if err != nil {
-		return err
-	}
-	j.size = int(size)
-	j.chunked = query.Get(ParamChunked) == "1"
-	if query.Has(ParamStatus) {
-		status, err := readNumber(ParamStatus, query.Get(ParamStatus), 599)
-		if err != nil || status < 200 {
-			return fmt.Errorf("%s %q is outside 200 to 599", ParamStatus, query.Get(ParamStatus))
-		}
-		j.status = int(status)
-	}
-	if query.Has(ParamTime) {
-		millis, err := readNumber(ParamTime, query.Get(ParamTime), int64(time.Hour/time.Millisecond))
-		if err != nil {
-			return err
-		}
-		j.time = time.Duration(millis) * time.Millisecond
-	}
-	return nil
-}
-
-func readNumber(name, text string, limit int64) (int64, error) {
-	if text == "" {
-		return 0, nil
-	}
-	n, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || n < 0 || n > limit {
-		return 0, fmt.Errorf("%s %q is outside 0 to %d", name, text, limit)
-	}
-	return n, nil
-}
-
-func (j job) context(parent context.Context) (context.Context, context.CancelFunc) {
-	if j.deadline.IsZero() {
-		return context.WithCancel(parent)
-	}
-	return context.WithDeadline(parent, j.deadline)
-}
-
-func (e *Endpoint) isOrder(r *http.Request) bool {
-	if r.Method != http.MethodPost {
-		return false
-	}
-	for _, prefix := range e.spec.OrderPaths {
-		if strings.HasPrefix(r.URL.Path, prefix) {
-			return true
-		}
-	}
-	return false
-}
-
 // Reasons for which work does not start.
 var (
 	errLeaving = errors.New("the endpoint is leaving")
