--- a/internal/upstream/admin.go
+++ b/internal/upstream/admin.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
 )
@@ -15,6 +16,7 @@
 	PathSummary   = "/admin/summary"   // GET: Summary.
 	PathRecord    = "/admin/record"    // GET: the Record of the request ID in ParamID.
 	PathFaults    = "/admin/faults"    // GET and PUT: Faults of the endpoint in ParamEndpoint.
+	PathReach     = "/admin/reach"     // POST: the reach of ParamEndpoint from the address in ParamFrom becomes ParamReach.
 	PathLeave     = "/admin/leave"     // POST: the endpoint in ParamEndpoint drains.
 )
 
@@ -22,6 +24,8 @@
 const (
 	ParamEndpoint = "endpoint"
 	ParamID       = "id"
+	ParamFrom     = "from"  // IP number of a caller.
+	ParamReach    = "reach" // As ParseReach takes it.
 )
 
 const maxAdminBytes = 1 << 20
@@ -47,6 +51,7 @@
 	})
 	mux.HandleFunc("GET "+PathFaults, onEndpoint(h, func(w http.ResponseWriter, _ *http.Request, e *Endpoint) { writeJSON(w, e.Faults()) }))
 	mux.HandleFunc("PUT "+PathFaults, onEndpoint(h, putFaults))
+	mux.HandleFunc("POST "+PathReach, onEndpoint(h, postReach))
 	mux.HandleFunc("POST "+PathLeave, onEndpoint(h, func(w http.ResponseWriter, _ *http.Request, e *Endpoint) {
 		e.Leave()
 		w.WriteHeader(http.StatusNoContent)
@@ -66,6 +71,21 @@
 	}
 }
 
+func postReach(w http.ResponseWriter, r *http.Request, e *Endpoint) {
+	from, err := netip.ParseAddr(r.URL.Query().Get(ParamFrom))
+	if err != nil {
+		http.Error(w, fmt.Sprintf("from: %v", err), http.StatusBadRequest)
+		return
+	}
+	reach, err := ParseReach(r.URL.Query().Get(ParamReach))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetReachOf(from, reach)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func putFaults(w http.ResponseWriter, r *http.Request, e *Endpoint) {
 	var faults Faults
 	decoder := json.NewDecoder(io.LimitReader(r.Body, maxAdminBytes))
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,19 +12,20 @@
 
 // gate decides on the connections of one endpoint.
 type gate struct {
-	mu    sync.Mutex
-	reach ReachFrom
-	conns map[*gatedConn]struct{}
+	mu     sync.Mutex
+	reach  ReachFrom
+	byAddr map[netip.Addr]Reach // Before reach.
+	conns  map[*gatedConn]struct{}
 }
 
 func newGate() *gate {
-	return &gate{conns: make(map[*gatedConn]struct{})}
+	return &gate{byAddr: make(map[netip.Addr]Reach), conns: make(map[*gatedConn]struct{})}
 }
 
-// set replaces the reach and closes the connections that it does not allow.
-func (g *gate) set(reach ReachFrom) {
+// change changes the reach and closes the connections that it does not allow any more.
+func (g *gate) change(change func()) {
 	g.mu.Lock()
-	g.reach = reach
+	change()
 	conns := make([]*gatedConn, 0, len(g.conns))
 	for c := range g.conns {
 		conns = append(conns, c)
@@ -39,8 +40,12 @@
 
 func (g *gate) from(caller netip.Addr) Reach {
 	g.mu.Lock()
+	one, ok := g.byAddr[caller]
 	reach := g.reach
 	g.mu.Unlock()
+	if ok {
+		return one
+	}
 	if reach == nil {
 		return ReachOpen
 	}
--- a/internal/upstream/endpoint.go
+++ b/internal/upstream/endpoint.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -141,7 +142,12 @@
 
 // SetReach says from where the endpoint can be reached; nil is from everywhere.
 func (e *Endpoint) SetReach(reach ReachFrom) {
-	e.gate.set(reach)
+	e.gate.change(func() { e.gate.reach = reach })
+}
+
+// SetReachOf sets the reach from one caller's address; it goes before SetReach.
+func (e *Endpoint) SetReachOf(caller netip.Addr, reach Reach) {
+	e.gate.change(func() { e.gate.byAddr[caller.Unmap()] = reach })
 }
 
 // Leave starts draining: new work is refused, work under way is finished.
--- a/internal/upstream/faults.go
+++ b/internal/upstream/faults.go
@@ -88,5 +88,17 @@
 	ReachMute        // Requests arrive and run, and no byte of an answer comes back.
 )
 
+// reachNames are the words for each kind of reach.
+var reachNames = map[string]Reach{"open": ReachOpen, "close": ReachClose, "none": ReachNone, "mute": ReachMute}
+
+// ParseReach returns the reach that a word names: "open", "close", "none" or "mute".
+func ParseReach(word string) (Reach, error) {
+	reach, ok := reachNames[word]
+	if !ok {
+		return 0, fmt.Errorf(`reach %q is none of "open", "close", "none", "mute"`, word)
+	}
+	return reach, nil
+}
+
 // ReachFrom tells the reach from a caller's address. It must be safe for concurrent use.
 type ReachFrom func(caller netip.Addr) Reach
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -254,6 +254,28 @@
 	}
 }
 
+func TestReachOfOneAddressGoesFirst(t *testing.T) {
+	_, e := newTestHost(t, fast())
+	local := netip.MustParseAddr("127.0.0.1")
+	e[0].SetReach(func(netip.Addr) Reach { return ReachClose })
+	e[0].SetReachOf(local, ReachOpen)
+	if got, err := send(context.Background(), e[0], http.MethodPost, "/orders", "open"); err != nil || got.status != 200 {
+		t.Fatalf("%+v %v", got, err)
+	}
+	e[0].SetReachOf(local, ReachClose)
+	if _, err := send(context.Background(), e[0], http.MethodPost, "/orders", "closed"); err == nil {
+		t.Fatal("answered")
+	}
+	for word, want := range map[string]Reach{"open": ReachOpen, "close": ReachClose, "none": ReachNone, "mute": ReachMute} {
+		if got, err := ParseReach(word); err != nil || got != want {
+			t.Errorf("%s: %v %v", word, got, err)
+		}
+	}
+	if _, err := ParseReach("half"); err == nil {
+		t.Error("taken")
+	}
+}
+
 func TestFlapping(t *testing.T) {
 	since := time.Unix(100, 0)
 	f := Faults{FlapPeriod: 10 * time.Second}
