Fleet: the last instance may strike the other; tests that mutants had passed

Mutants showed that four checks could not fail. Change: an instance is always a writer candidate in its own view; tests for exactly half of the neighbours, for pushes without heartbeats, for the first configuration being the highest, for witness zones worked out apart from the code, and for a pause whose queue is lost.

--- a/coord/membership/machine_test.go
+++ b/coord/membership/machine_test.go
@@ -84,6 +84,31 @@
 	w.allAlive()
 }
 
+// TestHalfOfTheNeighboursIsNoMajority cuts one instance off from exactly half of its
+// neighbours and then from one more.
+func TestHalfOfTheNeighboursIsNoMajority(t *testing.T) {
+	w := newWorld(t, 24, 3)
+	w.settle(3 * time.Second)
+	subject := w.order[0]
+	neighbours := w.machine(0).Neighbours()
+	half := len(neighbours) / 2
+	if len(neighbours)%2 != 0 {
+		t.Fatalf("%d neighbours, the test needs an even number", len(neighbours))
+	}
+	for _, n := range neighbours[:half] {
+		w.cut[[2]fleet.InstanceID{subject, n.Ref.ID}] = true
+	}
+	w.settle(5 * time.Second)
+	if got := w.status(9, subject); got != StatusSuspect {
+		t.Fatalf("status %d with half of the neighbours silent", got)
+	}
+	w.cut[[2]fleet.InstanceID{subject, neighbours[half].Ref.ID}] = true
+	w.settle(5 * time.Second)
+	if got := w.status(9, subject); got != StatusDead {
+		t.Fatalf("status %d with more than half of the neighbours silent", got)
+	}
+}
+
 func TestDeafInstanceEvictsNobody(t *testing.T) {
 	w := newWorld(t, 12, 3)
 	w.settle(3 * time.Second)
@@ -158,6 +183,7 @@
 	w.settle(3 * time.Second)
 	w.running[w.order[0]].paused = true
 	w.settle(6 * time.Second)
+	w.running[w.order[0]].queue = nil // The links' queues were dropped meanwhile.
 	w.running[w.order[0]].paused = false
 	w.settle(5 * time.Second)
 	w.agreed()
@@ -167,6 +193,18 @@
 	}
 }
 
+// TestLastInstanceStrikesTheOther: the one that is left had been voted against by the one that died.
+func TestLastInstanceStrikesTheOther(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.settle(3 * time.Second)
+	w.cut[[2]fleet.InstanceID{w.order[1], w.order[0]}] = true
+	w.settle(3 * time.Second)
+	w.running[w.order[0]] = nil
+	clear(w.cut)
+	w.settle(20 * time.Second)
+	w.agreed()
+}
+
 func TestStoreAwayForHoursChangesNothing(t *testing.T) {
 	w := newWorld(t, 9, 3)
 	w.settle(3 * time.Second)
--- a/coord/membership/view.go
+++ b/coord/membership/view.go
@@ -7,6 +7,11 @@
 	return m.members
 }
 
+// working reports whether a member may be given work.
+func (m Member) working() bool {
+	return m.Heard && (m.Status == StatusAlive || m.Status == StatusSuspect)
+}
+
 // work works out the members from the roster and the facts.
 func (m *Machine) work() []Member {
 	members := make([]Member, len(m.roster.Instances))
--- a/coord/membership/world_test.go
+++ b/coord/membership/world_test.go
@@ -48,7 +48,6 @@
 	loseNext bool // The reply to the next write is lost.
 	writes   int
 	reads    int
-	bytes    int
 	messages int
 }
 
--- a/coord/membership/writer.go
+++ b/coord/membership/writer.go
@@ -77,7 +77,7 @@
 func (m *Machine) writerRank() int {
 	candidates := make([]fleet.Ref, 0, len(m.members))
 	for _, member := range m.members {
-		if member.Heard && (member.Status == StatusAlive || member.Status == StatusSuspect) {
+		if member.Instance.Ref == m.self.Ref || member.working() {
 			candidates = append(candidates, member.Instance.Ref)
 		}
 	}
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -150,11 +150,19 @@
 			}
 			return
 		}
+		sameRegion, otherZone := false, false
 		for _, c := range carriers {
-			if c.Ref != home.Ref && witnessClass(&home, &c) < witnessClass(&home, &witness) {
-				t.Fatalf("witness %v of home %v though %v is a better one", witness, home, c)
+			if c.Ref != home.Ref && c.Region == home.Region {
+				sameRegion = true
+				otherZone = otherZone || c.Zone != home.Zone
 			}
 		}
+		if sameRegion && witness.Region != home.Region {
+			t.Fatalf("witness %v is in another region than home %v", witness, home)
+		}
+		if otherZone && witness.Zone == home.Zone {
+			t.Fatalf("witness %v is in the zone of home %v", witness, home)
+		}
 	})
 }
 
--- a/coord/rollout/machine_test.go
+++ b/coord/rollout/machine_test.go
@@ -58,7 +58,8 @@
 		w.away[i] = true
 	}
 	w.accept(Change{Services: []ServiceTemplate{service("s", 2)}})
-	w.settle(8)
+	w.silent = true
+	w.settle(4)
 	w.converged()
 }
 
@@ -99,13 +100,11 @@
 		w.away[i] = true
 	}
 	w.restart(0)
-	for range 60 {
-		w.step()
-		if c := w.machines[0].Current(); c != nil && c.Revision != 2 {
-			t.Fatalf("the first configuration has revision %d, a peer has 2", c.Revision)
-		}
-	}
+	w.settle(60)
 	w.converged()
+	if n := w.machines[0].Counters().Applied; n != 1 {
+		t.Fatalf("%d configurations applied, the first was not the highest that a peer had", n)
+	}
 }
 
 func TestWrongDigestKeepsTheLastGoodState(t *testing.T) {
--- a/coord/rollout/world_test.go
+++ b/coord/rollout/world_test.go
@@ -32,6 +32,7 @@
 	history  map[fleet.Revision]*Config // Accepted configurations.
 	inbox    []delivery
 	changes  int
+	silent   bool // No heartbeats: only what is pushed arrives.
 }
 
 type delivery struct {
@@ -168,7 +169,9 @@
 		if m.Watcher() {
 			w.readHead(i)
 		}
-		w.heartbeats(i)
+		if !w.silent {
+			w.heartbeats(i)
+		}
 	}
 }
 
