--- a/coord/health/answer.go
+++ b/coord/health/answer.go
@@ -109,12 +109,11 @@
 func (j *Judge) Explain(now time.Time) []EndpointView {
 	views := make([]EndpointView, 0, len(j.endpoints))
 	for _, t := range j.endpoints {
-		score, _ := t.score()
 		v := EndpointView{
 			Endpoint: t.upstream.Endpoint,
 			State:    t.removal.state,
 			Judge:    j.self.Ref,
-			Score:    score,
+			Score:    t.score(),
 			Limit:    j.operating.Limit,
 			AtFloor:  t.removal.atFloor,
 		}
--- a/coord/health/carrier.go
+++ b/coord/health/carrier.go
@@ -111,11 +111,19 @@
 }
 
 func (c *Carrier) due(now time.Time) bool {
-	wait := c.cfg.KeepAlive
-	if !c.requests.empty() || !c.trials.empty() {
-		wait = c.cfg.Interval
+	return c.lastSent.IsZero() || now.Sub(c.lastSent) >= c.wait()
+}
+
+// wait returns the time between two messages for what there is to report.
+func (c *Carrier) wait() time.Duration {
+	switch {
+	case c.requests.failed:
+		return c.cfg.Urgent
+	case !c.requests.empty() || !c.trials.empty():
+		return c.cfg.Interval
+	default:
+		return c.cfg.KeepAlive
 	}
-	return c.lastSent.IsZero() || now.Sub(c.lastSent) >= wait
 }
 
 func (c *Carrier) next(now time.Time, to fleet.Ref) uint64 {
--- a/coord/health/centre.go
+++ b/coord/health/centre.go
@@ -8,15 +8,22 @@
 // Bounds and steps of the tests. A gain is the log-likelihood ratio of one request, in nats.
 const (
 	minFailureRate   = 0.01 // Healthy failure rate that the test assumes at least.
-	failureStep      = 0.2  // Part of the healthy requests that fail at a sick endpoint.
 	minLogSigma      = 0.35 // Least standard deviation of the logarithm of latency.
 	priorLogSigma    = 0.6
 	minSlowShift     = math.Ln2
 	slowShiftInSigma = 2.0
-	maxSlowGain      = 3.0
+	slowSpread       = 0.9   // Least standard deviation of the slowness of a slow endpoint, in nats.
+	slowerThanShift  = 0.5   // Mean slowness of a slow endpoint over the least that counts, in nats.
+	outlierPart      = 0.015 // Of healthy requests: any latency.
+	outlierRange     = 5.0   // Range of those latencies, in nats.
+	maxSlowGain      = 5.0
+	minSlowGain      = -3.0
 	maxResidual      = 2.5 // Nats from the centre.
 )
 
+// failureSteps are the parts of the healthy requests that fail at a sick endpoint, by test.
+var failureSteps = [...]float64{testSomeFail: 0.2, testMostFail: 0.8}
+
 // minCentreRequests is the number of requests of an endpoint from which its rates count.
 const minCentreRequests = 5
 
@@ -33,14 +40,14 @@
 }
 
 // failureGains returns the gains of a failed and of an answered request.
-func failureGains(healthy float64) (failed, answered float64) {
-	sick := healthy + failureStep*(1-healthy)
+func failureGains(healthy, step float64) (failed, answered float64) {
+	sick := healthy + step*(1-healthy)
 	return math.Log(sick / healthy), math.Log((1 - sick) / (1 - healthy))
 }
 
 // failureDrift returns the expected gain of a request at an endpoint that fails a part of its work.
 func (c centre) failureDrift(failing float64) float64 {
-	failed, answered := failureGains(c.failureRate)
+	failed, answered := failureGains(c.failureRate, failureSteps[testSomeFail])
 	return failing*failed + (1-failing)*answered
 }
 
@@ -50,10 +57,17 @@
 }
 
 // slowGain returns the gain of a request with a residual of the logarithm of its latency.
+// Healthy latencies are lognormal but for a few outliers; those of a slow endpoint lie
+// around slowShift and above, in a broad range.
 func (c centre) slowGain(residual float64) float64 {
-	shift := c.slowShift()
-	gain := shift / (c.sigma * c.sigma) * (residual - shift/2)
-	return min(max(gain, -maxSlowGain), maxSlowGain)
+	spread := max(slowSpread, 1.5*c.sigma)
+	slow := normalDensity(residual-c.slowShift()-slowerThanShift, spread)
+	usual := (1-outlierPart)*normalDensity(residual, c.sigma) + outlierPart/outlierRange
+	return min(max(math.Log(slow/usual), minSlowGain), maxSlowGain)
+}
+
+func normalDensity(distance, sigma float64) float64 {
+	return math.Exp(-square(distance/sigma)/2) / (sigma * math.Sqrt(2*math.Pi))
 }
 
 // residual returns the logarithm of a bin's latency over the centre.
--- a/coord/health/collector.go
+++ b/coord/health/collector.go
@@ -19,6 +19,7 @@
 // collector sums up attempts per endpoint between two messages.
 type collector struct {
 	tallies map[EndpointKey]*tally
+	failed  bool // An attempt failed.
 }
 
 func newCollector() collector {
@@ -41,6 +42,7 @@
 	t.requests++
 	if a.Failed {
 		t.failures++
+		c.failed = true
 		return
 	}
 	t.addLatency(binOf(a.Latency))
@@ -66,6 +68,7 @@
 	}
 	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	clear(c.tallies)
+	c.failed = false
 	return reports
 }
 
--- a/coord/health/config.go
+++ b/coord/health/config.go
@@ -5,6 +5,7 @@
 // Config holds the times of the protocol. Carriers and judges of a fleet use the same values.
 type Config struct {
 	Interval    time.Duration // Between two Evidence messages while there are attempts to report.
+	Urgent      time.Duration // Between two Evidence messages while there are failed attempts to report.
 	KeepAlive   time.Duration // Between two Evidence messages without attempts.
 	Lease       time.Duration // A verdict's life, from the sending of the evidence that it answers.
 	Loan        time.Duration // A carrier's loan to a judge, from the sending of evidence.
@@ -18,6 +19,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Interval:    250 * time.Millisecond,
+		Urgent:      50 * time.Millisecond,
 		KeepAlive:   500 * time.Millisecond,
 		Lease:       3 * time.Second,
 		Loan:        4500 * time.Millisecond,
--- a/coord/health/confirm.go
+++ b/coord/health/confirm.go
@@ -11,14 +11,17 @@
 	markedPart    = 0.25 // Of the limit: the score from which that time counts.
 	confirmedPart = 0.5  // Of the limit: the score that must remain against the peers.
 	trimmedPart   = 3    // One in so many peers, the worst ones, is left out.
-	priorWeight   = 4.0  // Requests by which the long-term centre weighs.
+	priorWeight   = 2.0  // Requests by which the long-term centre weighs.
 	minPeerSample = 3.0  // Requests of the peers without which nothing is confirmed.
+	minPeerPart   = 0.5  // Least requests of the peers over those of the endpoint.
+	peerGain      = -1.0 // Nats: the most that the peers' requests may speak for the same fault.
 )
 
 // sample is what one peer's requests looked like.
 type sample struct {
 	count float64
 	sum   float64
+	gain  float64 // Of the same test, in nats.
 }
 
 // pool adds up samples without the worst of them.
@@ -31,25 +34,34 @@
 	for _, s := range samples[:kept] {
 		total.count += s.count
 		total.sum += s.sum
+		total.gain += s.gain
 	}
 	return total
 }
 
+// enough reports whether the peers' sample is large enough for a comparison with the
+// endpoint's requests, and speaks for health.
+func enough(peers sample, own float64) bool {
+	return peers.count >= max(minPeerSample, minPeerPart*own) && peers.gain <= peerGain
+}
+
 // confirmFailures reports whether an endpoint fails more than its peers did over the same time.
-func confirmFailures(c centre, own totals, peers []totals, limit float64) bool {
+func confirmFailures(c centre, step float64, own totals, peers []totals, limit float64) bool {
+	failed, answered := failureGains(c.failureRate, step)
 	var samples []sample
 	for _, p := range peers {
 		if p.requests > 0 {
-			samples = append(samples, sample{count: p.requests, sum: p.failures})
+			gain := p.failures*failed + (p.requests-p.failures)*answered
+			samples = append(samples, sample{count: p.requests, sum: p.failures, gain: gain})
 		}
 	}
 	pooled := pool(samples)
-	if pooled.count < minPeerSample {
+	if !enough(pooled, own.requests) {
 		return false
 	}
 	peerRate := (pooled.sum + priorWeight*c.failureRate) / (pooled.count + priorWeight)
 	peerRate = min(max(peerRate, c.failureRate), maxCentreFailureRate)
-	failed, answered := failureGains(peerRate)
+	failed, answered = failureGains(peerRate, step)
 	return own.failures*failed+(own.requests-own.failures)*answered >= confirmedPart*limit
 }
 
@@ -58,11 +70,11 @@
 	var samples []sample
 	for _, p := range peers {
 		if p.answers > 0 {
-			samples = append(samples, sample{count: p.answers, sum: p.residuals})
+			samples = append(samples, sample{count: p.answers, sum: p.residuals, gain: p.slowGain})
 		}
 	}
 	pooled := pool(samples)
-	if pooled.count < minPeerSample || own.answers == 0 {
+	if own.answers == 0 || !enough(pooled, own.answers) {
 		return false
 	}
 	peerMean := max(pooled.sum/(pooled.count+priorWeight), 0)
--- a/coord/health/decide.go
+++ b/coord/health/decide.go
@@ -10,22 +10,22 @@
 // trafficAge is the time for which a carrier's last request on an endpoint shows that it sends requests there.
 const trafficAge = time.Minute
 
-// observeRequests takes one carrier's report on an endpoint that is in service there.
-func (j *Judge) observeRequests(now time.Time, t *tracked, carrier int, r Report) {
+// observeRequests takes one carrier's report on an endpoint, and reports whether it is in service there.
+func (j *Judge) observeRequests(now time.Time, t *tracked, carrier int, r Report) bool {
 	zone := j.zoneOf[carrier]
 	if !t.ready() {
-		return
+		return false
 	}
 	if j.outFor(t, zone) {
 		j.observeAtFloor(now, t, r)
-		return
+		return false
 	}
 	t.seen[carrier] = now
 	for _, s := range [...]int{0, 1 + zone} {
 		t.scopes[s].observe(j.centres[s], r, carrier, j.operating.Limit)
 		j.mark(t, s)
 	}
-	j.decide(now, t, zone)
+	return true
 }
 
 // outFor reports whether an endpoint is out of service for a zone's carriers.
@@ -63,45 +63,49 @@
 	if t.removed() && t.removal.zones == nil {
 		return
 	}
-	if cause, sick := j.sick(now, t, 0); sick {
-		if bad, one := j.onlyZone(now, t, cause); one {
-			j.avoid(now, t, bad, cause)
+	if test, sick := j.sick(now, t, 0); sick {
+		if bad, one := j.onlyZone(now, t, test); one {
+			j.avoid(now, t, bad, test)
 			return
 		}
-		j.remove(now, t, nil, cause, t.scopes[0].tests[cause].score)
+		j.remove(now, t, nil, causeOf(test), t.scopes[0].tests[test].score)
 		return
 	}
-	if cause, sick := j.sick(now, t, 1+zone); sick {
-		j.avoid(now, t, zone, cause)
+	if test, sick := j.sick(now, t, 1+zone); sick {
+		j.avoid(now, t, zone, test)
 	}
 }
 
-// avoid takes an endpoint out of service for one zone, or for all when no other zone reaches it in health.
-func (j *Judge) avoid(now time.Time, t *tracked, zone int, cause Cause) {
-	score := t.scopes[1+zone].tests[cause].score
+// avoid takes an endpoint out of service for one zone, or for all when it is avoided from every other zone.
+func (j *Judge) avoid(now time.Time, t *tracked, zone, test int) {
+	score := max(t.scopes[1+zone].tests[test].score, t.scopes[0].tests[test].score)
 	zones := []fleet.Zone{j.zones[zone]}
-	if t.removal.state != StateOpen {
+	if t.removed() {
 		zones = append(zones, t.removal.zones...)
 	}
 	if len(zones) >= len(j.zones) {
 		zones = nil
 	}
-	j.remove(now, t, zones, cause, score)
+	j.remove(now, t, zones, causeOf(test), score)
 }
 
-// sick reports whether a test over a scope has passed the limit, several carriers agree and the peers are healthier.
-func (j *Judge) sick(now time.Time, t *tracked, s int) (Cause, bool) {
+// agreedPart is the part of the limit that the score must reach without the carrier that
+// contributed most to it.
+const agreedPart = 2.0 / 3
+
+// sick returns a test over a scope that has passed the limit, if several carriers agree and the peers are healthier.
+func (j *Judge) sick(now time.Time, t *tracked, s int) (int, bool) {
 	limit := j.operating.Limit
-	for cause := range Cause(causes) {
-		test := &t.scopes[s].tests[cause]
+	for i := range t.scopes[s].tests {
+		test := &t.scopes[s].tests[i]
 		if test.score < limit || test.marks == nil {
 			continue
 		}
-		if j.carriersWithTraffic(now, t, s) > 1 && test.withoutLargest() < limit {
+		if j.carriersWithTraffic(now, t, s) > 1 && test.withoutLargest() < agreedPart*limit {
 			continue
 		}
-		if j.confirm(t, s, cause) {
-			return cause, true
+		if j.confirm(t, s, i) {
+			return i, true
 		}
 		test.scale(markedPart * limit / test.score)
 		test.marks = nil
@@ -124,8 +128,8 @@
 }
 
 // confirm compares an endpoint with its peers over the time since its score rose.
-func (j *Judge) confirm(t *tracked, s int, cause Cause) bool {
-	marks := t.scopes[s].tests[cause].marks
+func (j *Judge) confirm(t *tracked, s, test int) bool {
+	marks := t.scopes[s].tests[test].marks
 	var own totals
 	var peers []totals
 	for i, other := range j.endpoints {
@@ -137,16 +141,16 @@
 			peers = append(peers, since)
 		}
 	}
-	if cause == CauseFailures {
-		return confirmFailures(j.centres[s], own, peers, j.operating.Limit)
+	if test == testSlow {
+		return confirmSlowness(j.centres[s], own, peers, j.operating.Limit)
 	}
-	return confirmSlowness(j.centres[s], own, peers, j.operating.Limit)
+	return confirmFailures(j.centres[s], failureSteps[test], own, peers, j.operating.Limit)
 }
 
 // onlyZone returns the zone whose carriers alone find an endpoint sick, if others send requests there in health.
-func (j *Judge) onlyZone(now time.Time, t *tracked, cause Cause) (int, bool) {
+func (j *Judge) onlyZone(now time.Time, t *tracked, test int) (int, bool) {
 	parts := make([]float64, len(j.zones))
-	for carrier, part := range t.scopes[0].tests[cause].by {
+	for carrier, part := range t.scopes[0].tests[test].by {
 		parts[j.zoneOf[carrier]] += part
 	}
 	bad := 0
--- a/coord/health/detector.go
+++ b/coord/health/detector.go
@@ -20,12 +20,30 @@
 // causes is the number of causes.
 const causes = 2
 
+// The sequential tests on an endpoint. Two look for failures, since one alternative
+// cannot be near both an endpoint that fails some of its work and one that fails all.
+const (
+	testSomeFail = iota
+	testMostFail
+	testSlow
+	tests
+)
+
+// causeOf returns what a test speaks of.
+func causeOf(test int) Cause {
+	if test == testSlow {
+		return CauseSlowness
+	}
+	return CauseFailures
+}
+
 // totals count the requests of one endpoint since it was first seen.
 type totals struct {
 	requests  float64
 	failures  float64
 	answers   float64
 	residuals float64 // Sum over the answers.
+	slowGain  float64 // Sum over the answers, in nats.
 }
 
 func (t totals) minus(earlier totals) totals {
@@ -34,6 +52,7 @@
 		failures:  t.failures - earlier.failures,
 		answers:   t.answers - earlier.answers,
 		residuals: t.residuals - earlier.residuals,
+		slowGain:  t.slowGain - earlier.slowGain,
 	}
 }
 
@@ -87,7 +106,7 @@
 type scope struct {
 	rates  rates
 	totals totals
-	tests  [causes]cusum
+	tests  [tests]cusum
 }
 
 func newScope(carriers int) scope {
@@ -101,8 +120,10 @@
 // observe takes one carrier's report into the scope.
 func (s *scope) observe(c centre, r Report, carrier int, limit float64) {
 	requests, failures := float64(r.Requests), float64(r.Failures)
-	failed, answered := failureGains(c.failureRate)
-	s.tests[CauseFailures].add(failures*failed+(requests-failures)*answered, carrier, limit)
+	for test, step := range failureSteps {
+		failed, answered := failureGains(c.failureRate, step)
+		s.tests[test].add(failures*failed+(requests-failures)*answered, carrier, limit)
+	}
 	s.rates.addRequests(requests, failures)
 	s.totals.requests += requests
 	s.totals.failures += failures
@@ -115,8 +136,9 @@
 		s.totals.answers += count
 		s.totals.residuals += count * residual
 	}
+	s.totals.slowGain += slow
 	if c.known {
-		s.tests[CauseSlowness].add(slow, carrier, limit)
+		s.tests[testSlow].add(slow, carrier, limit)
 	}
 }
 
--- a/coord/health/judge.go
+++ b/coord/health/judge.go
@@ -139,11 +139,15 @@
 }
 
 func (j *Judge) observe(now time.Time, carrier int, e *Evidence) {
+	var seen []*tracked
 	for _, r := range e.Reports {
-		if t := j.byKey[r.Endpoint]; t != nil {
-			j.observeRequests(now, t, carrier, r)
+		if t := j.byKey[r.Endpoint]; t != nil && j.observeRequests(now, t, carrier, r) {
+			seen = append(seen, t)
 		}
 	}
+	for _, t := range seen { // Only now, so that the peers' part of the message is known.
+		j.decide(now, t, j.zoneOf[carrier])
+	}
 	for _, r := range e.Trials {
 		if t := j.byKey[r.Endpoint]; t != nil {
 			j.observeTrial(now, t, carrier, r)
--- a/coord/health/probation.go
+++ b/coord/health/probation.go
@@ -69,7 +69,7 @@
 func (j *Judge) addTrial(t *tracked, report Report) {
 	c := j.centres[0]
 	r := &t.removal
-	failed, answered := failureGains(c.failureRate)
+	failed, answered := failureGains(c.failureRate, failureSteps[testSomeFail])
 	requests, failures := float64(report.Requests), float64(report.Failures)
 	r.trials += int(report.Requests)
 	r.trial[CauseFailures] += clampTrial(failures*failed + (requests-failures)*answered)
--- a/coord/health/threshold.go
+++ b/coord/health/threshold.go
@@ -15,8 +15,8 @@
 )
 
 // testsPerRequest is the number of sequential tests that one request takes part in:
-// failures and slowness, over all carriers and over those of one zone.
-const testsPerRequest = 4
+// two for failures and one for slowness, over all carriers and over those of one zone.
+const testsPerRequest = 2 * tests
 
 // minLimit is the lowest score limit, in nats.
 const minLimit = 3.0
@@ -53,7 +53,7 @@
 	}
 	perEndpoint := rate / float64(max(endpoints, 1))
 	perMonth := perEndpoint * endpointMonth.Seconds()
-	limit := max(math.Log(testsPerRequest*perMonth/accepted), minLimit)
+	limit := max(math.Log(float64(testsPerRequest)*perMonth/accepted), minLimit)
 	c := defaultCentre()
 	failing := c.failureDrift(shownFailureRate)
 	slow := c.slowGain(math.Log(shownSlowFactor))
--- a/coord/health/tracked.go
+++ b/coord/health/tracked.go
@@ -74,14 +74,13 @@
 	}
 }
 
-// score returns the highest score over all carriers, and its cause.
-func (t *tracked) score() (float64, Cause) {
-	failures := t.scopes[0].tests[CauseFailures].score
-	slowness := t.scopes[0].tests[CauseSlowness].score
-	if slowness > failures {
-		return slowness, CauseSlowness
+// score returns the highest score over all carriers.
+func (t *tracked) score() float64 {
+	highest := 0.0
+	for i := range t.scopes[0].tests {
+		highest = max(highest, t.scopes[0].tests[i].score)
 	}
-	return failures, CauseFailures
+	return highest
 }
 
 // setEndpoints takes over the platform's list. What is known of an endpoint that stays is kept.
