Health: the slowness score grows no faster than a limit a second

Cause: requests that run at the same time share a short stall (made noise: 300 ms, once in 10 minutes per endpoint), so their slowness is one observation, not several.

Change: the slowness test's score takes at most 0.35 limits at once and one limit per second.

--- a/coord/health/decide.go
+++ b/coord/health/decide.go
@@ -22,7 +22,7 @@
 	}
 	t.seen[carrier] = now
 	for _, s := range [...]int{0, 1 + zone} {
-		t.scopes[s].observe(j.centres[s], r, carrier, j.operating.Limit)
+		t.scopes[s].observe(now, j.centres[s], r, carrier, j.operating.Limit)
 		j.mark(t, s)
 	}
 	return true
--- a/coord/health/detector.go
+++ b/coord/health/detector.go
@@ -1,5 +1,7 @@
 package health
 
+import "time"
+
 // Cause says what a score speaks of.
 type Cause uint8
 
@@ -63,6 +65,33 @@
 	// marks hold the totals of every endpoint from the time at which score rose over
 	// a quarter of the limit; nil while it is below.
 	marks []totals
+	// growth is what the score may still grow by at the time grownAt, if it is bounded.
+	growth  float64
+	grownAt time.Time
+}
+
+// Bounds of the growth of the slowness test, in limits. Requests that run at the same
+// time share a short stall, and so do not speak for themselves.
+const (
+	growthBurst     = 0.35
+	growthPerSecond = 1.0
+)
+
+// boundGrowth returns as much of a gain as the score may grow by at this time.
+func (c *cusum) boundGrowth(now time.Time, gain, limit float64) float64 {
+	most := growthBurst * limit
+	if c.grownAt.IsZero() {
+		c.growth = most
+	} else {
+		c.growth = min(c.growth+now.Sub(c.grownAt).Seconds()*growthPerSecond*limit, most)
+	}
+	c.grownAt = now
+	if gain <= 0 {
+		return gain
+	}
+	gain = min(gain, c.growth)
+	c.growth -= gain
+	return gain
 }
 
 func (c *cusum) add(gain float64, carrier int, limit float64) {
@@ -118,7 +147,7 @@
 }
 
 // observe takes one carrier's report into the scope.
-func (s *scope) observe(c centre, r Report, carrier int, limit float64) {
+func (s *scope) observe(now time.Time, c centre, r Report, carrier int, limit float64) {
 	requests, failures := float64(r.Requests), float64(r.Failures)
 	for test, step := range failureSteps {
 		failed, answered := failureGains(c.failureRate, step)
@@ -138,7 +167,8 @@
 	}
 	s.totals.slowGain += slow
 	if c.known {
-		s.tests[testSlow].add(slow, carrier, limit)
+		test := &s.tests[testSlow]
+		test.add(test.boundGrowth(now, slow, limit), carrier, limit)
 	}
 }
 
--- a/internal/measure/health/baselines.go
+++ b/internal/measure/health/baselines.go
@@ -43,6 +43,7 @@
 
 func (a *alone) tick(time.Time, int)        {}
 func (a *alone) deliver(time.Time, message) {}
+func (a *alone) ejections() int             { return a.ejected }
 func (a *alone) outbox() []message          { return nil }
 
 // consecutive ejects after a number of failures in a row.
--- a/internal/measure/health/detection.go
+++ b/internal/measure/health/detection.go
@@ -30,7 +30,9 @@
 
 var methods = []method{
 	{"damaskcove", func(w workload) func([]fleet.Instance, time.Time) policy {
-		return func(all []fleet.Instance, now time.Time) policy { return newJudged(w, all, now) }
+		return func(all []fleet.Instance, now time.Time) policy {
+			return newJudged(w, health.DefaultConfig(), all, now)
+		}
 	}},
 	{"five consecutive failures", consecutiveOf(5)},
 	{"success rate, 2 deviations", outlierOf(2)},
--- a/internal/measure/health/main.go
+++ b/internal/measure/health/main.go
@@ -9,7 +9,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "health", Short: "Measures detection times and false ejections on made traffic", SilenceUsage: true}
-	root.AddCommand(detectionCommand())
+	root.AddCommand(detectionCommand(), falseCommand(), curvesCommand(), costCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -48,3 +48,42 @@
 	}
 	return loads, nil
 }
+
+func falseCommand() *cobra.Command {
+	var seeds int
+	c := &cobra.Command{
+		Use:   "false",
+		Short: "False ejections of healthy endpoints, measured at low limits and extrapolated",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			writeFalse(cmd.OutOrStdout(), seeds)
+			return nil
+		},
+	}
+	c.Flags().IntVar(&seeds, "seeds", 12, "runs of each row, with seeds from 1")
+	return c
+}
+
+func curvesCommand() *cobra.Command {
+	var seeds int
+	var out string
+	c := &cobra.Command{
+		Use:   "curves",
+		Short: "Operating curves as tables and SVG files",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return writeCurves(cmd.OutOrStdout(), out, seeds)
+		},
+	}
+	c.Flags().IntVar(&seeds, "seeds", 24, "runs of each point, with seeds from 1")
+	c.Flags().StringVar(&out, "out", "docs/measurements", "directory of the SVG files")
+	return c
+}
+
+func costCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "cost",
+		Short: "State, time and bytes of carriers and judges, as slopes over endpoints and carriers",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return writeCost(cmd.OutOrStdout())
+		},
+	}
+}
--- a/internal/measure/health/policy.go
+++ b/internal/measure/health/policy.go
@@ -17,6 +17,8 @@
 	deliver(now time.Time, m message)
 	// state returns how an endpoint stands at a carrier.
 	state(now time.Time, carrier, endpoint int) health.State
+	// ejections returns the times that endpoints were taken out of service, at whichever carrier.
+	ejections() int
 	// outbox returns the messages to send since the last call.
 	outbox() []message
 }
@@ -39,7 +41,7 @@
 	ejected  int // Decisions that took an endpoint out of service.
 }
 
-func newJudged(w workload, all []fleet.Instance, now time.Time) *judged {
+func newJudged(w workload, cfg health.Config, all []fleet.Instance, now time.Time) *judged {
 	upstreams := w.upstreams()
 	p := health.Parameters{
 		Service:                        w.service,
@@ -49,10 +51,10 @@
 		ExpectedRequestsPerSecond:      w.expected,
 	}
 	a := health.Assignment{Generation: 1, Judge: all[0].Ref, Carriers: all}
-	j := &judged{judge: health.NewJudge(all[0], health.DefaultConfig()), self: all[0], all: all, views: make([][]health.EndpointView, len(all))}
+	j := &judged{judge: health.NewJudge(all[0], cfg), self: all[0], all: all, views: make([][]health.EndpointView, len(all))}
 	j.judge.Configure(now, p, a, upstreams)
 	for i, self := range all {
-		c := health.NewCarrier(self, health.DefaultConfig())
+		c := health.NewCarrier(self, cfg)
 		c.Configure(now, p, a, upstreams)
 		j.carriers = append(j.carriers, c)
 		j.views[i] = c.View(now)
@@ -100,6 +102,8 @@
 	return j.views[carrier][endpoint].State
 }
 
+func (j *judged) ejections() int { return j.ejected }
+
 func (j *judged) outbox() []message {
 	taken := j.pending
 	j.pending = nil
