Health: false ejections counted by the peaks of healthy scores; a margin for dependence

Cause: at a low limit the bound on the growth of the slowness score is low too, so a count of ejections there says nothing of the real limit.

Change: the measuring command counts at the service's own limit how often a healthy score rises over lower levels. That bounds ejections from above, since an ejection also needs several carriers and healthier peers. The limit gets a margin of ln 5.

--- a/coord/health/threshold.go
+++ b/coord/health/threshold.go
@@ -18,6 +18,10 @@
 // two for failures and one for slowness, over all carriers and over those of one zone.
 const testsPerRequest = 2 * tests
 
+// dependenceMargin divides the accepted false ejections: requests that an endpoint runs
+// at the same time are not independent of each other.
+const dependenceMargin = 5.0
+
 // minLimit is the lowest score limit, in nats.
 const minLimit = 3.0
 
@@ -41,7 +45,7 @@
 // The mean number of requests between two false alarms of a cumulative-sum test with
 // limit h is at least e^h, whatever the distribution of healthy requests. So the limit
 // is the logarithm of the tests that an endpoint takes part in per month over the
-// false ejections accepted in it.
+// false ejections accepted in it, with a margin.
 func Threshold(p Parameters, endpoints int) Operating {
 	accepted := p.FalseEjectionsPerEndpointMonth
 	if accepted <= 0 {
@@ -53,7 +57,7 @@
 	}
 	perEndpoint := rate / float64(max(endpoints, 1))
 	perMonth := perEndpoint * endpointMonth.Seconds()
-	limit := max(math.Log(float64(testsPerRequest)*perMonth/accepted), minLimit)
+	limit := max(math.Log(dependenceMargin*float64(testsPerRequest)*perMonth/accepted), minLimit)
 	c := defaultCentre()
 	failing := c.failureDrift(shownFailureRate)
 	slow := c.slowGain(math.Log(shownSlowFactor))
--- a/coord/health/tracked.go
+++ b/coord/health/tracked.go
@@ -74,11 +74,13 @@
 	}
 }
 
-// score returns the highest score over all carriers.
+// score returns the highest score of any test, over all carriers or those of one zone.
 func (t *tracked) score() float64 {
 	highest := 0.0
-	for i := range t.scopes[0].tests {
-		highest = max(highest, t.scopes[0].tests[i].score)
+	for s := range t.scopes {
+		for i := range t.scopes[s].tests {
+			highest = max(highest, t.scopes[s].tests[i].score)
+		}
 	}
 	return highest
 }
--- a/internal/measure/health/falserate.go
+++ b/internal/measure/health/falserate.go
@@ -17,10 +17,7 @@
 const month = 30 * 24 * time.Hour
 
 // healthyRun is the time of one run without a fault.
-const healthyRun = 20 * time.Minute
-
-// shortHold lets an endpoint that was wrongly ejected return soon, so that it keeps being counted.
-const shortHold = time.Second
+const healthyRun = 30 * time.Minute
 
 // acceptedFor returns the accepted rate that makes a service's limit a number of nats.
 func acceptedFor(w workload, limit float64) float64 {
@@ -36,12 +33,6 @@
 	return health.Threshold(p, w.endpoints).Limit
 }
 
-func shortHolds(w workload) func([]fleet.Instance, time.Time) policy {
-	cfg := health.DefaultConfig()
-	cfg.Hold, cfg.HoldMax = shortHold, shortHold
-	return func(all []fleet.Instance, now time.Time) policy { return newJudged(w, cfg, all, now) }
-}
-
 // falseEjections returns the ejections of healthy endpoints over several runs, and the
 // endpoint-months that they cover. An ejection at one carrier counts as its share.
 func falseEjections(w workload, make func([]fleet.Instance, time.Time) policy, seeds int) (ejections, months float64) {
@@ -87,11 +78,14 @@
 
 func (l line) at(x float64) float64 { return math.Exp(l.start + l.slope*x) }
 
+// fewest is the least count of a point that a line is fitted to.
+const fewest = 4
+
 // fit returns the least-squares line through points weighted by their count of ejections.
 func fit(x, rates, counts []float64) line {
 	var n, sx, sy, sxx, sxy float64
 	for i := range x {
-		if counts[i] < 1 {
+		if counts[i] < fewest {
 			continue
 		}
 		y := math.Log(rates[i])
@@ -109,6 +103,8 @@
 type measured struct {
 	settings, counts, rates []float64
 	line                    line
+	months                  float64 // Endpoint-months behind the counts.
+	ejected                 int     // At the service's own limit.
 }
 
 func measure(w workload, settings []float64, make func(setting float64) func([]fleet.Instance, time.Time) policy, seeds int) measured {
@@ -124,16 +120,76 @@
 
 // Settings at which false ejections are frequent enough to count.
 var (
-	countedLimits      = []float64{4, 5, 6, 7, 8, 9, 10, 11}
 	countedConsecutive = []float64{1, 2, 3}
 	countedDeviations  = []float64{1.6, 1.8, 2, 2.2}
 )
 
+// peaks counts how often a healthy endpoint's score rises over each of some levels. A
+// rise counts once until the score has been near zero again.
+type peaks struct {
+	counts  []float64 // By level: firstLevel, firstLevel+1 and so on, in nats.
+	reached map[fleet.Endpoint]int
+}
+
+// Levels of score that are counted, in nats.
+const (
+	firstLevel = 4
+	levels     = 23
+	nearZero   = 1.0
+)
+
+func newPeaks() *peaks {
+	return &peaks{counts: make([]float64, levels), reached: make(map[fleet.Endpoint]int)}
+}
+
+func (p *peaks) add(views []health.EndpointView) {
+	for _, v := range views {
+		if v.Score < nearZero {
+			delete(p.reached, v.Endpoint)
+			continue
+		}
+		next := p.reached[v.Endpoint]
+		for next < levels && v.Score >= float64(firstLevel+next) {
+			p.counts[next]++
+			next++
+		}
+		p.reached[v.Endpoint] = next
+	}
+}
+
+// measureJudged counts at the service's own limit how often a healthy endpoint's score
+// rises over lower levels. That bounds the ejections at such a level from above, since
+// an ejection also needs several carriers and healthier peers.
 func measureJudged(w workload, seeds int) measured {
-	return measure(w, countedLimits, func(limit float64) func([]fleet.Instance, time.Time) policy {
-		w.accepted = acceptedFor(w, limit)
-		return shortHolds(w)
-	}, seeds)
+	var mu sync.Mutex
+	m := measured{counts: make([]float64, levels)}
+	months := 0.0
+	runs := pool.New().WithMaxGoroutines(workers)
+	for seed := range seeds {
+		runs.Go(func() {
+			s := newSimulation(w, uint64(seed+1), methods[0].make(w))
+			s.run(warmUp, nil)
+			own := s.policy.(*judged)
+			before := own.ejected
+			own.peaks = newPeaks()
+			s.run(healthyRun, nil)
+			mu.Lock()
+			defer mu.Unlock()
+			m.ejected += own.ejected - before
+			months += float64(w.endpoints) * healthyRun.Hours() / month.Hours()
+			for i, count := range own.peaks.counts {
+				m.counts[i] += count
+			}
+		})
+	}
+	runs.Wait()
+	for i, count := range m.counts {
+		m.settings = append(m.settings, float64(firstLevel+i))
+		m.rates = append(m.rates, count/months)
+	}
+	m.months = months
+	m.line = fit(m.settings, m.rates, m.counts)
+	return m
 }
 
 func measureConsecutive(w workload, seeds int) measured {
@@ -153,10 +209,11 @@
 	fmt.Fprintln(out, "|---|---|---|---|---|---|")
 	for _, w := range []workload{find("catalogue").day(), find("stock").day()} {
 		own := measureJudged(w, seeds)
-		own.write(out, w.name, "damaskcove, limit in nats")
+		own.write(out, w.name, "damaskcove, score rose over, nats")
 		measureConsecutive(w, seeds).write(out, w.name, "failures in a row")
 		measureOutlier(w, seeds).write(out, w.name, "deviations")
 		limit := limitOf(w)
+		fmt.Fprintf(out, "| %s | damaskcove, ejections seen in %.2f endpoint-months | %.1f | %d | - | - |\n", w.name, own.months, limit, own.ejected)
 		fmt.Fprintf(out, "| %s | damaskcove, extrapolated | %.1f | - | %.2g | slope %.2f per nat; accepted %.3g |\n",
 			w.name, limit, own.line.at(limit), own.line.slope, w.accepted)
 	}
--- a/internal/measure/health/main.go
+++ b/internal/measure/health/main.go
@@ -59,7 +59,7 @@
 			return nil
 		},
 	}
-	c.Flags().IntVar(&seeds, "seeds", 12, "runs of each row, with seeds from 1")
+	c.Flags().IntVar(&seeds, "seeds", 48, "runs of each row, with seeds from 1")
 	return c
 }
 
--- a/internal/measure/health/policy.go
+++ b/internal/measure/health/policy.go
@@ -38,7 +38,8 @@
 	names    []fleet.Endpoint
 	views    [][]health.EndpointView
 	pending  []message
-	ejected  int // Decisions that took an endpoint out of service.
+	ejected  int    // Decisions that took an endpoint out of service.
+	peaks    *peaks // Nil unless scores are counted.
 }
 
 func newJudged(w workload, cfg health.Config, all []fleet.Instance, now time.Time) *judged {
@@ -95,6 +96,9 @@
 			j.ejected++
 		}
 	}
+	if j.peaks != nil {
+		j.peaks.add(j.judge.Explain(now))
+	}
 	j.pending = append(j.pending, message{carrier: m.carrier, send: sends[0]})
 }
 
