--- a/coord/claim/exhaustive_test.go
+++ b/coord/claim/exhaustive_test.go
@@ -30,9 +30,11 @@
 	machines   [2]*Machine // Nil once crashed.
 	late       [2]bool     // The ticket has expired by the clock of the side.
 	sent       []Send      // Each different message once.
-	started    int
+	started    [2]int
 	mayHaveRun bool // A dispatch has not been finished as not run.
 	saidNotRun bool
+	ranLate    bool    // Dispatched where the ticket had expired.
+	saidNotMe  [2]bool // The side has told its callers that it will not run the key.
 }
 
 func newExhaustive(s shortcuts) *exhaustive {
@@ -58,7 +60,7 @@
 		if m == nil {
 			continue
 		}
-		for _, what := range []string{"submit", "give up", "stop", "crash", "expire"} {
+		for _, what := range []string{"submit", "submit past expiry", "give up", "stop", "crash", "expire"} {
 			events = append(events, event{what: what, side: side})
 		}
 		if e := m.table.find(oneKey); e != nil && e.state == stateRunning {
@@ -88,25 +90,28 @@
 	}
 	m, now := x.machines[ev.side], x.now(ev.side)
 	switch ev.what {
-	case "submit":
+	case "submit", "submit past expiry":
 		s := Submission{Key: oneKey, Ticket: oneTicket, Deadline: now.Add(time.Minute)}
-		x.note(m.Submit(now, Role(ev.side+1), s))
+		if ev.what != "submit" {
+			s.Deadline = testExpiry.Add(time.Hour)
+		}
+		x.note(ev.side, m.Submit(now, Role(ev.side+1), s))
 	case "give up":
-		x.note(m.GiveUp(now, oneKey))
+		x.note(ev.side, m.GiveUp(now, oneKey))
 	case "stop":
-		x.note(m.Stop(now))
+		x.note(ev.side, m.Stop(now))
 	case "expire":
 		x.late[ev.side] = true
-		x.note(m.Tick(x.now(ev.side)))
+		x.note(ev.side, m.Tick(x.now(ev.side)))
 	case "crash":
 		x.machines[ev.side] = nil
 	case "answered":
-		x.note(m.Finish(now, oneKey, Outcome{Result: ResultAnswered, Answer: []byte("a")}))
+		x.note(ev.side, m.Finish(now, oneKey, Outcome{Result: ResultAnswered, Answer: []byte("a")}))
 	case "unknown":
-		x.note(m.Finish(now, oneKey, Outcome{Result: ResultUnknown, Reason: ReasonNoAnswer}))
+		x.note(ev.side, m.Finish(now, oneKey, Outcome{Result: ResultUnknown, Reason: ReasonNoAnswer}))
 	case "not run":
 		x.mayHaveRun = false
-		x.note(m.Finish(now, oneKey, Outcome{Result: ResultNotRun, Reason: ReasonShed}))
+		x.note(ev.side, m.Finish(now, oneKey, Outcome{Result: ResultNotRun, Reason: ReasonShed}))
 	}
 }
 
@@ -118,12 +123,12 @@
 		from, side = witnessRef, sideHome
 	}
 	if m := x.machines[side]; m != nil {
-		x.note(m.Deliver(x.now(side), from, msg))
+		x.note(side, m.Deliver(x.now(side), from, msg))
 	}
 }
 
 // note records effects.
-func (x *exhaustive) note(effects []Effect) {
+func (x *exhaustive) note(side int, effects []Effect) {
 	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case Send:
@@ -131,24 +136,32 @@
 				x.sent = append(x.sent, effect)
 			}
 		case Dispatch:
-			x.started++
+			x.started[side]++
+			x.ranLate = x.ranLate || x.late[side]
 			x.mayHaveRun = true
 		case Answer:
 			x.saidNotRun = x.saidNotRun || effect.Outcome.Result == ResultNotRun
 		}
 	}
-	for _, m := range x.machines {
-		if m != nil && m.Lookup(testStart, oneKey).Result == ResultNotRun {
-			x.saidNotRun = true
+	for side, m := range x.machines {
+		if m == nil {
+			continue
 		}
+		o := m.Lookup(testStart, oneKey)
+		x.saidNotRun = x.saidNotRun || o.Result == ResultNotRun
+		x.saidNotMe[side] = x.saidNotMe[side] || o.Reason == ReasonPeerGone
 	}
 }
 
 // fault names the promise that is broken, or is empty.
 func (x *exhaustive) fault() string {
 	switch {
-	case x.started > 1:
+	case x.started[sideHome]+x.started[sideWitness] > 1:
 		return "dispatched twice"
+	case x.saidNotMe[sideHome] && x.started[sideHome] > 0, x.saidNotMe[sideWitness] && x.started[sideWitness] > 0:
+		return "dispatched where it was said not to be"
+	case x.ranLate:
+		return "dispatched after the ticket expired"
 	case x.saidNotRun && x.mayHaveRun:
 		return "said not run of a key that may have run"
 	default:
@@ -170,10 +183,10 @@
 
 // sideID is all that later events at one side depend on.
 type sideID struct {
-	dead, stopping, held, waiting, known bool
-	state                                state
-	result                               Result
-	reason                               Reason
+	dead, stopping, held, waiting, known, long bool
+	state                                      state
+	result                                     Result
+	reason                                     Reason
 }
 
 func sideOf(m *Machine) sideID {
@@ -185,7 +198,7 @@
 		return sideID{stopping: m.stopping}
 	}
 	return sideID{
-		stopping: m.stopping, held: true, waiting: e.waiting, known: e.known,
+		stopping: m.stopping, held: true, waiting: e.waiting, known: e.known, long: e.deadline > testExpiry.UnixNano(),
 		state: e.state, result: e.outcome.Result, reason: e.outcome.Reason,
 	}
 }
@@ -195,8 +208,10 @@
 	sides                  [2]sideID
 	late                   [2]bool
 	sent                   uint64 // One bit for each message of seen.
-	started                int
+	started                [2]int
+	saidNotMe              [2]bool
 	mayHaveRun, saidNotRun bool
+	ranLate                bool
 }
 
 // explorer visits every reachable state, the nearest first.
@@ -216,7 +231,7 @@
 func (ex *explorer) stateOf(x *exhaustive) stateID {
 	id := stateID{
 		sides: [2]sideID{sideOf(x.machines[sideHome]), sideOf(x.machines[sideWitness])},
-		late:  x.late, started: x.started, mayHaveRun: x.mayHaveRun, saidNotRun: x.saidNotRun,
+		late:  x.late, started: x.started, saidNotMe: x.saidNotMe, ranLate: x.ranLate, mayHaveRun: x.mayHaveRun, saidNotRun: x.saidNotRun,
 	}
 	for _, s := range x.sent {
 		bit, ok := ex.bits[sentOf(s)]
@@ -232,27 +247,32 @@
 // explore returns the number of reachable states, or the events that led to a fault.
 func explore(s shortcuts) (states int, fault string, path []event) {
 	ex := &explorer{visited: make(map[stateID]bool), bits: make(map[sentID]uint64)}
-	ex.todo = append(ex.todo, visit{x: newExhaustive(s), parent: -1})
+	ex.add(visit{x: newExhaustive(s), parent: -1})
 	for at := 0; at < len(ex.todo); at++ {
 		x := ex.todo[at].x
 		ex.todo[at].x = nil
 		if fault := x.fault(); fault != "" {
 			return len(ex.visited), fault, ex.path(at)
 		}
-		id := ex.stateOf(x)
-		if ex.visited[id] {
-			continue
-		}
-		ex.visited[id] = true
 		for _, ev := range x.events() {
 			next := x.clone()
 			next.step(ev)
-			ex.todo = append(ex.todo, visit{x: next, ev: ev, parent: at})
+			ex.add(visit{x: next, ev: ev, parent: at})
 		}
 	}
 	return len(ex.visited), "", nil
 }
 
+// add puts a state on the list unless it was there before.
+func (ex *explorer) add(v visit) {
+	id := ex.stateOf(v.x)
+	if ex.visited[id] {
+		return
+	}
+	ex.visited[id] = true
+	ex.todo = append(ex.todo, v)
+}
+
 func (ex *explorer) path(at int) []event {
 	var path []event
 	for ; ex.todo[at].parent >= 0; at = ex.todo[at].parent {
@@ -307,6 +327,7 @@
 }
 
 func TestEveryOrderOfOneKey(t *testing.T) {
+	t.Parallel()
 	states, fault, path := explore(shortcuts{})
 	if fault != "" {
 		t.Fatalf("%s after %+v", fault, path)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/damaskcove/damaskcove/internal/dispatch"
 	"github.com/damaskcove/damaskcove/internal/endpoints"
 	"github.com/damaskcove/damaskcove/internal/entry"
+	"github.com/damaskcove/damaskcove/internal/listing"
 	"github.com/damaskcove/damaskcove/internal/members"
 	"github.com/damaskcove/damaskcove/internal/operator"
 	"github.com/damaskcove/damaskcove/internal/peer"
@@ -75,6 +76,7 @@
 
 	members    *members.Duty
 	config     *config.Duty
+	listing    *listing.Duty
 	endpoints  *endpoints.Duty
 	claims     *claims.Claims
 	dispatcher *dispatch.Dispatcher
@@ -82,7 +84,6 @@
 
 	router    atomic.Pointer[entry.Router]
 	appliedAt atomic.Pointer[time.Time]
-	listing   atomic.Pointer[platform.Listing]
 	stopping  atomic.Bool
 	started   time.Time
 	fatal     chan error
@@ -115,17 +116,26 @@
 	}
 	var err error
 	n.entry, err = entry.New(entry.Config{
-		Listen:       s.Listen.Entry,
-		MaxBodyBytes: int(s.Limits.MaxBodyBytes),
-		MaxInFlight:  int64(s.Limits.MaxInFlight),
-		Tracer:       n.opts.Tracer,
-		Log:          n.log,
-		Wrap:         n.opts.Wrap,
+		Listen:         s.Listen.Entry,
+		MaxBodyBytes:   int(s.Limits.MaxBodyBytes),
+		MaxInFlight:    int64(s.Limits.MaxInFlight),
+		MaxHeaderBytes: int(s.Limits.MaxHeaderBytes),
+		MaxConnections: s.Limits.MaxConnections,
+		IdleTimeout:    s.Limits.IdleTimeout,
+		ReadTimeout:    s.Limits.ReadTimeout,
+		Tracer:         n.opts.Tracer,
+		Log:            n.log,
+		Wrap:           n.opts.Wrap,
 	}, n)
 	if err != nil {
 		return err
 	}
 	n.self.EntryAddr = advertised(s.Listen.EntryAdvertised, n.entry.Addr())
+	n.operator, err = operator.New(s.Listen.Operator, s.Operator.Token, n)
+	if err != nil {
+		return err
+	}
+	n.self.OperatorAddr = advertised(s.Listen.OperatorAdvertised, n.operator.Addr())
 	n.self.PeerAddr = s.Listen.PeerAdvertised
 	n.links, err = peer.New(peer.Config{
 		Self:    n.self,
@@ -135,14 +145,14 @@
 		Resolve: func(to fleet.Ref) (fleet.Instance, bool) { return n.members.Resolve(to) },
 		Deliver: n.deliver,
 		Blocked: n.opts.Blocked,
+		Via:     n.via,
 		Log:     n.log,
 	})
 	if err != nil {
 		return err
 	}
 	n.self = n.links.Self()
-	n.operator, err = operator.New(s.Listen.Operator, s.Operator.Token, n)
-	return err
+	return nil
 }
 
 // advertised returns the address that others are told.
@@ -211,6 +221,15 @@
 		Log:             n.log,
 		OnApply:         n.configApplied,
 	})
+	n.listing = listing.New(listing.Options{
+		List:     platform.CountedList(n.opts.List, func(op string) { storecall.Calls.Add("listing."+op, 1) }),
+		Sender:   n.links,
+		Watcher:  n.watches,
+		Peers:    n.zonePeers,
+		Post:     n.loop.Post,
+		OnChange: n.takeListing,
+		Random:   n.random(3),
+	})
 	n.endpoints = endpoints.NewDuty(endpoints.Options{
 		Health:   health.DefaultConfig(),
 		Carriers: s.Fleet.CarriersPerService,
@@ -223,6 +242,7 @@
 		MaxAnswerBytes: int(s.Limits.MaxAnswerBytes),
 		DialTimeout:    s.Limits.UpstreamDial,
 		IdleTimeout:    s.Limits.UpstreamIdle,
+		Outgoing:       s.Listen.Outgoing,
 		Seed:           n.opts.Seed,
 	}, dispatch.Hooks{Observe: n.endpoints.Observe, Leaving: n.upstreamLeaving})
 	n.claims = claims.New(claims.Options{
@@ -238,6 +258,7 @@
 	})
 	n.loop.Add(n.members)
 	n.loop.Add(n.config)
+	n.loop.Add(n.listing)
 	n.loop.Add(n.endpoints)
 	n.loop.Add(n.claims)
 	return nil
@@ -325,12 +346,64 @@
 	n.endpoints.SetFleet(now, s.Roster.Generation, p, s.Self)
 }
 
+// maxVia bounds the instances that are asked to pass a message on.
+const maxVia = 4
+
+// via returns instances that may pass a message on to another, those of other zones
+// than this one's first; none when the receiver is not believed alive.
+func (n *Node) via(to fleet.Ref) []fleet.Ref {
+	m := n.members.Snapshot().Map
+	if m == nil || !contains(m.Instances(), to) {
+		return nil
+	}
+	instances := m.Instances()
+	start := rand.IntN(len(instances))
+	var far, near []fleet.Ref
+	for i := range instances {
+		in := instances[(start+i)%len(instances)]
+		switch {
+		case in.Ref == to || in.Ref == n.self.Ref:
+		case in.Zone != n.self.Zone:
+			far = append(far, in.Ref)
+		default:
+			near = append(near, in.Ref)
+		}
+		if len(far) >= maxVia {
+			break
+		}
+	}
+	return append(far, near...)
+}
+
+// watches reports whether this instance reads the platform's list for its zone.
+func (n *Node) watches() bool {
+	m := n.members.Snapshot().Map
+	if m == nil {
+		return false
+	}
+	return contains(m.Watchers(n.self.Zone, n.opts.Settings.Fleet.WatchersPerZone), n.self.Ref)
+}
+
+// zonePeers returns the other instances of this one's zone.
+func (n *Node) zonePeers() []fleet.Ref {
+	m := n.members.Snapshot().Map
+	if m == nil {
+		return nil
+	}
+	var peers []fleet.Ref
+	for _, in := range m.Instances() {
+		if in.Zone == n.self.Zone && in.Ref != n.self.Ref {
+			peers = append(peers, in.Ref)
+		}
+	}
+	return peers
+}
+
 // configApplied runs on the control goroutine.
 func (n *Node) configApplied(now time.Time, c *rollout.Config) {
 	n.router.Store(entry.NewRouter(c))
 	n.appliedAt.Store(&now)
 	n.endpoints.SetConfig(now, c)
-	n.log.Info("configuration in force", "revision", c.Revision, "services", len(c.Services), "accounts", len(c.Accounts))
 }
 
 // targetsChanged runs on the control goroutine.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -43,12 +44,21 @@
 
 // fillIn sets the values that follow from others.
 func (s *Settings) fillIn() {
-	if s.Listen.EntryAdvertised == "" {
-		s.Listen.EntryAdvertised = s.Listen.Entry
+	l := &s.Listen
+	l.EntryAdvertised = advertisedOr(l.EntryAdvertised, l.Entry)
+	l.PeerAdvertised = advertisedOr(l.PeerAdvertised, l.Peer)
+	l.OperatorAdvertised = advertisedOr(l.OperatorAdvertised, l.Operator)
+}
+
+// advertisedOr returns the listening address where no other is set, unless its port is not known yet.
+func advertisedOr(advertised, listening string) string {
+	if advertised != "" {
+		return advertised
 	}
-	if s.Listen.PeerAdvertised == "" {
-		s.Listen.PeerAdvertised = s.Listen.Peer
+	if addr, err := netip.ParseAddrPort(listening); err == nil && addr.Port() == 0 {
+		return ""
 	}
+	return listening
 }
 
 // provision reads the files that the settings name.
@@ -76,16 +86,15 @@
 	o.Token = strings.TrimSpace(string(data))
 }
 
+// provision checks the certificates; the links read the files again when they change.
 func (p *Peer) provision(c *tomlfile.Collector, dir string) {
 	p.CertFile = resolve(dir, p.CertFile)
 	p.KeyFile = resolve(dir, p.KeyFile)
 	p.CAFile = resolve(dir, p.CAFile)
 	if p.CertFile != "" && p.KeyFile != "" {
-		certificate, err := tls.LoadX509KeyPair(p.CertFile, p.KeyFile)
-		if err != nil {
+		if _, err := tls.LoadX509KeyPair(p.CertFile, p.KeyFile); err != nil {
 			c.Add("peer.cert_file", p.CertFile, "with peer.key_file %s: %s", p.KeyFile, err)
 		}
-		p.Certificate = certificate
 	}
 	if p.CAFile == "" {
 		return
@@ -95,8 +104,7 @@
 		c.Add("peer.ca_file", p.CAFile, "%s", err)
 		return
 	}
-	p.CAs = x509.NewCertPool()
-	if !p.CAs.AppendCertsFromPEM(data) {
+	if !x509.NewCertPool().AppendCertsFromPEM(data) {
 		c.Add("peer.ca_file", p.CAFile, "holds no PEM certificate")
 	}
 }
