--- a/internal/local/fleet_test.go
+++ b/internal/local/fleet_test.go
@@ -111,6 +111,15 @@
 	return a, nil
 }
 
+// testTimeout bounds every wait of these tests; it judges no speed.
+const testTimeout = 2 * time.Minute
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
 func TestLookupsAndOrdersAreServedEndToEnd(t *testing.T) {
 	f := startFleet(t, 3)
 	c := newCaller(t, f)
