Requests: a refusal before the claim no longer says not-run of a key

Cause: an entry that is not ready, stopping or full, or has no route, refused a keyed retry with the execution not-run while an earlier attempt with the key may have run. The embedded client took shed-queue-full with not-run as said of the key. Change: Request.RefuseAttempt says unknown when the request has a key; a full entry answers attempt-not-run. The client concludes not-run from such a code when the attempt was its key's only one, and goes on with a new key after attempt-not-run and claim-table-full. A home without a link to its witness refuses a new key at once instead of waiting for the deadline, which leaves the key to the witness. Shown to fail: without the check for earlier attempts the client's property test fails. Conclusion: not-run in a header is always said of the key or of an unkeyed request.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -28,6 +28,7 @@
 	answersStopping
 	answersRelayFailed
 	answersIncarnation
+	answersAttemptNotRun // Refuses the attempt; says nothing of the key.
 	answersShed
 	runsAndCutsOff
 	runsAndIsSilent
@@ -130,6 +131,8 @@
 		refuse(w, result.CodeRelayFailed)
 	case answersIncarnation:
 		refuse(w, result.CodeTicketIncarnation)
+	case answersAttemptNotRun:
+		refuse(w, result.CodeAttemptNotRun)
 	case answersShed:
 		if f.ranKeys[key] && key != "" {
 			refuse(w, result.CodeOutcomeUnknown)
--- a/client/request.go
+++ b/client/request.go
@@ -129,7 +129,7 @@
 	switch code {
 	case result.CodeStopping, result.CodeNotReady:
 		return true
-	case result.CodeTicketIncarnation, result.CodeTicketExpired:
+	case result.CodeTicketIncarnation, result.CodeTicketExpired, result.CodeAttemptNotRun, result.CodeClaimTableFull:
 		return t.renewKey()
 	case result.CodeRelayFailed:
 		t.unsure = t.unsure || t.key == ""
@@ -189,9 +189,24 @@
 	if t.answer.Execution == ExecutionNotRun && earlier && !(t.key != "" && speaksOfKey(t.answer.Code)) {
 		t.answer.Execution = ExecutionUnknown
 	}
+	if t.answer.Execution == ExecutionUnknown && !earlier && t.request.Key == "" && refusesAttempt(t.answer.Code) {
+		t.answer.Execution = ExecutionNotRun
+	}
 	return t.answer
 }
 
+// refusesAttempt reports whether a code says that the attempt that it answers did not run and
+// never will. When that was the key's only attempt, the request did not run.
+func refusesAttempt(code result.Code) bool {
+	switch code {
+	case result.CodeNoRoute, result.CodeUnknownAccount, result.CodeAccountNotAllowed, result.CodeBodyTooLarge, result.CodeMalformedRequest,
+		result.CodeStopping, result.CodeNotReady, result.CodeTicketIncarnation, result.CodeClaimTableFull, result.CodeAttemptNotRun:
+		return true
+	default:
+		return false
+	}
+}
+
 // speaksOfKey reports whether a code that says "not run" was given after the key was sealed.
 func speaksOfKey(code result.Code) bool {
 	switch code {
--- a/internal/claims/answers.go
+++ b/internal/claims/answers.go
@@ -98,6 +98,8 @@
 		return Refusal(result.CodeClaimTableFull, "")
 	case claim.ReasonStopping:
 		return Refusal(result.CodeStopping, "")
+	case claim.ReasonPeerGone:
+		return Refusal(result.CodeAttemptNotRun, "")
 	default:
 		return Refusal(result.CodeTicketIncarnation, "")
 	}
--- a/internal/claims/local.go
+++ b/internal/claims/local.go
@@ -70,6 +70,10 @@
 }
 
 func (c *Claims) submit(ctx context.Context, now time.Time, role claim.Role, r exchange.Request, s claim.Submission, w *waiter) {
+	if role == claim.RoleHome && c.cutOff(s) {
+		w.outcome <- claim.Outcome{Result: claim.ResultRefused, Reason: claim.ReasonPeerGone}
+		return
+	}
 	effects := c.machine.Submit(now, role, s)
 	for _, effect := range effects {
 		if refusal, ok := effect.(claim.Refusal); ok {
@@ -86,6 +90,13 @@
 	c.apply(effects)
 }
 
+// cutOff reports whether a new key could not be granted, since there is no link to its witness.
+// The home then takes no part, which leaves the key to the witness.
+func (c *Claims) cutOff(s claim.Submission) bool {
+	to := s.Ticket.Witness
+	return !to.IsZero() && !c.machine.Holds(s.Key) && !c.relay.Reachable(to)
+}
+
 // leave removes a caller whose context has ended and tells it what is known.
 func (c *Claims) leave(now time.Time, key claim.Key, w *waiter) {
 	waiting, ok := c.calls[key]
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -190,17 +190,17 @@
 func (s *Server) serve(ctx context.Context, r exchange.Request, now time.Time) exchange.Answer {
 	router := s.backend.Router()
 	if router == nil {
-		return exchange.Refusal(result.CodeNotReady, "")
+		return r.RefuseAttempt(result.CodeNotReady, "")
 	}
 	if bound := s.cfg.MaxInFlight; bound > 0 && s.inFlight.Load() > bound {
-		return exchange.Refusal(result.CodeShedQueueFull, fmt.Sprintf("%d requests in flight at the instance, bound %d", s.inFlight.Load(), bound))
+		return r.RefuseAttempt(overloadCode(r), fmt.Sprintf("%d requests in flight at the instance, bound %d", s.inFlight.Load(), bound))
 	}
 	match, code := router.Find(r.Account, r.Service, r.Method, pathOf(r.URI))
 	if code != result.CodeAnswered {
-		return exchange.Refusal(code, fmt.Sprintf("account %q, %s %s", r.Account, r.Method, pathOf(r.URI)))
+		return r.RefuseAttempt(code, fmt.Sprintf("account %q, %s %s", r.Account, r.Method, pathOf(r.URI)))
 	}
 	if bound := match.Service.MaxBodyBytes; bound > 0 && len(r.Body) > bound {
-		return exchange.Refusal(result.CodeBodyTooLarge, fmt.Sprintf("got %d bytes, bound %d", len(r.Body), bound))
+		return r.RefuseAttempt(result.CodeBodyTooLarge, fmt.Sprintf("got %d bytes, bound %d", len(r.Body), bound))
 	}
 	r.Service = match.Service.Name
 	r.Idempotent = match.Route.Idempotent
@@ -211,6 +211,15 @@
 	return s.backend.Serve(ctx, r)
 }
 
+// overloadCode returns the code of a request that the instance has no room for. A keyed one gets
+// a code that speaks of the attempt alone: shed-queue-full is said of keys that are sealed.
+func overloadCode(r exchange.Request) result.Code {
+	if r.Key != "" {
+		return result.CodeAttemptNotRun
+	}
+	return result.CodeShedQueueFull
+}
+
 func deadlineOf(configured time.Duration) time.Duration {
 	if configured <= 0 {
 		return defaultDeadline
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -61,3 +61,14 @@
 		Execution: entry.Execution,
 	}
 }
+
+// RefuseAttempt returns the answer that refuses one attempt of a request before it was claimed
+// or sent. With an idempotency key it says nothing of other attempts with the key: an execution
+// "not-run" becomes "unknown".
+func (r Request) RefuseAttempt(code result.Code, detail string) Answer {
+	a := Refusal(code, detail)
+	if r.Key != "" && !r.Idempotent && a.Execution == result.NotRun {
+		a.Execution = result.Unknown
+	}
+	return a
+}
