--- a/coord/health/detector.go
+++ b/coord/health/detector.go
@@ -1,5 +1,7 @@
 package health
 
+import "time"
+
 // Cause says what a score speaks of.
 type Cause uint8
 
@@ -20,12 +22,30 @@
 // causes is the number of causes.
 const causes = 2
 
+// The sequential tests on an endpoint. Two look for failures, since one alternative
+// cannot be near both an endpoint that fails some of its work and one that fails all.
+const (
+	testSomeFail = iota
+	testMostFail
+	testSlow
+	tests
+)
+
+// causeOf returns what a test speaks of.
+func causeOf(test int) Cause {
+	if test == testSlow {
+		return CauseSlowness
+	}
+	return CauseFailures
+}
+
 // totals count the requests of one endpoint since it was first seen.
 type totals struct {
 	requests  float64
 	failures  float64
 	answers   float64
 	residuals float64 // Sum over the answers.
+	slowGain  float64 // Sum over the answers, in nats.
 }
 
 func (t totals) minus(earlier totals) totals {
@@ -34,6 +54,7 @@
 		failures:  t.failures - earlier.failures,
 		answers:   t.answers - earlier.answers,
 		residuals: t.residuals - earlier.residuals,
+		slowGain:  t.slowGain - earlier.slowGain,
 	}
 }
 
@@ -44,6 +65,33 @@
 	// marks hold the totals of every endpoint from the time at which score rose over
 	// a quarter of the limit; nil while it is below.
 	marks []totals
+	// growth is what the score may still grow by at the time grownAt, if it is bounded.
+	growth  float64
+	grownAt time.Time
+}
+
+// Bounds of the growth of the slowness test, in limits. Requests that run at the same
+// time share a short stall, and so do not speak for themselves.
+const (
+	growthBurst     = 0.35
+	growthPerSecond = 1.0
+)
+
+// boundGrowth returns as much of a gain as the score may grow by at this time.
+func (c *cusum) boundGrowth(now time.Time, gain, limit float64) float64 {
+	most := growthBurst * limit
+	if c.grownAt.IsZero() {
+		c.growth = most
+	} else {
+		c.growth = min(c.growth+now.Sub(c.grownAt).Seconds()*growthPerSecond*limit, most)
+	}
+	c.grownAt = now
+	if gain <= 0 {
+		return gain
+	}
+	gain = min(gain, c.growth)
+	c.growth -= gain
+	return gain
 }
 
 func (c *cusum) add(gain float64, carrier int, limit float64) {
@@ -87,7 +135,7 @@
 type scope struct {
 	rates  rates
 	totals totals
-	tests  [causes]cusum
+	tests  [tests]cusum
 }
 
 func newScope(carriers int) scope {
@@ -99,10 +147,12 @@
 }
 
 // observe takes one carrier's report into the scope.
-func (s *scope) observe(c centre, r Report, carrier int, limit float64) {
+func (s *scope) observe(now time.Time, c centre, r Report, carrier int, limit float64) {
 	requests, failures := float64(r.Requests), float64(r.Failures)
-	failed, answered := failureGains(c.failureRate)
-	s.tests[CauseFailures].add(failures*failed+(requests-failures)*answered, carrier, limit)
+	for test, step := range failureSteps {
+		failed, answered := failureGains(c.failureRate, step)
+		s.tests[test].add(failures*failed+(requests-failures)*answered, carrier, limit)
+	}
 	s.rates.addRequests(requests, failures)
 	s.totals.requests += requests
 	s.totals.failures += failures
@@ -115,8 +165,10 @@
 		s.totals.answers += count
 		s.totals.residuals += count * residual
 	}
+	s.totals.slowGain += slow
 	if c.known {
-		s.tests[CauseSlowness].add(slow, carrier, limit)
+		test := &s.tests[testSlow]
+		test.add(test.boundGrowth(now, slow, limit), carrier, limit)
 	}
 }
 
