--- /dev/null
+++ b/coord/health/threshold_test.go
@@ -0,0 +1,30 @@
+package health
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestFewerAcceptedFalseEjectionsTakeLonger(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Parameters{
+			FalseEjectionsPerEndpointMonth: rapid.Float64Range(1e-4, 10).Draw(t, "accepted"),
+			ExpectedRequestsPerSecond:      rapid.Float64Range(0.1, 1e4).Draw(t, "rate"),
+		}
+		endpoints := rapid.IntRange(1, 50).Draw(t, "endpoints")
+		loose := Threshold(p, endpoints)
+		p.FalseEjectionsPerEndpointMonth /= 10
+		strict := Threshold(p, endpoints)
+		if strict.Limit <= loose.Limit || strict.DetectFailing < loose.DetectFailing || strict.DetectSlow < loose.DetectSlow {
+			t.Fatalf("accepting a tenth changes %+v to %+v", loose, strict)
+		}
+	})
+}
+
+func TestThresholdOfAnEmptyTemplateIsDefined(t *testing.T) {
+	o := Threshold(Parameters{}, 0)
+	if o.Limit < minLimit || o.DetectFailing <= 0 || o.DetectSlow <= 0 {
+		t.Fatalf("operating point %+v", o)
+	}
+}
--- a/internal/endpoints/service.go
+++ b/internal/endpoints/service.go
@@ -92,7 +92,7 @@
 func (d *Duty) place(now time.Time, s *service) fleet.Instance {
 	if s.placed != d.placed {
 		s.placed = d.placed
-		s.setCarriers(now, d.placement.Carriers(s.name, d.options.Carriers))
+		s.setCarriers(now, sorted(d.placement.Carriers(s.name, d.options.Carriers)))
 		s.assigned, _ = d.placement.Judge(s.name)
 	}
 	return s.assigned
@@ -134,6 +134,11 @@
 	}
 }
 
+// sorted returns the instances by ID, so that the same set is the same list everywhere.
+func sorted(instances []fleet.Instance) []fleet.Instance {
+	return slices.SortedFunc(slices.Values(instances), func(a, b fleet.Instance) int { return cmp.Compare(a.Ref.ID, b.Ref.ID) })
+}
+
 func sameRefs(a, b []fleet.Instance) bool {
 	return slices.EqualFunc(a, b, func(x, y fleet.Instance) bool { return x.Ref == y.Ref })
 }
