--- a/coord/health/detector.go
+++ b/coord/health/detector.go
@@ -73,8 +73,8 @@
 // Bounds of the growth of the slowness test, in limits. Requests that run at the same
 // time share a short stall, and so do not speak for themselves.
 const (
-	growthBurst     = 0.35
-	growthPerSecond = 1.0
+	growthBurst     = 0.25
+	growthPerSecond = 0.8
 )
 
 // boundGrowth returns as much of a gain as the score may grow by at this time.
