--- a/coord/membership/world_test.go
+++ b/coord/membership/world_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/damaskcove/damaskcove/coord/fleet"
 )
 
@@ -49,6 +51,8 @@
 	writes   int
 	reads    int
 	messages int
+	encoded  int // Bytes of the messages, when they are encoded and decoded on their way.
+	codec    bool
 }
 
 func newWorld(t failer, size, zones int) *world {
@@ -97,6 +101,7 @@
 		switch e := effect.(type) {
 		case Send:
 			w.messages++
+			e.Message = w.pass(e.Message)
 			w.inbox = append(w.inbox, delivery{from: p.machine.Self().Ref, to: e.To.Ref, msg: e.Message})
 		case ReadRoster:
 			w.read(id)
@@ -110,6 +115,23 @@
 	}
 }
 
+// pass encodes and decodes a message, if the world does so.
+func (w *world) pass(msg Message) Message {
+	if !w.codec {
+		return msg
+	}
+	data, err := cbor.Marshal(msg)
+	if err != nil {
+		w.t.Fatalf("encode: %v", err)
+	}
+	w.encoded += len(data)
+	var decoded Message
+	if err := cbor.Unmarshal(data, &decoded); err != nil {
+		w.t.Fatalf("decode: %v", err)
+	}
+	return decoded
+}
+
 func (w *world) read(id fleet.InstanceID) {
 	w.reads++
 	m := w.running[id].machine
