Bound the queue by the instance's slots

An instance whose share is five slots let 64 requests wait, 300 ms of work. The queue now holds four requests per slot, at least 16 and at most QueueLimit.

--- a/coord/routing/behavior_test.go
+++ b/coord/routing/behavior_test.go
@@ -216,6 +216,18 @@
 	}
 }
 
+func TestQueueIsBoundedByTheSlots(t *testing.T) {
+	for _, c := range []struct{ slots, waiting int }{{1, queueLeast}, {6, 6 * queuePerSlot}, {100, DefaultQueueLimit}} {
+		b := newTestBalancer(Config{}, target(endpointA, c.slots, StandingOpen))
+		for id := range uint64(c.slots + 2*DefaultQueueLimit) {
+			b.Submit(testStart, lookup(id+1))
+		}
+		if b.waiting() != c.waiting {
+			t.Errorf("%d requests wait for %d slots, want %d", b.waiting(), c.slots, c.waiting)
+		}
+	}
+}
+
 func TestWeightsShareAFullQueue(t *testing.T) {
 	cfg := Config{QueueLimit: 40, Weights: map[fleet.Account]int{"heavy": 3}}
 	b := newTestBalancer(cfg, target(endpointA, 1, StandingOpen))
--- a/coord/routing/config.go
+++ b/coord/routing/config.go
@@ -24,7 +24,7 @@
 // Config holds the settings of one service. Zero values take the defaults, but for
 // RetryShare, where zero allows no retry, no hedge and no trial request.
 type Config struct {
-	QueueLimit    int                   // Requests that may wait. Negative for none.
+	QueueLimit    int                   // Bound of the requests that wait, further bounded by the slots. Negative for none.
 	RetryShare    float64               // Retries and hedges allowed per request taken, 0 to 1.
 	RetryBurst    int                   // Retries and hedges allowed beyond the share. Negative for none.
 	HedgeQuantile float64               // Quantile of latency after which a hedge starts, 0 to 1. Negative for no hedges.
--- a/coord/routing/running.go
+++ b/coord/routing/running.go
@@ -76,7 +76,7 @@
 		b.dispatch(now, r, e, false)
 		return true
 	}
-	if b.waiting() < b.cfg.QueueLimit {
+	if b.waiting() < b.queueBound() {
 		r.waitsToRetry = true
 		b.retries = append(b.retries, r)
 		b.scheduleWaiting(now, r)
--- a/coord/routing/waiting.go
+++ b/coord/routing/waiting.go
@@ -5,13 +5,31 @@
 	"time"
 )
 
+// The queue holds at most queuePerSlot requests per slot of this instance, so that the
+// wait stays short where its share is small, but always as many as queueLeast.
+const (
+	queuePerSlot = 4
+	queueLeast   = 16
+)
+
+// queueBound returns how many requests may wait now.
+func (b *Balancer) queueBound() int {
+	slots := 0
+	for _, e := range b.endpoints {
+		if e.usable() {
+			slots += e.target.Limit
+		}
+	}
+	return min(b.cfg.QueueLimit, max(queuePerSlot*slots, queueLeast))
+}
+
 // waiting returns how many requests wait for an endpoint.
 func (b *Balancer) waiting() int { return b.queue.count + len(b.retries) }
 
 // wait puts r in the queue, or sheds a request when the queue is full.
 func (b *Balancer) wait(now time.Time, r *request) {
 	weight := b.cfg.weight(r.Account)
-	if b.waiting() >= b.cfg.QueueLimit {
+	if b.waiting() >= b.queueBound() {
 		victim := b.queue.victim(r.Account, weight)
 		if victim == nil {
 			b.end(r, RejectQueueFull)
