The planned-stop test stops an instance that is in use, and sees its connections

Change: callers of every zone; the instance stopped is the only one of its zone; an ended instance's connections are closed, as the end of a process would; connections that break off are counted.

--- a/internal/local/failure_test.go
+++ b/internal/local/failure_test.go
@@ -22,6 +22,7 @@
 // traffic sends orders from several callers until it is stopped.
 type traffic struct {
 	fleet    *Fleet
+	watch    *Watch
 	stop     chan struct{}
 	wait     sync.WaitGroup
 	answered atomic.Int64
@@ -33,9 +34,9 @@
 
 func startTraffic(t *testing.T, f *Fleet, callers int) *traffic {
 	t.Helper()
-	r := &traffic{fleet: f, stop: make(chan struct{})}
+	r := &traffic{fleet: f, watch: NewWatch(), stop: make(chan struct{})}
 	for n := range callers {
-		c := newCaller(t, f)
+		c := newWatchedCaller(t, f, r.watch, f.opts.Zones[n%len(f.opts.Zones)])
 		r.wait.Go(func() { r.run(c, n) })
 	}
 	return r
@@ -55,7 +56,7 @@
 func (r *traffic) send(c *client.Client, id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	a, err := ask(ctx, c, client.Request{Service: "drums", Method: "POST", URI: "/drums", Body: []byte(id)}, id)
+	a, err := ask(ctx, c, client.Request{Service: "drums", Method: "POST", URI: "/drums?" + upstream.ParamTime + "=20", Body: []byte(id)}, id)
 	b := upstream.Belief{ID: id, Order: true, Told: toldBy(a, err)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -131,12 +132,17 @@
 	r := startTraffic(t, f, 8)
 	r.await(t, 100)
 	for range 2 {
-		if err := f.Instances()[0].Stop(); err != nil {
+		leaving := f.Instances()[1] // The only one of its zone, and so in use.
+		r.watch.PlannedStop(leaving.Node.Self().EntryAddr)
+		if err := leaving.Stop(); err != nil {
 			t.Fatal(err)
 		}
 		r.await(t, 100)
 	}
 	audit := r.end(t)
+	if cut := r.watch.CutOffs(); cut > 0 {
+		t.Errorf("planned stops cut off %d requests", cut)
+	}
 	if audit.Unknown > 0 || len(r.errors) > 0 {
 		t.Errorf("%d orders are of unknown outcome, errors %v; want none through planned stops", audit.Unknown, r.errors)
 	}
@@ -147,7 +153,7 @@
 	r := startTraffic(t, f, 8)
 	for range 2 {
 		r.await(t, 100)
-		f.Instances()[0].Kill()
+		f.Instances()[1].Kill() // The only one of its zone, and so in use.
 	}
 	r.await(t, 100)
 	r.end(t)
--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -177,6 +177,7 @@
 	f.mu.Unlock()
 	f.wait.Go(func() {
 		in.err = n.Run(ctx)
+		in.listener.sever() // The end of a process closes what it left open.
 		f.listInstance(n.Self(), false)
 		store.Close()
 		close(in.ended)
--- a/internal/local/fleet_test.go
+++ b/internal/local/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"os"
 	"testing"
 	"time"
@@ -85,7 +86,17 @@
 
 func newCaller(t *testing.T, f *Fleet) *client.Client {
 	t.Helper()
-	c, err := client.New(client.Options{Entries: f.Entries(), Account: "brewer", Zone: "z1"})
+	return newWatchedCaller(t, f, NewWatch(), "z1")
+}
+
+// newWatchedCaller returns a caller whose connections the watch sees.
+func newWatchedCaller(t *testing.T, f *Fleet, w *Watch, zone fleet.Zone) *client.Client {
+	t.Helper()
+	shared := &http.Client{
+		Transport:     w.Wrap(client.NewHTTP().Transport),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	c, err := client.New(client.Options{Entries: f.Entries(), Account: "brewer", Zone: zone, HTTP: shared})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/demo/watch.go
+++ b/internal/local/watch.go
@@ -1,4 +1,4 @@
-package demo
+package local
 
 import (
 	"context"
@@ -9,26 +9,28 @@
 	"sync"
 )
 
-// watch sees the callers' connections: it counts the requests that an instance cut off
-// while it made a planned stop.
-type watch struct {
+// Watch sees the callers' connections: it counts the requests that an instance cut off
+// while it made a planned stop. It is safe for concurrent use.
+type Watch struct {
 	mu       sync.Mutex
 	stopping map[string]bool // Callers' addresses of instances that stop as planned.
 	cutOff   int
 }
 
-func newWatch() *watch {
-	return &watch{stopping: make(map[string]bool)}
+// NewWatch returns a watch that counts nothing yet.
+func NewWatch() *Watch {
+	return &Watch{stopping: make(map[string]bool)}
 }
 
-// plannedStop notes that an instance begins its planned stop.
-func (w *watch) plannedStop(address string) {
+// PlannedStop notes that an instance begins its planned stop.
+func (w *Watch) PlannedStop(address string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopping[address] = true
 }
 
-func (w *watch) cutOffs() int {
+// CutOffs returns the requests cut off.
+func (w *Watch) CutOffs() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.cutOff
@@ -36,7 +38,7 @@
 
 // failed takes a request's error. A connection that could not be made cuts nothing off,
 // nor does a caller that stopped waiting.
-func (w *watch) failed(address string, err error) {
+func (w *Watch) failed(address string, err error) {
 	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		return
 	}
@@ -51,13 +53,13 @@
 	}
 }
 
-// wrap returns a transport whose failures the watch sees.
-func (w *watch) wrap(next http.RoundTripper) http.RoundTripper {
+// Wrap returns a transport whose failures the watch sees.
+func (w *Watch) Wrap(next http.RoundTripper) http.RoundTripper {
 	return &watchedTransport{watch: w, next: next}
 }
 
 type watchedTransport struct {
-	watch *watch
+	watch *Watch
 	next  http.RoundTripper
 }
 
@@ -75,7 +77,7 @@
 // watchedBody reports an answer that breaks off.
 type watchedBody struct {
 	io.ReadCloser
-	watch   *watch
+	watch   *Watch
 	address string
 }
 
