--- /dev/null
+++ b/internal/node/events.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/placement"
+	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/coord/routing"
+	"github.com/damaskcove/damaskcove/internal/entry"
+	"github.com/damaskcove/damaskcove/internal/members"
+	"github.com/damaskcove/damaskcove/internal/relay"
+	"github.com/damaskcove/damaskcove/internal/wire"
+)
+
+// deliver hands a peer's message to the relays or to the control goroutine.
+func (n *Node) deliver(from fleet.Ref, e wire.Envelope) {
+	if !relay.Takes(e.Kind) {
+		n.loop.Deliver(from, e)
+		return
+	}
+	if err := n.calls.Deliver(context.Background(), from, e); err != nil {
+		n.refuse(from, e.Kind, err)
+	}
+}
+
+// carriersOf is the placement that the health duty needs: carriers by the roster's
+// generation alone, the judge by what this instance takes to be alive.
+type carriersOf struct {
+	roster *placement.Map
+	alive  *placement.Map
+}
+
+func (c carriersOf) Carriers(s fleet.Service, count int) []fleet.Instance {
+	return c.roster.Carriers(s, count)
+}
+
+func (c carriersOf) Judge(s fleet.Service) (fleet.Instance, bool) {
+	return c.alive.Judge(s)
+}
+
+// membersChanged runs on the control goroutine.
+func (n *Node) membersChanged(now time.Time, s *members.Snapshot) {
+	n.budget.SetFleetSize(len(s.Roster.Instances))
+	p := carriersOf{roster: placement.NewMap(s.Roster.Instances), alive: s.Map}
+	n.endpoints.SetFleet(now, s.Roster.Generation, p, s.Self)
+}
+
+// maxVia bounds the instances that are asked to pass a message on.
+const maxVia = 4
+
+// via returns instances that may pass a message on to another, those of other zones
+// than this one's first; none when the receiver is not believed alive.
+func (n *Node) via(to fleet.Ref) []fleet.Ref {
+	m := n.members.Snapshot().Map
+	if m == nil || !contains(m.Instances(), to) {
+		return nil
+	}
+	instances := m.Instances()
+	start := rand.IntN(len(instances))
+	var far, near []fleet.Ref
+	for i := range instances {
+		in := instances[(start+i)%len(instances)]
+		switch {
+		case in.Ref == to || in.Ref == n.self.Ref:
+		case in.Zone != n.self.Zone:
+			far = append(far, in.Ref)
+		default:
+			near = append(near, in.Ref)
+		}
+		if len(far) >= maxVia {
+			break
+		}
+	}
+	return append(far, near...)
+}
+
+// watches reports whether this instance reads the platform's list for its zone.
+func (n *Node) watches() bool {
+	m := n.members.Snapshot().Map
+	if m == nil {
+		return false
+	}
+	return contains(m.Watchers(n.self.Zone, n.opts.Settings.Fleet.WatchersPerZone), n.self.Ref)
+}
+
+// zonePeers returns the other instances of this one's zone.
+func (n *Node) zonePeers() []fleet.Ref {
+	m := n.members.Snapshot().Map
+	if m == nil {
+		return nil
+	}
+	var peers []fleet.Ref
+	for _, in := range m.Instances() {
+		if in.Zone == n.self.Zone && in.Ref != n.self.Ref {
+			peers = append(peers, in.Ref)
+		}
+	}
+	return peers
+}
+
+// configApplied runs on the control goroutine.
+func (n *Node) configApplied(now time.Time, c *rollout.Config) {
+	n.router.Store(entry.NewRouter(c))
+	n.appliedAt.Store(&now)
+	n.endpoints.SetConfig(now, c)
+}
+
+// targetsChanged runs on the control goroutine.
+func (n *Node) targetsChanged(service fleet.Service, targets []routing.Target, t rollout.ServiceTemplate) {
+	n.dispatcher.SetTargets(service, n.routingConfig(t), targets)
+}
+
+func (n *Node) routingConfig(t rollout.ServiceTemplate) routing.Config {
+	return routing.Config{
+		RetryShare: t.RetryShare,
+		Zone:       n.self.Zone,
+		Weights:    weights(n.config.Current(), t.Name),
+	}
+}
+
+// weights returns the shares of the accounts whose share is not one.
+func weights(c *rollout.Config, service fleet.Service) map[fleet.Account]int {
+	if c == nil {
+		return nil
+	}
+	shares := make(map[fleet.Account]int)
+	for name, a := range c.Accounts {
+		if a.Weight > 1 && calls(a, service) {
+			shares[name] = a.Weight
+		}
+	}
+	return shares
+}
+
+func calls(a rollout.AccountTemplate, service fleet.Service) bool {
+	for _, s := range a.Services {
+		if s == service {
+			return true
+		}
+	}
+	return false
+}
+
+// upstreamLeaving takes an upstream's own word that it leaves.
+func (n *Node) upstreamLeaving(service fleet.Service, endpoint fleet.Endpoint) {
+	n.loop.Post(func(now time.Time) { n.endpoints.Leaving(now, service, endpoint) })
+}
