Rollout: a trimmed list of changes holds on to no dropped change

Cause: the slice kept after trimming shared its array with the changes dropped, so that a head proposed with one bulk change kept the whole change. Change: the kept part is copied.

--- a/coord/rollout/propose.go
+++ b/coord/rollout/propose.go
@@ -59,7 +59,7 @@
 		}
 		kept--
 	}
-	return changes[kept:], nil
+	return slices.Clone(changes[kept:]), nil // A part of the array would hold on to the rest.
 }
 
 // fold returns the head with a snapshot of the configuration, and the shards that differ
