--- a/coord/placement/spread_test.go
+++ b/coord/placement/spread_test.go
@@ -40,13 +40,18 @@
 	}
 	for _, c := range cases {
 		m := NewMap(instancesIn(c.instances, c.zones))
+		worst := 0.0
 		for s := range 8 {
 			service := fleet.Service(fmt.Sprintf("service-%d", s))
-			if got := heaviest(m, service, c.carriers, 4000, c.near); got > maxOverMean {
+			got := heaviest(m, service, c.carriers, 4000, c.near)
+			worst = max(worst, got)
+			if got > maxOverMean {
 				t.Errorf("%d instances, %d zones, %d carriers, %s: %.3f times the mean, bound %.2f",
 					c.instances, c.zones, c.carriers, service, got, maxOverMean)
 			}
 		}
+		t.Logf("%d instances, %d zones, %d carriers, near %q: worst of 8 services %.3f times the mean",
+			c.instances, c.zones, c.carriers, c.near(0), worst)
 	}
 }
 
@@ -95,3 +100,39 @@
 		}
 	}
 }
+
+// TestSpreadOfFewCallers measures the heaviest carrier when callers are few, using their first
+// entry or all three in turn.
+func TestSpreadOfFewCallers(t *testing.T) {
+	m := NewMap(instancesIn(810, 5))
+	for _, callers := range []int{292, 1000, 4000} {
+		for _, used := range []int{1, 3} {
+			worst, over := 0.0, 0
+			const services = 40
+			for s := range services {
+				got := heaviestOver(m, fleet.Service(fmt.Sprintf("service-%d", s)), 15, callers, used)
+				worst = max(worst, got)
+				if got > maxOverMean {
+					over++
+				}
+			}
+			t.Logf("%d callers, %d entries used: worst %.3f times the mean, %d of %d services over %.2f",
+				callers, used, worst, over, services, maxOverMean)
+		}
+	}
+}
+
+// heaviestOver is heaviest for callers anywhere that spread their requests over some entries.
+func heaviestOver(m *Map, s fleet.Service, carriers, callers, used int) float64 {
+	counts := make(map[fleet.Ref]int)
+	for c := range callers {
+		for _, e := range m.Entries(s, fleet.Account(fmt.Sprintf("account-%d", c)), "", carriers, used) {
+			counts[e.Ref]++
+		}
+	}
+	most := 0
+	for _, n := range counts {
+		most = max(most, n)
+	}
+	return float64(most) * float64(carriers) / float64(callers*used)
+}
