--- /dev/null
+++ b/internal/config/bench_test.go
@@ -0,0 +1,95 @@
+package config_test
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/platform/standin"
+)
+
+// BenchmarkChangeInForce measures the time from the operator's call until the last instance of a
+// fleet in one process has a change in force, and the store's calls in between.
+func BenchmarkChangeInForce(b *testing.B) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for _, delay := range []time.Duration{0, 300 * time.Millisecond} {
+		for _, size := range []int{12, 24, 44} {
+			b.Run(fmt.Sprintf("instances=%d,store-delay=%v", size, delay), func(b *testing.B) { inForce(b, size, delay) })
+		}
+	}
+}
+
+func inForce(b *testing.B, size int, delay time.Duration) {
+	store := standin.New(standin.Options{})
+	nodes := startAll(b, size, store)
+	if err := store.SetFaults(standin.Faults{Delay: delay}); err != nil {
+		b.Fatal(err)
+	}
+	var took []time.Duration
+	for b.Loop() {
+		start := time.Now()
+		want := change(b, store, len(took), fmt.Sprint(len(took)))
+		waitFor(b, "change in force everywhere", everyone(nodes, func(n *instance) bool { return n.revision() >= want }))
+		took = append(took, time.Since(start))
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "p99-ms")
+}
+
+func startAll(b *testing.B, size int, store *standin.Platform) []*instance {
+	net := &network{nodes: make(map[fleet.Ref]*instance)}
+	var hints []fleet.Instance
+	for i := range size {
+		hints = append(hints, describe(i))
+	}
+	var nodes []*instance
+	for i := range size {
+		nodes = append(nodes, net.start(b, i, hints, store))
+	}
+	waitFor(b, "all on the roster", everyone(nodes, func(n *instance) bool {
+		s := n.members.Snapshot()
+		return s.Joined && len(s.Roster.Instances) == size
+	}))
+	b.Cleanup(func() {
+		for _, n := range nodes {
+			n.stop()
+		}
+	})
+	return nodes
+}
+
+// BenchmarkColdStart measures the start of an instance until its first configuration, with the
+// store at hand and away.
+func BenchmarkColdStart(b *testing.B) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for _, outage := range []standin.Outage{standin.OutageNone, standin.OutageRefuse} {
+		b.Run(fmt.Sprintf("outage=%q", outage), func(b *testing.B) {
+			store := standin.New(standin.Options{})
+			nodes := startAll(b, 12, store)
+			want := change(b, store, 1, "one")
+			waitFor(b, "change in force everywhere", everyone(nodes, func(n *instance) bool { return n.revision() == want }))
+			if err := store.SetFaults(standin.Faults{Store: outage}); err != nil {
+				b.Fatal(err)
+			}
+			var hints []fleet.Instance
+			for i := range 12 {
+				hints = append(hints, describe(i))
+			}
+			net := nodes[0].net
+			next := 100
+			for b.Loop() {
+				late := net.start(b, next, hints, store)
+				next++
+				waitFor(b, "first configuration", func() bool { return late.revision() == want })
+				b.StopTimer()
+				late.stop()
+				b.StartTimer()
+			}
+		})
+	}
+}
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -24,6 +24,9 @@
 // patience bounds how long a test waits for something that must happen.
 const patience = 90 * time.Second
 
+// pollInterval is the time between two looks at a condition.
+const pollInterval = 2 * time.Millisecond
+
 // instance is one instance's control loop with its two duties.
 type instance struct {
 	ref     fleet.Ref
@@ -31,6 +34,7 @@
 	members *members.Duty
 	config  *config.Duty
 	stop    context.CancelFunc
+	net     *network
 	mu      sync.Mutex
 	applied []fleet.Revision
 }
@@ -71,13 +75,13 @@
 	}
 }
 
-func (n *network) start(t *testing.T, i int, hints []fleet.Instance, store *standin.Platform) *instance {
+func (n *network) start(t testing.TB, i int, hints []fleet.Instance, store *standin.Platform) *instance {
 	self := describe(i)
 	ctx, cancel := context.WithCancel(t.Context())
 	loop := control.NewLoop(func(from fleet.Ref, kind wire.Kind, err error) {})
 	budget := storecall.NewBudget(time.Now)
 	random := rand.New(rand.NewPCG(uint64(i), 1))
-	node := &instance{ref: self.Ref, loop: loop, stop: cancel}
+	node := &instance{ref: self.Ref, loop: loop, stop: cancel, net: n}
 	node.members = members.New(ctx, members.Options{
 		Self: self, Config: membership.Config{Fleet: "f"}, RosterKey: storekeys.Keys{Fleet: "f"}.Roster(),
 		Random: random, Loop: loop, Sender: link{n, self.Ref}, Store: store, Budget: budget,
@@ -112,14 +116,14 @@
 	return 0
 }
 
-func waitFor(t *testing.T, what string, done func() bool) {
+func waitFor(t testing.TB, what string, done func() bool) {
 	t.Helper()
 	end := time.Now().Add(patience)
 	for !done() {
 		if time.Now().After(end) {
 			t.Fatalf("not within %v: %s", patience, what)
 		}
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(pollInterval)
 	}
 }
 
@@ -134,7 +138,7 @@
 	}
 }
 
-func change(t *testing.T, store *standin.Platform, floor int, id string) fleet.Revision {
+func change(t testing.TB, store *standin.Platform, floor int, id string) fleet.Revision {
 	t.Helper()
 	accepted, err := operate.Apply(t.Context(), store, "f", nil, rollout.Change{Services: []rollout.ServiceTemplate{{
 		Name: "s", FloorSlots: floor, Deadline: time.Second, FalseEjectionsPerEndpointMonth: 0.01, MaxBodyBytes: 1,
