Claims: count the process's answers by code in expvar

Cause: the duty counted its codes in a map that nothing published. Change: claim_answers counts those of the process; the duty's own map stays for programs that run several instances.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -12,7 +12,6 @@
 
 	"github.com/damaskcove/damaskcove/coord/claim"
 	"github.com/damaskcove/damaskcove/coord/fleet"
-	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/internal/control"
 	"github.com/damaskcove/damaskcove/internal/exchange"
 	"github.com/damaskcove/damaskcove/internal/relay"
@@ -109,7 +108,8 @@
 	return text
 }
 
-// Vars returns the count of answers by the name of their code.
+// Vars returns this duty's count of answers by the name of their code. The variable
+// "claim_answers" counts those of the process.
 func (c *Claims) Vars() *expvar.Map {
 	return c.codes
 }
@@ -179,12 +179,3 @@
 		return fmt.Errorf("stop claims of %s, %d keys held: %w", c.self, c.Table().Keys, ctx.Err())
 	}
 }
-
-func (c *Claims) count(code result.Code) {
-	entry, ok := result.Lookup(code)
-	if !ok {
-		c.codes.Add("unlisted", 1)
-		return
-	}
-	c.codes.Add(entry.Name, 1)
-}
