Requests: a malformed or forged ticket no longer says not-run

Cause: a key that was cut off or changed on the way may be a retry of an order that ran; not-run would let its caller order again. Change: ticket-malformed and ticket-forged say unknown; the client concludes not-run when the attempt was the only one. The refusal of one attempt stands once, in exchange.

--- a/client/request.go
+++ b/client/request.go
@@ -200,7 +200,8 @@
 func refusesAttempt(code result.Code) bool {
 	switch code {
 	case result.CodeNoRoute, result.CodeUnknownAccount, result.CodeAccountNotAllowed, result.CodeBodyTooLarge, result.CodeMalformedRequest,
-		result.CodeStopping, result.CodeNotReady, result.CodeTicketIncarnation, result.CodeClaimTableFull, result.CodeAttemptNotRun:
+		result.CodeStopping, result.CodeNotReady, result.CodeTicketMalformed, result.CodeTicketForged,
+		result.CodeTicketIncarnation, result.CodeClaimTableFull, result.CodeAttemptNotRun:
 		return true
 	default:
 		return false
--- a/internal/claims/answers.go
+++ b/internal/claims/answers.go
@@ -91,17 +91,17 @@
 func refuse(reason claim.Reason) exchange.Answer {
 	switch reason {
 	case claim.ReasonExpired:
-		return Refusal(result.CodeTicketExpired, "")
+		return exchange.AttemptRefusal(result.CodeTicketExpired, "")
 	case claim.ReasonMismatch:
-		return Refusal(result.CodeKeyReused, "")
+		return exchange.AttemptRefusal(result.CodeKeyReused, "")
 	case claim.ReasonTableFull:
-		return Refusal(result.CodeClaimTableFull, "")
+		return exchange.AttemptRefusal(result.CodeClaimTableFull, "")
 	case claim.ReasonStopping:
-		return Refusal(result.CodeStopping, "")
+		return exchange.AttemptRefusal(result.CodeStopping, "")
 	case claim.ReasonPeerGone:
-		return Refusal(result.CodeAttemptNotRun, "")
+		return exchange.AttemptRefusal(result.CodeAttemptNotRun, "")
 	default:
-		return Refusal(result.CodeTicketIncarnation, "")
+		return exchange.AttemptRefusal(result.CodeTicketIncarnation, "")
 	}
 }
 
--- a/internal/claims/key.go
+++ b/internal/claims/key.go
@@ -60,29 +60,16 @@
 func refuseKey(err error) exchange.Answer {
 	switch {
 	case errors.Is(err, claim.ErrExpired):
-		return Refusal(result.CodeTicketExpired, err.Error())
+		return exchange.AttemptRefusal(result.CodeTicketExpired, err.Error())
 	case errors.Is(err, claim.ErrOtherFleet):
-		return Refusal(result.CodeTicketOtherFleet, err.Error())
-	case errors.Is(err, claim.ErrUnknownSigningKey):
-		return Refusal(result.CodeTicketForged, err.Error())
-	case errors.Is(err, claim.ErrForged):
-		return exchange.Refusal(result.CodeTicketForged, err.Error())
+		return exchange.AttemptRefusal(result.CodeTicketOtherFleet, err.Error())
+	case errors.Is(err, claim.ErrForged), errors.Is(err, claim.ErrUnknownSigningKey):
+		return exchange.AttemptRefusal(result.CodeTicketForged, err.Error())
 	default:
-		return exchange.Refusal(result.CodeTicketMalformed, err.Error())
+		return exchange.AttemptRefusal(result.CodeTicketMalformed, err.Error())
 	}
 }
 
-// Refusal returns the answer that refuses one attempt of a keyed request before its claim. It
-// says nothing of other attempts with the key: a code whose execution is "not-run" becomes
-// "unknown".
-func Refusal(code result.Code, detail string) exchange.Answer {
-	a := exchange.Refusal(code, detail)
-	if a.Execution == result.NotRun {
-		a.Execution = result.Unknown
-	}
-	return a
-}
-
 // fingerprint digests what makes a request itself: service, account, method, path and body.
 func fingerprint(r exchange.Request) claim.Fingerprint {
 	h := sha256.New()
--- a/internal/claims/local.go
+++ b/internal/claims/local.go
@@ -35,7 +35,7 @@
 	w := &waiter{outcome: make(chan claim.Outcome, 1)}
 	posted := c.loop.Post(func(now time.Time) { c.submit(ctx, now, role, r, s, w) })
 	if !posted {
-		return Refusal(result.CodeStopping, "")
+		return exchange.AttemptRefusal(result.CodeStopping, "")
 	}
 	select {
 	case o := <-w.outcome:
--- a/internal/claims/route.go
+++ b/internal/claims/route.go
@@ -68,7 +68,7 @@
 		return claim.Submission{}, refuseKey(err), false
 	}
 	if ticket.Account != r.Account || ticket.Service != r.Service {
-		return claim.Submission{}, Refusal(result.CodeTicketOtherAccount, ""), false
+		return claim.Submission{}, exchange.AttemptRefusal(result.CodeTicketOtherAccount, ""), false
 	}
 	s = claim.Submission{Key: key, Ticket: ticket, Fingerprint: fingerprint(r), Deadline: r.Deadline}
 	return s, exchange.Answer{}, true
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -62,13 +62,21 @@
 	}
 }
 
-// RefuseAttempt returns the answer that refuses one attempt of a request before it was claimed
-// or sent. With an idempotency key it says nothing of other attempts with the key: an execution
-// "not-run" becomes "unknown".
-func (r Request) RefuseAttempt(code result.Code, detail string) Answer {
+// AttemptRefusal returns the answer that refuses one attempt of a keyed request before its claim.
+// It says nothing of other attempts with the key: an execution "not-run" becomes "unknown".
+func AttemptRefusal(code result.Code, detail string) Answer {
 	a := Refusal(code, detail)
-	if r.Key != "" && !r.Idempotent && a.Execution == result.NotRun {
+	if a.Execution == result.NotRun {
 		a.Execution = result.Unknown
 	}
 	return a
 }
+
+// RefuseAttempt returns the answer that refuses the request before it was claimed or sent: an
+// AttemptRefusal when it carries an idempotency key that counts, a Refusal otherwise.
+func (r Request) RefuseAttempt(code result.Code, detail string) Answer {
+	if r.Key != "" && !r.Idempotent {
+		return AttemptRefusal(code, detail)
+	}
+	return Refusal(code, detail)
+}
