--- a/cmd/damaskctl/standin_test.go
+++ b/cmd/damaskctl/standin_test.go
@@ -127,6 +127,8 @@
 		t.Fatalf("%d started, %d sent", stats[0].Started, report.Requests)
 	}
 	call(t, http.MethodPut, "http://"+admin+upstream.PathFaults+"?endpoint="+endpoint, `{"fail_share":1}`, nil)
+	call(t, http.MethodPost, "http://"+admin+upstream.PathReach+"?endpoint="+endpoint+"&from=127.0.0.1&reach=close", "", nil)
+	ctl(context.Background(), "load", "--direct", endpoint, "--account", "a", "--path", "/stock", "--duration", "100ms", "--warmup", "0s").want(t, exitDone, "no-answer")
 	call(t, http.MethodPost, "http://"+admin+upstream.PathLeave+"?endpoint="+endpoint, "", nil)
 	for listing.Upstreams["stock"][0].State != fleet.UpstreamLeaving {
 		var err error
@@ -145,3 +147,20 @@
 	got := ctl(context.Background(), "load", "--direct", freeAddress(t), "--account", "a", "--path", "/", "--duration", "50ms", "--warmup", "0s")
 	got.want(t, exitDone, "from the drawn start", "no-answer")
 }
+
+func TestSettingsOfTheLocalStandinsAreValid(t *testing.T) {
+	if _, err := readPlatformSettings("../../examples/local/platform.toml"); err != nil {
+		t.Error(err)
+	}
+	s, err := readHostSettings("../../examples/local/upstreams.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts := make(map[string]int)
+	for _, g := range s.Groups {
+		counts[g.Service] += g.Count
+	}
+	if counts["stock"] != 10 || counts["drums"] != 20 || counts["pickups"] != 6 {
+		t.Errorf("endpoints %v", counts)
+	}
+}
