Ejections work soon after every instance was restarted

Cause: judges take the least of their shares under the former sets of carriers too, for 15 minutes. After a restart of all instances nobody of the former set can be heard, so the budget was 0 all that time. Excluded: a short wait for loans; it was seen for a minute in a fleet of processes, and the new test shows it after 20 s of a failing endpoint. Change: a life that a later life of the same instance has followed is left out of former sets, one loan after that was learned. An instance replaced under another ID still counts for 15 minutes.

--- a/coord/health/safety_test.go
+++ b/coord/health/safety_test.go
@@ -199,3 +199,27 @@
 		}
 	})
 }
+
+// TestSharesFitTheBudgetWhenJudgesKnowOfDifferentEndedLives checks the shares when each judge
+// counts a set of carriers without some of its lives that have ended, and not all judges
+// know of the same ones.
+func TestSharesFitTheBudgetWhenJudgesKnowOfDifferentEndedLives(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := rapid.IntRange(0, 60).Draw(t, "budget")
+		carriers := rapid.IntRange(1, 20).Draw(t, "carriers")
+		ended := rapid.IntRange(0, carriers).Draw(t, "ended")
+		unheard := carriers - ended
+		held := 0
+		for judge := range rapid.IntRange(1, 5).Draw(t, "judges") {
+			heard := rapid.IntRange(0, unheard).Draw(t, "heard")
+			known := rapid.IntRange(0, ended).Draw(t, "known to have ended")
+			unheard -= heard
+			part := share(budget, carriers-known, heard)
+			held += part
+			t.Logf("judge %d of %d carriers hears %d and holds %d", judge, carriers-known, heard, part)
+		}
+		if held > budget {
+			t.Fatalf("judges hold %d slots, budget %d", held, budget)
+		}
+	})
+}
--- a/internal/endpoints/duty.go
+++ b/internal/endpoints/duty.go
@@ -24,6 +24,8 @@
 type Placement interface {
 	Carriers(s fleet.Service, count int) []fleet.Instance
 	Judge(s fleet.Service) (fleet.Instance, bool)
+	// Life returns the incarnation of an instance on the roster.
+	Life(id fleet.InstanceID) (fleet.Incarnation, bool)
 }
 
 // Publish is told the targets of a service whenever they change; nil when the service is not carried.
@@ -33,12 +35,6 @@
 // DefaultCarriers is the number of instances that carry a service.
 const DefaultCarriers = 12
 
-// formerFor is the time for which an instance may still act on a set of carriers that is not the newest.
-const formerFor = 15 * time.Minute
-
-// maxFormer bounds the sets of carriers that are kept.
-const maxFormer = 16
-
 // Options are what a Duty is built from.
 type Options struct {
 	Health   health.Config // DefaultConfig when zero.
@@ -56,6 +52,7 @@
 	generation uint64
 	placement  Placement
 	placed     uint64 // Counts the calls of SetFleet.
+	ended      *endedLives
 	config     *rollout.Config
 	listing    platform.Listing
 	services   map[fleet.Service]*service
@@ -83,6 +80,7 @@
 func NewDuty(o Options) *Duty {
 	o.setDefaults()
 	d := &Duty{options: o, services: make(map[fleet.Service]*service)}
+	d.ended = newEndedLives(o.Health.Loan + o.Health.DriftMargin)
 	d.status.Store(&Status{})
 	return d
 }
@@ -99,6 +97,7 @@
 	d.placement = p
 	d.self = self
 	d.placed++
+	d.ended.forget(now)
 	d.configure(now)
 }
 
@@ -184,7 +183,7 @@
 	})
 	var due outbox
 	for _, state := range d.services {
-		if state.expireFormer(now) {
+		if state.expireFormer(now, d.ended) {
 			d.assign(now, state)
 		}
 		if state.judge != nil {
--- a/internal/endpoints/duty_test.go
+++ b/internal/endpoints/duty_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,11 +25,24 @@
 
 func (p fixedPlacement) Judge(fleet.Service) (fleet.Instance, bool) { return p[0], true }
 
+func (p fixedPlacement) Life(id fleet.InstanceID) (fleet.Incarnation, bool) {
+	for _, in := range p {
+		if in.Ref.ID == id {
+			return in.Ref.Incarnation, true
+		}
+	}
+	return 0, false
+}
+
 // network delivers messages between duties at once, through their encoding.
 type network struct {
 	t     *testing.T
 	now   time.Time
 	nodes map[fleet.Ref]*testNode
+
+	listing platform.Listing
+	config  *rollout.Config
+	all     fixedPlacement
 }
 
 type testNode struct {
@@ -74,23 +88,50 @@
 	config := &rollout.Config{Revision: 1, Services: map[fleet.Service]rollout.ServiceTemplate{
 		catalogue: {Name: catalogue, FloorSlots: 9, FalseEjectionsPerEndpointMonth: 0.001, RequestsPerSecond: 200},
 	}}
+	n.listing, n.config, n.all = listing, config, all
 	for _, self := range all {
-		node := &testNode{network: n, self: self}
-		node.duty = NewDuty(Options{
-			Sender: node,
-			Log:    slog.New(slog.NewJSONHandler(io.Discard, nil)),
-			Publish: func(_ fleet.Service, targets []routing.Target, _ rollout.ServiceTemplate) {
-				node.targets = targets
-			},
-		})
-		node.duty.SetListing(n.now, listing)
-		node.duty.SetConfig(n.now, config)
-		node.duty.SetFleet(n.now, 1, all, self)
-		n.nodes[self.Ref] = node
+		n.add(self).duty.SetFleet(n.now, 1, all, self)
 	}
 	return n
 }
 
+// add starts one life of an instance, which knows the list and the configuration.
+func (n *network) add(self fleet.Instance) *testNode {
+	node := &testNode{network: n, self: self}
+	node.duty = NewDuty(Options{
+		Sender: node,
+		Log:    slog.New(slog.NewJSONHandler(io.Discard, nil)),
+		Publish: func(_ fleet.Service, targets []routing.Target, _ rollout.ServiceTemplate) {
+			node.targets = targets
+		},
+	})
+	node.duty.SetListing(n.now, n.listing)
+	node.duty.SetConfig(n.now, n.config)
+	n.nodes[self.Ref] = node
+	return node
+}
+
+// restart ends every life and starts the next ones, which first see the roster of the
+// former lives and then each other take its places, one after another.
+func (n *network) restart() {
+	clear(n.nodes)
+	var next []*testNode
+	for _, self := range n.all {
+		self.Ref.Incarnation++
+		next = append(next, n.add(self))
+	}
+	roster := slices.Clone(n.all)
+	for i := -1; i < len(next); i++ {
+		if i >= 0 {
+			roster[i] = next[i].self
+		}
+		for _, node := range next {
+			node.duty.SetFleet(n.now, uint64(i+3), fixedPlacement(slices.Clone(roster)), node.self)
+		}
+	}
+	n.all = roster
+}
+
 // run lets every node send one request to each endpoint it may use, every 100 ms.
 func (n *network) run(d time.Duration, failing fleet.Endpoint) {
 	for step := range int(d / (50 * time.Millisecond)) {
@@ -196,3 +237,14 @@
 		t.Errorf("%d endpoints are used; instances have %d to %d shares", len(perEndpoint), least, most)
 	}
 }
+
+func TestDutyEjectsSoonAfterEveryInstanceRestarted(t *testing.T) {
+	n := newNetwork(t, 6, 7)
+	n.run(10*time.Second, "")
+	n.restart()
+	const failing = fleet.Endpoint("10.0.0.3:80")
+	n.run(20*time.Second, failing)
+	if out, of := n.standings(failing, routing.StandingAvoided); out != of || of == 0 {
+		t.Errorf("%d of %d instances avoid a failing endpoint 20 s after all restarted, want all", out, of)
+	}
+}
--- a/internal/endpoints/service.go
+++ b/internal/endpoints/service.go
@@ -15,12 +15,6 @@
 	"github.com/damaskcove/damaskcove/coord/routing"
 )
 
-// formerSet is a set of carriers on which an instance may still act.
-type formerSet struct {
-	carriers []fleet.Instance
-	until    time.Time
-}
-
 // service is what a duty holds of one service.
 type service struct {
 	name      fleet.Service
@@ -93,6 +87,9 @@
 	if s.placed != d.placed {
 		s.placed = d.placed
 		s.setCarriers(now, sorted(d.placement.Carriers(s.name, d.options.Carriers)))
+		for _, f := range s.former {
+			d.ended.note(now, d.placement, f.carriers)
+		}
 		s.assigned, _ = d.placement.Judge(s.name)
 	}
 	return s.assigned
@@ -118,22 +115,6 @@
 	return slices.ContainsFunc(s.former, func(f formerSet) bool { return slices.ContainsFunc(f.carriers, d.isSelf) })
 }
 
-// setCarriers takes the newest set of carriers and keeps the one before for a while.
-func (s *service) setCarriers(now time.Time, carriers []fleet.Instance) {
-	if sameRefs(s.carriers, carriers) {
-		s.carriers = carriers
-		return
-	}
-	if s.carriers != nil {
-		s.former = append(s.former, formerSet{carriers: s.carriers, until: now.Add(formerFor)})
-	}
-	s.carriers = carriers
-	s.former = slices.DeleteFunc(s.former, func(f formerSet) bool { return sameRefs(f.carriers, carriers) })
-	if len(s.former) > maxFormer {
-		s.former = s.former[len(s.former)-maxFormer:]
-	}
-}
-
 // sorted returns the instances by ID, so that the same set is the same list everywhere.
 func sorted(instances []fleet.Instance) []fleet.Instance {
 	return slices.SortedFunc(slices.Values(instances), func(a, b fleet.Instance) int { return cmp.Compare(a.Ref.ID, b.Ref.ID) })
@@ -143,22 +124,6 @@
 	return slices.EqualFunc(a, b, func(x, y fleet.Instance) bool { return x.Ref == y.Ref })
 }
 
-func (s *service) formerCarriers() [][]fleet.Instance {
-	var sets [][]fleet.Instance
-	for _, f := range s.former {
-		sets = append(sets, f.carriers)
-	}
-	return sets
-}
-
-// expireFormer drops the sets of carriers on which no instance acts any more.
-// It reports whether there was one.
-func (s *service) expireFormer(now time.Time) bool {
-	before := len(s.former)
-	s.former = slices.DeleteFunc(s.former, func(f formerSet) bool { return !now.Before(f.until) })
-	return len(s.former) < before
-}
-
 // parametersOf returns the health parameters of a template. Their revision is a digest of
 // them, so that it stays the same while other parts of the configuration change.
 func parametersOf(t rollout.ServiceTemplate) health.Parameters {
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -31,6 +31,7 @@
 type carriersOf struct {
 	roster *placement.Map
 	alive  *placement.Map
+	lives  map[fleet.InstanceID]fleet.Incarnation // Of the roster.
 }
 
 func (c carriersOf) Carriers(s fleet.Service, count int) []fleet.Instance {
@@ -41,10 +42,24 @@
 	return c.alive.Judge(s)
 }
 
+func (c carriersOf) Life(id fleet.InstanceID) (fleet.Incarnation, bool) {
+	life, ok := c.lives[id]
+	return life, ok
+}
+
+// livesOf returns the incarnation of each instance of a roster.
+func livesOf(instances []fleet.Instance) map[fleet.InstanceID]fleet.Incarnation {
+	lives := make(map[fleet.InstanceID]fleet.Incarnation, len(instances))
+	for _, in := range instances {
+		lives[in.Ref.ID] = in.Ref.Incarnation
+	}
+	return lives
+}
+
 // membersChanged runs on the control goroutine.
 func (n *Node) membersChanged(now time.Time, s *members.Snapshot) {
 	n.budget.SetFleetSize(len(s.Roster.Instances))
-	p := carriersOf{roster: placement.NewMap(s.Roster.Instances), alive: s.Map}
+	p := carriersOf{roster: placement.NewMap(s.Roster.Instances), alive: s.Map, lives: livesOf(s.Roster.Instances)}
 	n.endpoints.SetFleet(now, s.Roster.Generation, p, s.Self)
 }
 
