--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -87,3 +87,21 @@
 	}
 	return false
 }
+
+// encodedDot is a dot as a path may write it, in lower case.
+const encodedDot = "%2e"
+
+// hasDotSegment reports whether a path holds a segment "." or "..", also encoded. An
+// upstream that resolves it would serve another path than the one that was routed.
+func hasDotSegment(path string) bool {
+	if !strings.Contains(path, ".") && !strings.Contains(path, "%") {
+		return false
+	}
+	plain := strings.ReplaceAll(strings.ToLower(path), encodedDot, ".")
+	for segment := range strings.SplitSeq(plain, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -195,6 +195,9 @@
 	if bound := s.cfg.MaxInFlight; bound > 0 && s.inFlight.Load() > bound {
 		return r.RefuseAttempt(overloadCode(r), fmt.Sprintf("%d requests in flight at the instance, bound %d", s.inFlight.Load(), bound))
 	}
+	if hasDotSegment(pathOf(r.URI)) {
+		return r.RefuseAttempt(result.CodeMalformedRequest, fmt.Sprintf("path %q has a segment of dots", pathOf(r.URI)))
+	}
 	match, code := router.Find(r.Account, r.Service, r.Method, pathOf(r.URI))
 	if code != result.CodeAnswered {
 		return r.RefuseAttempt(code, fmt.Sprintf("account %q, %s %s", r.Account, r.Method, pathOf(r.URI)))
@@ -273,5 +276,8 @@
 		code = result.CodeBodyTooLarge
 	}
 	c.Response().SetConnectionClose()
+	if c.Get(client.HeaderKey) != "" {
+		return writeAnswer(c, exchange.AttemptRefusal(code, err.Error()))
+	}
 	return writeAnswer(c, exchange.Refusal(code, err.Error()))
 }
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -125,6 +125,7 @@
 		{"no route", "GET", "/nothing", 0, "brewer", 404, "1001"},
 		{"method without route", "DELETE", "/stock/1", 0, "brewer", 404, "1001"},
 		{"prefix is by whole segments", "GET", "/stocks", 0, "brewer", 404, "1001"},
+		{"dot segments", "GET", "/stock/%2E%2e/drums", 0, "brewer", 400, "1005"},
 		{"body over the service's bound", "POST", "/stock/notes", 11, "brewer", 413, "1004"},
 		{"body over the instance's bound", "POST", "/stock/notes", 101, "brewer", 413, "1004"},
 		{"outcome of an unknown key", "GET", client.OutcomePath, 0, "brewer", 404, "1112"},
@@ -138,6 +139,16 @@
 	}
 }
 
+func TestRefusedBodyOfAKeyedRequestSaysNothingOfOtherAttempts(t *testing.T) {
+	_, _, base := startServer(t)
+	for _, size := range []int{11, 101} {
+		response, _ := call(t, "POST", base+"/stock/notes", make([]byte, size), map[string]string{client.HeaderKey: "ticket.unique"})
+		if response.StatusCode != 413 || response.Header.Get(client.HeaderExecution) != client.ExecutionUnknown {
+			t.Errorf("%d bytes: status %d execution %q, want 413 unknown", size, response.StatusCode, response.Header.Get(client.HeaderExecution))
+		}
+	}
+}
+
 func TestRequestPassesWholeWithoutHopByHopHeaders(t *testing.T) {
 	_, b, base := startServer(t)
 	call(t, "POST", base+"/stock/notes?lot=7&q=a%20b", []byte("0123456789"), map[string]string{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,3 +202,8 @@
 	n.refused.Add(fmt.Sprint(kind), 1)
 	n.log.Debug("message refused", "from", from.String(), "kind", kind, "error", err.Error())
 }
+
+// LinkStats returns the counters of the peer links.
+func (n *Node) LinkStats() peer.Stats {
+	return n.links.Stats()
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -26,9 +26,7 @@
 		InFlight:   n.entry.InFlight(),
 		Store:      storeStatus(),
 	}
-	if router := n.router.Load(); router != nil {
-		s.Revision = router.Config().Revision
-	}
+	s.Revision = n.Revision()
 	if at := n.appliedAt.Load(); at != nil {
 		s.AppliedAt = *at
 	}
@@ -46,6 +44,14 @@
 	return s
 }
 
+// Revision returns the number of the configuration in force, 0 before the first.
+func (n *Node) Revision() fleet.Revision {
+	if router := n.router.Load(); router != nil {
+		return router.Config().Revision
+	}
+	return 0
+}
+
 func (n *Node) phase() api.Phase {
 	switch {
 	case n.stopping.Load():
