A full table of keys drops old answers before it refuses new keys

Cause: at 1,300 keyed orders/s on one instance its table was full after some 40,000 keys; 4,484 of 26,029 orders were refused with claim-table-full. Excluded: the bound on keys (100,000); the bound on bytes was met, and answers were most of the bytes. Change: to make room, the oldest answers that the other instance has too are dropped. That the key ran is kept until its ticket expires; a late retry is told so, without the answer. Test: 40 keys with answers in a table that holds half of them; it fails with the change taken out.

--- a/coord/claim/machine.go
+++ b/coord/claim/machine.go
@@ -255,7 +255,9 @@
 		keys += keys / reserve
 		bytes += bytes / reserve
 	}
-	return m.Len() < keys && m.table.bytes+m.table.cost(key) <= bytes
+	cost := m.table.cost(key)
+	m.table.makeRoom(cost, bytes)
+	return m.Len() < keys && m.table.bytes+cost <= bytes
 }
 
 func (m *Machine) add(key Key, ticket Ticket, role Role, f Fingerprint) *entry {
--- a/coord/claim/machine_test.go
+++ b/coord/claim/machine_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -294,6 +295,37 @@
 	}
 }
 
+// A table at its bound drops the oldest answers and takes new keys; that a key ran is kept.
+func TestFullTableDropsOldAnswersBeforeItRefusesKeys(t *testing.T) {
+	const (
+		answer = 1000
+		keys   = 40
+		bound  = keys * (entryOverheadBytes + answer) / 2
+	)
+	p := newPair(t, Limits{MaxBytes: bound, MaxAnswerBytes: answer})
+	for i := range keys {
+		unique := fmt.Sprintf("u%d", i)
+		p.submit(homeRef, unique)
+		p.finish(homeRef, unique, Outcome{Result: ResultAnswered, Answer: make([]byte, answer)})
+		if o := p.lastAnswer(); o.Result != ResultAnswered {
+			t.Fatalf("key %d: %+v", i, o)
+		}
+		for ref, m := range p.machines {
+			if m.Bytes() > bound {
+				t.Fatalf("table of %s holds %d bytes, bound %d", ref, m.Bytes(), bound)
+			}
+		}
+	}
+	p.submit(homeRef, "u0")
+	if o := p.lastAnswer(); o.Result != ResultAnswered || o.Reason != ReasonAnswerDropped {
+		t.Errorf("the oldest key: %+v, want that it ran and its answer is gone", o)
+	}
+	p.submit(homeRef, fmt.Sprintf("u%d", keys-1))
+	if o := p.lastAnswer(); len(o.Answer) != answer {
+		t.Errorf("the newest key has an answer of %d bytes, want %d", len(o.Answer), answer)
+	}
+}
+
 // The table's estimate of its bytes returns to zero, whatever was in it.
 func TestTableBytesAreGivenBack(t *testing.T) {
 	p := newPair(t, Limits{MaxBytes: 20_000, MaxAnswerBytes: 100})
--- a/coord/claim/table.go
+++ b/coord/claim/table.go
@@ -1,5 +1,8 @@
 package claim
 
+// maxAnswersScanned bounds the answers that are looked at to make room once.
+const maxAnswersScanned = 64
+
 // state is how far a key has come at this instance.
 type state uint8
 
@@ -75,6 +78,7 @@
 	entries map[entryID]*entry
 	expiry  queue[*book]
 	bytes   int
+	answers []*entry // Holders of answers, the oldest first; some have lost theirs meanwhile.
 }
 
 func newTable() table {
@@ -119,25 +123,69 @@
 
 // keep stores the outcome of an entry; an answer that does not fit is dropped.
 func (t *table) keep(e *entry, o Outcome, limits Limits) {
-	t.bytes -= len(e.outcome.Answer)
-	fits := len(o.Answer) <= limits.MaxAnswerBytes && t.bytes+len(o.Answer) <= limits.MaxBytes
-	if !fits {
-		o.Answer = nil
-		if o.Result == ResultAnswered {
-			o.Reason = ReasonAnswerDropped
-		}
+	t.dropAnswer(e)
+	if len(o.Answer) <= limits.MaxAnswerBytes {
+		t.makeRoom(len(o.Answer), limits.MaxBytes)
 	}
 	e.outcome = o
 	t.bytes += len(o.Answer)
+	if len(o.Answer) > limits.MaxAnswerBytes || t.bytes > limits.MaxBytes {
+		t.dropAnswer(e)
+		return
+	}
+	if len(o.Answer) > 0 {
+		t.answers = append(t.answers, e)
+	}
+}
+
+// dropAnswer forgets the answer of an entry, but not that it ran.
+func (t *table) dropAnswer(e *entry) {
+	if e.outcome.Answer == nil {
+		return
+	}
+	t.bytes -= len(e.outcome.Answer)
+	e.outcome.Answer = nil
+	if e.outcome.Result == ResultAnswered {
+		e.outcome.Reason = ReasonAnswerDropped
+	}
+}
+
+// makeRoom drops the oldest answers until more bytes fit under the bound. It keeps those
+// that the other instance may not have yet. That a key ran is never dropped before its
+// ticket expires, the answer may be: a full table would refuse new keys.
+func (t *table) makeRoom(more, bound int) {
+	for range min(len(t.answers), maxAnswersScanned) {
+		if t.bytes+more <= bound {
+			return
+		}
+		e := t.answers[0]
+		t.answers[0] = nil
+		t.answers = t.answers[1:]
+		if e.final() && !e.known {
+			t.answers = append(t.answers, e)
+			continue
+		}
+		t.dropAnswer(e)
+	}
 }
 
 // drop removes a book with all its entries.
 func (t *table) drop(b *book) {
 	for e := b.first; e != nil; e = e.next {
 		t.bytes -= entryOverheadBytes + len(e.unique) + len(e.outcome.Answer)
+		e.outcome.Answer = nil
 		delete(t.entries, entryID{book: b, unique: e.unique})
 	}
+	t.trimAnswers()
 	t.bytes -= bookOverheadBytes + len(b.text)
 	delete(t.books, b.text)
 	t.expiry.remove(b)
 }
+
+// trimAnswers forgets the oldest holders that have no answer any more.
+func (t *table) trimAnswers() {
+	for len(t.answers) > 0 && t.answers[0].outcome.Answer == nil {
+		t.answers[0] = nil
+		t.answers = t.answers[1:]
+	}
+}
