--- a/coord/routing/model_test.go
+++ b/coord/routing/model_test.go
@@ -7,8 +7,9 @@
 	"testing"
 	"time"
 
-	"github.com/damaskcove/damaskcove/coord/fleet"
 	"pgregory.net/rapid"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
 )
 
 var testStart = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/coord/routing/property_test.go
+++ b/coord/routing/property_test.go
@@ -5,8 +5,9 @@
 	"testing"
 	"time"
 
-	"github.com/damaskcove/damaskcove/coord/fleet"
 	"pgregory.net/rapid"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
 )
 
 // TestNoAccountStarves floods a full service from some accounts; an account that asks for
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -8,11 +8,12 @@
 	"strings"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/coord/routing"
 	"github.com/damaskcove/damaskcove/internal/exchange"
-	"github.com/valyala/fasthttp"
 )
 
 const statusNotStarted = fasthttp.StatusServiceUnavailable
--- a/internal/dispatch/effects.go
+++ b/internal/dispatch/effects.go
@@ -4,11 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
+
 	"github.com/damaskcove/damaskcove/coord/health"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/coord/routing"
 	"github.com/damaskcove/damaskcove/internal/exchange"
-	"github.com/sourcegraph/conc/panics"
 )
 
 // apply carries out the balancer's effects and sets the timer. s.mu is held.
--- a/internal/dispatch/headers.go
+++ b/internal/dispatch/headers.go
@@ -3,8 +3,9 @@
 import (
 	"strings"
 
-	"github.com/damaskcove/damaskcove/internal/exchange"
 	"github.com/valyala/fasthttp"
+
+	"github.com/damaskcove/damaskcove/internal/exchange"
 )
 
 // Headers between the fleet and the upstreams.
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -6,8 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/valyala/fasthttp"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
 )
 
 // Sizes of a lane's buffers. An answer's header must fit the read buffer.
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -3,15 +3,16 @@
 import (
 	"context"
 
-	"github.com/damaskcove/damaskcove/coord/fleet"
-	"github.com/damaskcove/damaskcove/coord/result"
-	"github.com/damaskcove/damaskcove/coord/routing"
-	"github.com/damaskcove/damaskcove/internal/exchange"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/coord/routing"
+	"github.com/damaskcove/damaskcove/internal/exchange"
 )
 
 // tracerName names the package's tracer.
--- a/internal/measure/routing/run.go
+++ b/internal/measure/routing/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/routing"
 	"github.com/damaskcove/damaskcove/internal/endpoints"
--- a/internal/tracing/tracing.go
+++ b/internal/tracing/tracing.go
@@ -14,7 +14,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
-	"go.opentelemetry.io/otel/semconv/v1.37.0"
+	semconv "go.opentelemetry.io/otel/semconv/v1.37.0"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 )
