Hop-by-hop headers are known in one place; paths reach upstreams as callers sent them

Change: the raw request target is used. The lists of hop-by-hop headers in the entry and the dispatcher are one; all Connection headers count. Before: TestCodesOfRefusedRequests failed for /stock/%2E%2e/drums (403 in place of 400). After: it passes, and a%2Fb//c passes unchanged.

--- a/internal/dispatch/headers.go
+++ b/internal/dispatch/headers.go
@@ -19,19 +19,6 @@
 // headerTrace is the W3C trace context header.
 const headerTrace = "Traceparent"
 
-// hopByHop lists the headers that end at each hop.
-var hopByHop = map[string]bool{
-	"connection":          true,
-	"keep-alive":          true,
-	"proxy-authenticate":  true,
-	"proxy-authorization": true,
-	"proxy-connection":    true,
-	"te":                  true,
-	"trailer":             true,
-	"transfer-encoding":   true,
-	"upgrade":             true,
-}
-
 // own lists the headers that the fleet sets itself or reads for itself.
 var own = map[string]bool{
 	"content-length":        true,
@@ -44,27 +31,12 @@
 	"x-load":                true,
 }
 
-// named adds the names that a Connection header lists to set.
-func named(set map[string]bool, value string) map[string]bool {
-	for name := range strings.SplitSeq(value, ",") {
-		name = strings.ToLower(strings.TrimSpace(name))
-		if name == "" {
-			continue
-		}
-		if set == nil {
-			set = make(map[string]bool)
-		}
-		set[name] = true
-	}
-	return set
-}
-
 // writeHeaders copies the end-to-end headers of a caller's request.
 func writeHeaders(req *fasthttp.Request, headers []exchange.Header) {
-	var listed map[string]bool
+	var listed exchange.ConnectionNames
 	for _, h := range headers {
 		if strings.EqualFold(h.Name, "Connection") {
-			listed = named(listed, h.Value)
+			listed.Add(h.Value)
 		}
 	}
 	for _, h := range headers {
@@ -73,7 +45,7 @@
 			req.Header.SetHost(h.Value)
 			continue
 		}
-		if hopByHop[name] || own[name] || listed[name] {
+		if exchange.HopByHop(name) || own[name] || listed[name] {
 			continue
 		}
 		req.Header.Add(h.Name, h.Value)
@@ -84,12 +56,12 @@
 // there is no body to take it from.
 func readHeaders(resp *fasthttp.Response, keepLength bool) []exchange.Header {
 	resp.Header.SetNoDefaultContentType(true)
-	var listed map[string]bool
+	var listed exchange.ConnectionNames
 	count := 0
 	for name, value := range resp.Header.All() {
 		count++
 		if strings.EqualFold(string(name), "Connection") {
-			listed = named(listed, string(value))
+			listed.Add(string(value))
 		}
 	}
 	headers := make([]exchange.Header, 0, count)
@@ -99,7 +71,7 @@
 			headers = append(headers, exchange.Header{Name: "Content-Length", Value: string(value)})
 			continue
 		}
-		if hopByHop[lower] || own[lower] || listed[lower] {
+		if exchange.HopByHop(lower) || own[lower] || listed[lower] {
 			continue
 		}
 		headers = append(headers, exchange.Header{Name: string(name), Value: string(value)})
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -14,41 +14,14 @@
 	"github.com/damaskcove/damaskcove/internal/tracing"
 )
 
-// hopByHop lists, in lower case, the headers that concern one connection only, and
-// those that the entry itself reads or that the HTTP library sets.
-var hopByHop = map[string]bool{
-	"connection":          true,
-	"keep-alive":          true,
-	"proxy-authenticate":  true,
-	"proxy-authorization": true,
-	"proxy-connection":    true,
-	"te":                  true,
-	"trailer":             true,
-	"transfer-encoding":   true,
-	"upgrade":             true,
-	"content-length":      true,
-	"expect":              true,
-}
-
-// namedByConnection returns the headers that a Connection header names, in lower case.
-func namedByConnection(value string) []string {
-	if value == "" {
-		return nil
-	}
-	names := strings.Split(strings.ToLower(value), ",")
-	for i, n := range names {
-		names[i] = strings.TrimSpace(n)
-	}
-	return names
-}
+// headerLength is the length header in lower case; the HTTP library sets it.
+const headerLength = "content-length"
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
+// ownHeaders lists, in lower case, the headers of requests that the entry reads for itself.
+var ownHeaders = map[string]bool{
+	headerLength:              true,
+	"expect":                  true,
+	tracing.TraceParentHeader: true,
 }
 
 // readRequest copies a caller's request out of the buffers of the HTTP library.
@@ -58,7 +31,7 @@
 		Service:     fleet.Service(strings.Clone(c.Get(client.HeaderService))),
 		Account:     fleet.Account(strings.Clone(c.Get(client.HeaderAccount))),
 		Method:      strings.Clone(c.Method()),
-		URI:         string(c.Request().RequestURI()),
+		URI:         string(h.RequestURI()), // As sent: the request's own is normalized.
 		Key:         strings.Clone(c.Get(client.HeaderKey)),
 		TraceParent: strings.Clone(c.Get(tracing.TraceParentHeader)),
 		Body:        append([]byte(nil), c.Request().Body()...),
@@ -69,11 +42,14 @@
 }
 
 func readHeaders(h *fasthttp.RequestHeader) []exchange.Header {
-	drop := namedByConnection(string(h.Peek(fasthttp.HeaderConnection)))
+	var listed exchange.ConnectionNames
+	for _, value := range h.PeekAll(fasthttp.HeaderConnection) {
+		listed.Add(string(value))
+	}
 	var headers []exchange.Header
 	for key, value := range h.All() {
 		name := strings.ToLower(string(key))
-		if hopByHop[name] || name == tracing.TraceParentHeader || contains(drop, name) {
+		if exchange.HopByHop(name) || ownHeaders[name] || listed[name] {
 			continue
 		}
 		headers = append(headers, exchange.Header{Name: string(key), Value: string(value)})
@@ -98,11 +74,11 @@
 	length := -1
 	for _, h := range a.Headers {
 		name := strings.ToLower(h.Name)
-		if name == "content-length" {
+		if name == headerLength {
 			length = contentLength(h.Value)
 			continue
 		}
-		if hopByHop[name] {
+		if exchange.HopByHop(name) {
 			continue
 		}
 		response.Header.Add(h.Name, h.Value)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
@@ -59,7 +60,7 @@
 			if !c.takes(service, method) {
 				continue
 			}
-			if !allowed(a, c.service) {
+			if !slices.Contains(a.Services, c.service) {
 				code = result.CodeAccountNotAllowed
 				continue
 			}
@@ -79,15 +80,6 @@
 	return c.route.Method == "" || c.route.Method == method
 }
 
-func allowed(a rollout.AccountTemplate, service fleet.Service) bool {
-	for _, s := range a.Services {
-		if s == service {
-			return true
-		}
-	}
-	return false
-}
-
 // encodedDot is a dot as a path may write it, in lower case.
 const encodedDot = "%2e"
 
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -151,10 +151,10 @@
 
 func TestRequestPassesWholeWithoutHopByHopHeaders(t *testing.T) {
 	_, b, base := startServer(t)
-	call(t, "POST", base+"/stock/notes?lot=7&q=a%20b", []byte("0123456789"), map[string]string{
+	call(t, "POST", base+"/stock/notes/a%2Fb//c?lot=7&q=a%20b", []byte("0123456789"), map[string]string{
 		"Connection": "X-Private", "X-Private": "1", "X-Kept": "2", "Te": "trailers", client.HeaderDeadline: "1500",
 	})
-	if b.last.URI != "/stock/notes?lot=7&q=a%20b" || string(b.last.Body) != "0123456789" || b.last.Method != "POST" {
+	if b.last.URI != "/stock/notes/a%2Fb//c?lot=7&q=a%20b" || string(b.last.Body) != "0123456789" || b.last.Method != "POST" {
 		t.Errorf("request passed on as %s %q with body %q", b.last.Method, b.last.URI, b.last.Body)
 	}
 	names := map[string]string{}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -51,12 +52,7 @@
 }
 
 func contains(instances []fleet.Instance, ref fleet.Ref) bool {
-	for _, in := range instances {
-		if in.Ref == ref {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(instances, func(in fleet.Instance) bool { return in.Ref == ref })
 }
 
 // pass relays a request to a carrier. Another carrier is tried when the request did
@@ -183,7 +179,7 @@
 	if !ok {
 		return result.CodeUnknownAccount
 	}
-	if !calls(a, service) {
+	if !slices.Contains(a.Services, service) {
 		return result.CodeAccountNotAllowed
 	}
 	return result.CodeAnswered
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
@@ -143,22 +144,13 @@
 	}
 	shares := make(map[fleet.Account]int)
 	for name, a := range c.Accounts {
-		if a.Weight > 1 && calls(a, service) {
+		if a.Weight > 1 && slices.Contains(a.Services, service) {
 			shares[name] = a.Weight
 		}
 	}
 	return shares
 }
 
-func calls(a rollout.AccountTemplate, service fleet.Service) bool {
-	for _, s := range a.Services {
-		if s == service {
-			return true
-		}
-	}
-	return false
-}
-
 // upstreamLeaving takes an upstream's own word that it leaves.
 func (n *Node) upstreamLeaving(service fleet.Service, endpoint fleet.Endpoint) {
 	n.loop.Post(func(now time.Time) { n.endpoints.Leaving(now, service, endpoint) })
