--- a/internal/measure/fleet/main.go
+++ b/internal/measure/fleet/main.go
@@ -41,14 +41,15 @@
 func main() {
 	sizes := flag.String("sizes", "12,24,44", "instances, separated by commas")
 	window := flag.Duration("window", 20*time.Second, "time of each measurement")
-	changes := flag.Int("changes", 20, "configuration changes of each measurement")
+	changes := flag.Int("changes", 20, "configuration changes while the store is healthy")
+	slow := flag.Int("slow-changes", 3, "configuration changes while the store is slow")
 	flag.Parse()
 	fmt.Println("| instances | state | sent B/s | messages/s | core share | calls of the platform/s | change p50 ms | change p99 ms |")
 	fmt.Println("|---:|---|---:|---:|---:|---:|---:|---:|")
 	for _, size := range strings.Split(*sizes, ",") {
 		n, err := strconv.Atoi(size)
 		if err == nil {
-			err = measure(n, *window, *changes)
+			err = measure(n, *window, *changes, *slow)
 		}
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
@@ -58,7 +59,7 @@
 }
 
 // measure runs one fleet and prints its rows.
-func measure(instances int, window time.Duration, changes int) error {
+func measure(instances int, window time.Duration, changes, slowChanges int) error {
 	f, set, err := start(instances)
 	if err != nil {
 		return err
@@ -71,7 +72,7 @@
 	idle.print(instances, "idle, store healthy", healthy)
 	churned := observe(f, window, func() { replaceOne(f) })
 	f.Platform.UpdateFaults(func(x *standin.Faults) { x.Delay = slowStore })
-	slow, err := changeTimes(f, set, "slow", changes)
+	slow, err := changeTimes(f, set, "slow", slowChanges)
 	if err != nil {
 		return errors.Join(err, f.Close())
 	}
