--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -16,6 +16,8 @@
 	listTimeout    = 2 * time.Second
 	quietBeforeEnd = 500 * time.Millisecond
 	stopPoll       = 20 * time.Millisecond
+	// announceTime is the time in which every instance hears that one leaves.
+	announceTime = time.Second
 	goneGrace      = 200 * time.Millisecond
 )
 
@@ -142,9 +144,9 @@
 }
 
 // awaitForgotten waits until every discovery answer that may name this instance has aged.
-// Another instance may have named it until it heard of the leaving, so the time runs from now.
+// Another instance may have named it until it heard of the leaving.
 func (n *Node) awaitForgotten(ctx context.Context) {
-	age := n.opts.Settings.Fleet.DiscoveryMaxAge
+	age := n.opts.Settings.Fleet.DiscoveryMaxAge + announceTime
 	select {
 	case <-ctx.Done():
 	case <-time.After(age):
