--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -18,7 +18,7 @@
 	stopPoll       = 20 * time.Millisecond
 	// announceTime is the time in which every instance hears that one leaves.
 	announceTime = time.Second
-	goneGrace      = 200 * time.Millisecond
+	goneGrace    = 200 * time.Millisecond
 )
 
 // Run serves until ctx ends, then makes the planned stop. It returns ErrRejoin or
