Lives of an instance run in one place; a test strikes an instance off the roster

Cause: the daemon's calls of the platform ended when a planned stop began, since they shared its context; the local fleet of the tests had a loop of its own and no second life. Change: node.RunLives runs the lives of an instance for both; the calls end with the life. Test: an instance is struck off the record by hand under orders; it comes back as a later life, and nothing is lost or doubled.

--- a/cmd/damaskcove/main.go
+++ b/cmd/damaskcove/main.go
@@ -14,7 +14,6 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/internal/node"
 	"github.com/damaskcove/damaskcove/internal/settings"
@@ -124,26 +123,7 @@
 	store := client.New(s.Platform.Address, string(s.Instance.ID))
 	defer store.Close()
 	options := node.Options{Settings: s, Store: store, List: store, Log: log, Tracer: tracer, Seed: uint64(time.Now().UnixNano())}
-	return lives(ctx, options)
-}
-
-// lives runs one life after another: the next begins when the fleet took the last for dead.
-func lives(ctx context.Context, o node.Options) error {
-	var last uint64
-	for {
-		last = node.NextIncarnation(last, time.Now())
-		o.Incarnation = fleet.Incarnation(last)
-		life, end := context.WithCancel(ctx)
-		n, err := node.New(life, o)
-		if err == nil {
-			err = n.Run(life)
-		}
-		end()
-		if !errors.Is(err, node.ErrRejoin) {
-			return explain(err)
-		}
-		o.Log.Warn("instance starts again as another life", "error", err.Error())
-	}
+	return explain(node.RunLives(ctx, options, func(*node.Node) {}))
 }
 
 // explain adds the result code that operators look up.
--- a/cmd/damaskctl/fleet_test.go
+++ b/cmd/damaskctl/fleet_test.go
@@ -63,7 +63,7 @@
 		t.Fatal(err)
 	}
 	file := writeFile(t, filepath.Join(dir, "templates.toml"), string(data))
-	operator := f.Instances()[0].Node.Status().Self.OperatorAddr
+	operator := f.Instances()[0].Node().Status().Self.OperatorAddr
 	apply := func() outcome {
 		return ctl(context.Background(), "apply", dir, "--platform", f.PlatformAddr(), "--timeout", "1m", "--wait", "--operator", operator)
 	}
@@ -78,7 +78,7 @@
 	f.Platform.UpdateFaults(func(x *standin.Faults) { x.LoseReplies = 1 })
 	apply().want(t, exitDone, "floor_slots: 27 -> 24", "accepted as revision 2", "in force on all 4 live instances")
 	for _, in := range f.Instances() {
-		if got := in.Node.Status().Revision; got != 2 {
+		if got := in.Node().Status().Revision; got != 2 {
 			t.Errorf("instance %s is at revision %d", in.ID, got)
 		}
 	}
--- a/internal/demo/scenario.go
+++ b/internal/demo/scenario.go
@@ -173,7 +173,7 @@
 // plannedStop stops one of the instances that have no cut, without waiting for it.
 func (s *scenario) plannedStop(context.Context) error {
 	in := s.uncut(0)
-	s.firm.watch.PlannedStop(in.Node.Self().EntryAddr)
+	s.firm.watch.PlannedStop(in.Node().Self().EntryAddr)
 	go func() { s.stopped <- in.Stop() }()
 	return nil
 }
--- a/internal/local/failure_test.go
+++ b/internal/local/failure_test.go
@@ -5,15 +5,20 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/damaskcove/damaskcove/client"
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/membership"
 	"github.com/damaskcove/damaskcove/coord/rollout"
 	"github.com/damaskcove/damaskcove/internal/operate"
+	"github.com/damaskcove/damaskcove/internal/storekeys"
 	"github.com/damaskcove/damaskcove/internal/upstream"
 	platformclient "github.com/damaskcove/damaskcove/platform/client"
 	"github.com/damaskcove/damaskcove/platform/standin"
@@ -133,7 +138,7 @@
 	r.await(t, 100)
 	for range 2 {
 		leaving := f.Instances()[1] // The only one of its zone, and so in use.
-		r.watch.PlannedStop(leaving.Node.Self().EntryAddr)
+		r.watch.PlannedStop(leaving.Node().Self().EntryAddr)
 		if err := leaving.Stop(); err != nil {
 			t.Fatal(err)
 		}
@@ -198,7 +203,7 @@
 		t.Fatal(err)
 	}
 	eventually(t, "the new instance serves the revision of its peers", func() bool {
-		return late.Node.Status().Revision == accepted.Revision
+		return late.Node().Status().Revision == accepted.Revision
 	})
 }
 
@@ -220,7 +225,7 @@
 		f.Platform.UpdateFaults(func(x *standin.Faults) { x.Store = standin.OutageNone })
 		eventually(t, fmt.Sprintf("revision %d is in force everywhere", accepted.Revision), func() bool {
 			for _, in := range f.Instances() {
-				if in.Node.Status().Revision < accepted.Revision {
+				if in.Node().Status().Revision < accepted.Revision {
 					return false
 				}
 			}
@@ -251,7 +256,7 @@
 			case <-time.After(time.Millisecond):
 			}
 			for _, in := range f.Instances() {
-				r := in.Node.Status().Revision
+				r := in.Node().Status().Revision
 				if r < highest[in] {
 					w.reverts = append(w.reverts, fmt.Sprintf("%s from %d to %d", in.ID, highest[in], r))
 				}
@@ -304,7 +309,7 @@
 
 func knownLeaving(f *Fleet, e fleet.Endpoint) bool {
 	for _, in := range f.Instances() {
-		for _, s := range in.Node.Status().Services {
+		for _, s := range in.Node().Status().Services {
 			for _, v := range s.Endpoints {
 				if v.Upstream.Endpoint == e && v.State != "leaving" {
 					return false
@@ -352,3 +357,50 @@
 		}
 	}
 }
+
+// TestInstanceThatIsTakenOffTheRosterComesBackAsAnotherLife takes an instance off the roster, as
+// the fleet does with one that was frozen for long.
+func TestInstanceThatIsTakenOffTheRosterComesBackAsAnotherLife(t *testing.T) {
+	ctx := testContext(t)
+	f := startFleet(t, 3)
+	r := startTraffic(t, f, 6)
+	r.await(t, 100)
+	struck := f.Instances()[1]
+	former := struck.Node().Self().Ref
+	strike(ctx, t, f, former)
+	if _, err := f.Add("z3"); err != nil { // Its join makes the fleet read the roster.
+		t.Fatal(err)
+	}
+	eventually(t, "the instance runs as another life", func() bool {
+		return struck.Node().Self().Ref.Incarnation > former.Incarnation
+	})
+	if err := f.Ready(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	r.await(t, 100)
+	r.end(t)
+}
+
+// strike writes the next generation of the roster, without one life.
+func strike(ctx context.Context, t *testing.T, f *Fleet, ref fleet.Ref) {
+	t.Helper()
+	key := storekeys.Keys{Fleet: f.opts.Name}.Roster()
+	eventually(t, "the roster is written", func() bool {
+		value, err := f.Platform.Get(ctx, key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var roster membership.Roster
+		if err := cbor.Unmarshal(value.Data, &roster); err != nil {
+			t.Fatal(err)
+		}
+		roster.Generation++
+		roster.Instances = slices.DeleteFunc(roster.Instances, func(in fleet.Instance) bool { return in.Ref == ref })
+		data, err := cbor.Marshal(roster)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = f.Platform.CompareAndSwap(ctx, key, value.Version, data, 0)
+		return err == nil
+	})
+}
--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -69,10 +70,11 @@
 
 // Instance is one entry instance of the local fleet.
 type Instance struct {
-	Node     *node.Node
-	ID       fleet.InstanceID
-	Zone     fleet.Zone
-	listener *listener
+	ID   fleet.InstanceID
+	Zone fleet.Zone
+
+	node     atomic.Pointer[node.Node] // The present life.
+	listener atomic.Pointer[listener]  // Of the present life.
 	stop     context.CancelFunc
 	ended    chan struct{}
 	err      error // Valid once ended is closed.
@@ -152,39 +154,71 @@
 	store := client.New(f.PlatformAddr(), string(id))
 	ctx, stop := context.WithCancel(context.Background())
 	in.stop = stop
-	n, err := node.New(ctx, node.Options{
-		Settings:    f.settings(id, zone),
-		Incarnation: fleet.Incarnation(node.NextIncarnation(0, time.Now())),
-		Store:       store,
-		List:        store,
-		Log:         f.opts.Log.With("instance", id),
-		Tracer:      f.opts.Tracer,
-		Seed:        f.opts.Seed + number,
-		Blocked:     func(to fleet.Ref) bool { return f.isCut(id, to.ID) },
-		Wrap: func(l net.Listener) net.Listener {
-			in.listener = newListener(l)
-			return in.listener
-		},
+	started := make(chan struct{}, 1)
+	f.wait.Go(func() {
+		defer close(in.ended)
+		defer store.Close()
+		in.err = node.RunLives(ctx, f.nodeOptions(in, store, number), func(n *node.Node) {
+			f.begin(in, n)
+			select {
+			case started <- struct{}{}:
+			default:
+			}
+		})
+		f.end(in)
 	})
-	if err != nil {
-		stop()
-		return nil, err
+	select {
+	case <-started:
+	case <-in.ended:
+		return nil, in.err
 	}
-	in.Node = n
-	f.listInstance(n.Self(), true)
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.instances = append(f.instances, in)
-	f.mu.Unlock()
-	f.wait.Go(func() {
-		in.err = n.Run(ctx)
-		in.listener.sever() // The end of a process closes what it left open.
-		f.listInstance(n.Self(), false)
-		store.Close()
-		close(in.ended)
-	})
 	return in, nil
 }
 
+// begin notes that a life of an instance begins; the life before it has ended.
+func (f *Fleet) begin(in *Instance, n *node.Node) {
+	if former := in.node.Swap(n); former != nil {
+		f.listInstance(former.Self(), false)
+	}
+	f.listInstance(n.Self(), true)
+}
+
+// end notes that the last life of an instance has ended. The end of a process closes
+// what it left open.
+func (f *Fleet) end(in *Instance) {
+	if l := in.listener.Load(); l != nil {
+		l.sever()
+	}
+	if n := in.node.Load(); n != nil {
+		f.listInstance(n.Self(), false)
+	}
+}
+
+func (f *Fleet) nodeOptions(in *Instance, store *client.Client, number uint64) node.Options {
+	return node.Options{
+		Settings: f.settings(in.ID, in.Zone),
+		Store:    store,
+		List:     store,
+		Log:      f.opts.Log.With("instance", in.ID),
+		Tracer:   f.opts.Tracer,
+		Seed:     f.opts.Seed + number,
+		Blocked:  func(to fleet.Ref) bool { return f.isCut(in.ID, to.ID) },
+		Wrap: func(l net.Listener) net.Listener {
+			wrapped := newListener(l)
+			in.listener.Store(wrapped)
+			return wrapped
+		},
+	}
+}
+
+// Node returns the present life of the instance.
+func (in *Instance) Node() *node.Node {
+	return in.node.Load()
+}
+
 // listInstance adds an instance to the platform's list or removes it.
 func (f *Fleet) listInstance(in fleet.Instance, live bool) {
 	f.Platform.UpdateListing(func(l *platform.Listing) {
@@ -220,7 +254,7 @@
 func (f *Fleet) Entries() []string {
 	var addresses []string
 	for _, in := range f.Instances() {
-		addresses = append(addresses, in.Node.Self().EntryAddr)
+		addresses = append(addresses, in.Node().Self().EntryAddr)
 	}
 	return addresses
 }
@@ -234,8 +268,8 @@
 
 // Kill ends the instance with everything that is in flight.
 func (in *Instance) Kill() {
-	in.listener.sever()
-	in.Node.Kill()
+	in.listener.Load().sever()
+	in.Node().Kill()
 	<-in.ended
 }
 
@@ -289,7 +323,7 @@
 func (f *Fleet) behind(revision fleet.Revision) string {
 	instances := f.Instances()
 	for _, in := range instances {
-		s := in.Node.Status()
+		s := in.Node().Status()
 		if lack := lacks(s, revision, len(instances)); lack != "" {
 			return fmt.Sprintf("instance %s %s", in.ID, lack)
 		}
--- a/internal/measure/fleet/main.go
+++ b/internal/measure/fleet/main.go
@@ -158,7 +158,7 @@
 		if isEnded(in) {
 			continue
 		}
-		now := in.Node.LinkStats()
+		now := in.Node().LinkStats()
 		o.sentBytes += float64(now.SentBytes-links[i].SentBytes) / seconds
 		o.messages += float64(now.Sent-links[i].Sent) / seconds
 		kept++
@@ -182,7 +182,7 @@
 func linkStats(instances []*local.Instance) []peer.Stats {
 	var all []peer.Stats
 	for _, in := range instances {
-		all = append(all, in.Node.LinkStats())
+		all = append(all, in.Node().LinkStats())
 	}
 	return all
 }
@@ -233,7 +233,7 @@
 
 func inForce(f *local.Fleet, revision fleet.Revision) bool {
 	for _, in := range f.Instances() {
-		if in.Node.Revision() < revision {
+		if in.Node().Revision() < revision {
 			return false
 		}
 	}
