A request whose caller has gone is cancelled

Cause: the HTTP library does not tell that a caller closed its connection; its work went on until the deadline and took slots from others. Change: the entry looks at the socket ten times a second while a request runs. The look that the dispatcher had for idle connections to upstreams is one with it. Test: a caller that closes its connection ends its request with a context cancelled, 60 s before the deadline; without the watch it never ends.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -1,11 +1,9 @@
 package dispatch
 
 import (
-	"errors"
-	"io"
 	"net"
-	"os"
-	"syscall"
+
+	"github.com/damaskcove/damaskcove/internal/sockpeek"
 )
 
 // tailBytes is how much of the end of what was read a connection remembers.
@@ -64,36 +62,6 @@
 // quiet reports whether an idle connection is open and has nothing to read. Bytes on an
 // idle connection answer no request of ours.
 func (c *trackedConn) quiet() bool {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	access, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var peekErr error
-	err = access.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		peekErr = peekResult(n, e)
-		return true
-	})
-	return err == nil && peekErr == nil
-}
-
-var errUnexpectedBytes = errors.New("bytes on an idle connection")
-
-// peekResult returns nil when a peek found an open connection with nothing to read.
-func peekResult(n int, err error) error {
-	switch {
-	case errors.Is(err, syscall.EAGAIN):
-		return nil
-	case err != nil:
-		return os.NewSyscallError("recvfrom", err)
-	case n > 0:
-		return errUnexpectedBytes
-	default:
-		return io.EOF
-	}
+	state := sockpeek.Look(c.Conn)
+	return state == sockpeek.Quiet || state == sockpeek.Unknown
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -174,7 +174,11 @@
 	ctx := tracing.Extract(c.UserContext(), r.TraceParent)
 	ctx, span := s.cfg.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	endWatch := watchCaller(c.Context().Conn(), cancel)
 	a := s.serve(ctx, r, now)
+	endWatch()
 	if span.IsRecording() {
 		span.SetAttributes(
 			attribute.String("account", string(r.Account)),
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -4,11 +4,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"go.opentelemetry.io/otel/trace/noop"
 
@@ -24,12 +28,16 @@
 	router *Router
 	last   exchange.Request
 	answer exchange.Answer
+	serve  func(ctx context.Context) // Runs before the answer; may be nil.
 }
 
 func (b *echoBackend) Router() *Router { return b.router }
 
-func (b *echoBackend) Serve(_ context.Context, r exchange.Request) exchange.Answer {
+func (b *echoBackend) Serve(ctx context.Context, r exchange.Request) exchange.Answer {
 	b.last = r
+	if b.serve != nil {
+		b.serve(ctx)
+	}
 	return b.answer
 }
 
@@ -48,7 +56,7 @@
 	return &rollout.Config{
 		Revision: 3,
 		Services: map[fleet.Service]rollout.ServiceTemplate{
-			"stock": {Name: "stock", MaxBodyBytes: 10, Routes: []rollout.Route{
+			"stock": {Name: "stock", MaxBodyBytes: 10, Deadline: time.Minute, Routes: []rollout.Route{
 				{Method: "GET", PathPrefix: "/stock", Idempotent: true},
 				{Method: "HEAD", PathPrefix: "/stock", Idempotent: true},
 				{Method: "POST", PathPrefix: "/stock/notes"},
@@ -220,3 +228,26 @@
 		t.Errorf("discovery %q: %v", body, err)
 	}
 }
+
+func TestCallerThatClosesItsConnectionEndsItsRequest(t *testing.T) {
+	_, b, base := startServer(t)
+	running := make(chan struct{})
+	ended := make(chan error, 1)
+	b.serve = func(ctx context.Context) {
+		close(running)
+		<-ctx.Done()
+		ended <- context.Cause(ctx)
+	}
+	conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fmt.Fprintf(conn, "GET /stock/1 HTTP/1.1\r\nHost: x\r\n%s: brewer\r\n%s: 60000\r\n\r\n", client.HeaderAccount, client.HeaderDeadline); err != nil {
+		t.Fatal(err)
+	}
+	<-running
+	_ = conn.Close()
+	if err := <-ended; !errors.Is(err, context.Canceled) {
+		t.Errorf("the request ended with %v, want %v", err, context.Canceled)
+	}
+}
--- a/internal/local/listener.go
+++ b/internal/local/listener.go
@@ -1,8 +1,10 @@
 package local
 
 import (
+	"fmt"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // listener remembers the connections that it accepted, so that all can be closed at once.
@@ -62,3 +64,12 @@
 	c.listener.forget(c.Conn)
 	return c.Conn.Close()
 }
+
+// SyscallConn returns the connection's socket, which the entry looks at.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, fmt.Errorf("connection from %s has no socket", c.RemoteAddr())
+	}
+	return socket.SyscallConn()
+}
