Read again: shares of accounts worked out once a configuration, code that stood twice or was dead

Behaviour stays as it is. - The shares of client accounts were worked out from all accounts each time the targets of one service changed, on the control goroutine; they are worked out once for all services when a configuration is put in force. - The health endpoint made the whole status to read one field of it. - The mixing function of membership and placement is one, as are the two copies of replacing templates by name. - Unused functions of the instance are gone.

--- a/coord/membership/message.go
+++ b/coord/membership/message.go
@@ -1,6 +1,9 @@
 package membership
 
-import "github.com/damaskcove/damaskcove/coord/fleet"
+import (
+	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/internal/mix"
+)
 
 // Message is one message of the membership protocol. Several of the parts may be set.
 type Message struct {
@@ -74,6 +77,6 @@
 
 // digest returns the fact's part of Heartbeat.Digest.
 func (f Fact) digest() uint64 {
-	h := hashRef(f.Subject) ^ mix(hashRef(f.Voter)+1)
-	return mix(h + uint64(f.Kind)<<56 + f.Count)
+	h := hashRef(f.Subject) ^ mix.Mix(hashRef(f.Voter)+1)
+	return mix.Mix(h + uint64(f.Kind)<<56 + f.Count)
 }
--- a/coord/membership/overlay.go
+++ b/coord/membership/overlay.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/internal/mix"
 )
 
 // globalRings is the number of rings over the whole fleet; with the zone's own ring an
@@ -36,7 +37,7 @@
 func (o *overlay) addRing(ring []fleet.Instance, salt uint64) {
 	position := make(map[fleet.InstanceID]uint64, len(ring))
 	for _, i := range ring {
-		position[i.Ref.ID] = mix(hashID(i.Ref.ID) ^ mix(salt))
+		position[i.Ref.ID] = mix.Mix(hashID(i.Ref.ID) ^ mix.Mix(salt))
 	}
 	slices.SortFunc(ring, func(a, b fleet.Instance) int {
 		return cmp.Or(
--- a/coord/membership/writer.go
+++ b/coord/membership/writer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/internal/mix"
 )
 
 // writerState is this instance's part in writing the roster.
@@ -82,7 +83,7 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b fleet.Ref) int {
-		return cmp.Compare(mix(hashID(a.ID)^writers), mix(hashID(b.ID)^writers))
+		return cmp.Compare(mix.Mix(hashID(a.ID)^writers), mix.Mix(hashID(b.ID)^writers))
 	})
 	rank := slices.Index(candidates, m.self.Ref)
 	if rank >= writers {
--- a/coord/placement/hash.go
+++ b/coord/placement/hash.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/damaskcove/damaskcove/coord/internal/mix"
+)
 
 // Salts keep the rankings of different duties independent.
 const (
@@ -17,22 +21,12 @@
 	return xxhash.Sum64String(name)
 }
 
-// mix spreads the bits of x over the whole word; it is a bijection.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
-}
-
 // keyOf combines a salt with the hashes of one or two names.
 func keyOf(salt, first, second uint64) uint64 {
-	return mix(mix(salt^first) + second)
+	return mix.Mix(mix.Mix(salt^first) + second)
 }
 
 // score ranks a node, by its hash, for a key. The highest wins.
 func score(key, node uint64) uint64 {
-	return mix(key ^ node)
+	return mix.Mix(key ^ node)
 }
--- a/coord/placement/relief.go
+++ b/coord/placement/relief.go
@@ -5,6 +5,7 @@
 	"math"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/internal/mix"
 )
 
 // zoneHeadroom is how far above its carriers' share of the callers a zone may be loaded.
@@ -34,7 +35,7 @@
 		return near
 	}
 	spares, total := m.regionSpares(set, region)
-	draw := float64(mix(key^saltZone)) / math.MaxUint64 * m.callerShare(near)
+	draw := float64(mix.Mix(key^saltZone)) / math.MaxUint64 * m.callerShare(near)
 	if draw >= over || total <= 0 {
 		return near
 	}
--- a/coord/rollout/change.go
+++ b/coord/rollout/change.go
@@ -30,38 +30,29 @@
 		next.Services, next.Accounts = c.Services, c.Accounts
 	}
 	if next.Services == nil || len(change.Services)+len(change.RemoveServices) > 0 {
-		next.Services = withServices(next.Services, change)
+		next.Services = changed(next.Services, change.RemoveServices, change.Services, serviceName)
 	}
 	if next.Accounts == nil || len(change.Accounts)+len(change.RemoveAccounts) > 0 {
-		next.Accounts = withAccounts(next.Accounts, change)
+		next.Accounts = changed(next.Accounts, change.RemoveAccounts, change.Accounts, accountName)
 	}
 	return next
 }
 
-func withServices(before map[fleet.Service]ServiceTemplate, change Change) map[fleet.Service]ServiceTemplate {
+// changed returns templates with some removed and others put in place, by their names.
+func changed[N comparable, T any](before map[N]T, removed []N, placed []T, name func(T) N) map[N]T {
 	after := maps.Clone(before)
 	if after == nil {
-		after = make(map[fleet.Service]ServiceTemplate, len(change.Services))
+		after = make(map[N]T, len(placed))
 	}
-	for _, name := range change.RemoveServices {
-		delete(after, name)
+	for _, n := range removed {
+		delete(after, n)
 	}
-	for _, t := range change.Services {
-		after[t.Name] = t
+	for _, t := range placed {
+		after[name(t)] = t
 	}
 	return after
 }
 
-func withAccounts(before map[fleet.Account]AccountTemplate, change Change) map[fleet.Account]AccountTemplate {
-	after := maps.Clone(before)
-	if after == nil {
-		after = make(map[fleet.Account]AccountTemplate, len(change.Accounts))
-	}
-	for _, name := range change.RemoveAccounts {
-		delete(after, name)
-	}
-	for _, t := range change.Accounts {
-		after[t.Name] = t
-	}
-	return after
-}
+func serviceName(t ServiceTemplate) fleet.Service { return t.Name }
+
+func accountName(t AccountTemplate) fleet.Account { return t.Name }
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
@@ -121,6 +120,7 @@
 func (n *Node) configApplied(now time.Time, c *rollout.Config) {
 	n.router.Store(entry.NewRouter(c))
 	n.appliedAt.Store(&now)
+	n.weights = weightsOf(c)
 	n.endpoints.SetConfig(now, c)
 }
 
@@ -133,19 +133,22 @@
 	return routing.Config{
 		RetryShare: t.RetryShare,
 		Zone:       n.self.Zone,
-		Weights:    weights(n.config.Current(), t.Name),
+		Weights:    n.weights[t.Name],
 	}
 }
 
-// weights returns the shares of the accounts whose share is not one.
-func weights(c *rollout.Config, service fleet.Service) map[fleet.Account]int {
-	if c == nil {
-		return nil
-	}
-	shares := make(map[fleet.Account]int)
+// weightsOf returns, for each service, the shares of its accounts whose share is not one.
+func weightsOf(c *rollout.Config) map[fleet.Service]map[fleet.Account]int {
+	shares := make(map[fleet.Service]map[fleet.Account]int)
 	for name, a := range c.Accounts {
-		if a.Weight > 1 && slices.Contains(a.Services, service) {
-			shares[name] = a.Weight
+		if a.Weight <= 1 {
+			continue
+		}
+		for _, service := range a.Services {
+			if shares[service] == nil {
+				shares[service] = make(map[fleet.Account]int)
+			}
+			shares[service][name] = a.Weight
 		}
 	}
 	return shares
--- a/internal/node/lives.go
+++ b/internal/node/lives.go
@@ -14,7 +14,7 @@
 func RunLives(ctx context.Context, o Options, started func(*Node)) error {
 	var last uint64
 	for {
-		last = NextIncarnation(last, time.Now())
+		last = nextIncarnation(last, time.Now())
 		o.Incarnation = fleet.Incarnation(last)
 		err := runLife(ctx, o, started)
 		if !errors.Is(err, ErrRejoin) {
@@ -36,3 +36,8 @@
 	started(n)
 	return n.Run(ctx)
 }
+
+// nextIncarnation returns a number above last, from the wall clock where it is ahead.
+func nextIncarnation(last uint64, now time.Time) uint64 {
+	return max(last+1, uint64(max(now.UnixMilli(), 0)))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,7 @@
 
 	router    atomic.Pointer[entry.Router]
 	appliedAt atomic.Pointer[time.Time]
+	weights   map[fleet.Service]map[fleet.Account]int // Of the configuration in force; the control goroutine's.
 	stopping  atomic.Bool
 	started   time.Time
 	fatal     chan error
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -163,18 +162,3 @@
 		}
 	}
 }
-
-// IsFinal reports whether an error of Run means that the program should end.
-func IsFinal(err error) bool {
-	return err != nil && !errors.Is(err, ErrRejoin)
-}
-
-// NextIncarnation returns a number above last, from the wall clock where it is ahead.
-func NextIncarnation(last uint64, now time.Time) uint64 {
-	return max(last+1, uint64(max(now.UnixMilli(), 0)))
-}
-
-// String names the instance.
-func (n *Node) String() string {
-	return fmt.Sprintf("instance %s in zone %s", n.self.Ref, n.self.Zone)
-}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -3,7 +3,6 @@
 import (
 	"expvar"
 	"fmt"
-	"time"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/membership"
@@ -19,7 +18,7 @@
 	s := api.Status{
 		Fleet:      n.opts.Settings.Instance.Fleet,
 		Self:       n.self,
-		Phase:      n.phase(),
+		Phase:      n.Phase(),
 		Started:    n.started,
 		Generation: snapshot.Roster.Generation,
 		Claims:     n.claims.Table().Keys,
@@ -60,7 +59,8 @@
 	return 0
 }
 
-func (n *Node) phase() api.Phase {
+// Phase returns where the instance stands in its life.
+func (n *Node) Phase() api.Phase {
 	switch {
 	case n.stopping.Load():
 		return api.PhaseStopping
@@ -182,8 +182,3 @@
 		}
 	}
 }
-
-// Age returns the time since the instance started.
-func (n *Node) Age() time.Duration {
-	return time.Since(n.started)
-}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -28,6 +28,7 @@
 // Source is what the endpoints show.
 type Source interface {
 	Status() api.Status
+	Phase() api.Phase
 	Explain(method, path string, account fleet.Account) api.Explanation
 }
 
@@ -97,7 +98,7 @@
 }
 
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
-	phase := s.source.Status().Phase
+	phase := s.source.Phase()
 	if phase != api.PhaseServing {
 		http.Error(w, string(phase), http.StatusServiceUnavailable)
 		return
