--- a/cmd/damaskcove/main.go
+++ b/cmd/damaskcove/main.go
@@ -15,10 +15,10 @@
 	"github.com/spf13/cobra"
 
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/metastore/client"
 	"github.com/damaskcove/damaskcove/internal/node"
 	"github.com/damaskcove/damaskcove/internal/settings"
 	"github.com/damaskcove/damaskcove/internal/tracing"
-	"github.com/damaskcove/damaskcove/platform/client"
 )
 
 // Exit statuses.
--- a/cmd/damaskctl/apply.go
+++ b/cmd/damaskctl/apply.go
@@ -11,10 +11,10 @@
 
 	"github.com/damaskcove/damaskcove/coord/rollout"
 	"github.com/damaskcove/damaskcove/internal/edit"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/operate"
 	"github.com/damaskcove/damaskcove/internal/operator/query"
 	"github.com/damaskcove/damaskcove/internal/template"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 // applyFlags are the flags of apply.
@@ -96,7 +96,7 @@
 }
 
 // applySet makes the change and returns the configuration after it.
-func applySet(ctx context.Context, w io.Writer, store platform.Store, f applyFlags, path string, set *template.Set) (*rollout.Config, error) {
+func applySet(ctx context.Context, w io.Writer, store metastore.Store, f applyFlags, path string, set *template.Set) (*rollout.Config, error) {
 	wanted := set.Config()
 	current, err := operate.Load(ctx, store, set.Fleet)
 	if err != nil {
@@ -151,13 +151,13 @@
 
 // notingStore notes that the result of a write is unknown: a later read that fails tells nothing of it.
 type notingStore struct {
-	platform.Store
+	metastore.Store
 	unknown bool
 }
 
-func (s *notingStore) CompareAndSwap(ctx context.Context, key string, expected platform.Version, data []byte, lease platform.LeaseID) (platform.Version, error) {
+func (s *notingStore) CompareAndSwap(ctx context.Context, key string, expected metastore.Version, data []byte, lease metastore.LeaseID) (metastore.Version, error) {
 	version, err := s.Store.CompareAndSwap(ctx, key, expected, data, lease)
-	if errors.Is(err, platform.ErrUnknownResult) {
+	if errors.Is(err, metastore.ErrUnknownResult) {
 		s.unknown = true
 	}
 	return version, err
@@ -169,5 +169,5 @@
 	if !s.unknown || errors.Is(err, operate.ErrConflict) || errors.Is(err, rollout.ErrFaults) {
 		return err
 	}
-	return fmt.Errorf("%w: the change may have been accepted; run again with --change-id %s: %w", platform.ErrUnknownResult, changeID, err)
+	return fmt.Errorf("%w: the change may have been accepted; run again with --change-id %s: %w", metastore.ErrUnknownResult, changeID, err)
 }
--- a/cmd/damaskctl/apply_test.go
+++ b/cmd/damaskctl/apply_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 	"github.com/damaskcove/damaskcove/internal/operate"
 	"github.com/damaskcove/damaskcove/internal/operator/api"
-	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 // store is a platform's stand-in with the templates of one operator beside it.
--- a/cmd/damaskctl/fail.go
+++ b/cmd/damaskctl/fail.go
@@ -9,10 +9,10 @@
 
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/operate"
 	"github.com/damaskcove/damaskcove/internal/operator/query"
 	"github.com/damaskcove/damaskcove/internal/tomlfile"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 // Exit codes.
@@ -76,9 +76,9 @@
 		return &failure{exit: exitFaults, code: result.CodeConfigFault, err: err}
 	case errors.Is(err, operate.ErrConflict):
 		return &failure{exit: exitConflict, code: result.CodeConfigConflict, err: err}
-	case errors.Is(err, rollout.ErrTooLarge), errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, rollout.ErrTooLarge), errors.Is(err, metastore.ErrTooLarge):
 		return &failure{exit: exitFaults, code: result.CodeConfigTooLarge, err: err}
-	case errors.Is(err, platform.ErrUnknownResult):
+	case errors.Is(err, metastore.ErrUnknownResult):
 		return &failure{exit: exitUnknown, code: result.CodeStoreUnknownResult, err: err}
 	case errors.Is(err, query.ErrNotAuthorized):
 		return &failure{exit: exitNotAuthorized, code: result.CodeNotAuthorized, err: err}
@@ -86,7 +86,7 @@
 		return &failure{exit: exitBehind, err: err}
 	case errors.Is(err, query.ErrUnreachable):
 		return &failure{exit: exitUnavailable, err: err}
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, metastore.ErrUnavailable), errors.Is(err, context.DeadlineExceeded):
 		return &failure{exit: exitUnavailable, code: result.CodeStoreUnavailable, err: err}
 	case strings.HasPrefix(err.Error(), "unknown command"):
 		return &failure{exit: exitUsage, err: err}
--- a/cmd/damaskctl/fleet_test.go
+++ b/cmd/damaskctl/fleet_test.go
@@ -12,9 +12,9 @@
 	"github.com/damaskcove/damaskcove/examples"
 	"github.com/damaskcove/damaskcove/internal/load"
 	"github.com/damaskcove/damaskcove/internal/local"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 	"github.com/damaskcove/damaskcove/internal/operator/api"
 	"github.com/damaskcove/damaskcove/internal/upstream"
-	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 // startFleet runs a fleet of Qalqan's with its endpoints and no configuration yet.
--- a/cmd/damaskctl/standin.go
+++ b/cmd/damaskctl/standin.go
@@ -12,8 +12,8 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 	"github.com/damaskcove/damaskcove/internal/tomlfile"
-	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 // headerTimeout bounds the time in which a request to a stand-in's own endpoints must begin.
--- a/cmd/damaskctl/standin_listing.go
+++ b/cmd/damaskctl/standin_listing.go
@@ -9,8 +9,8 @@
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/tomlfile"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 // upstreamSettings is one endpoint of the platform's list.
@@ -31,8 +31,8 @@
 }
 
 // listing returns the list that the settings hold, and whether they hold any.
-func (s platformSettings) listing() (platform.Listing, bool) {
-	l := platform.Listing{Upstreams: make(map[fleet.Service][]fleet.Upstream)}
+func (s platformSettings) listing() (metastore.Listing, bool) {
+	l := metastore.Listing{Upstreams: make(map[fleet.Service][]fleet.Upstream)}
 	for _, u := range s.Upstreams {
 		service := fleet.Service(u.Service)
 		l.Upstreams[service] = append(l.Upstreams[service], fleet.Upstream{
--- a/cmd/damaskctl/standin_test.go
+++ b/cmd/damaskctl/standin_test.go
@@ -14,10 +14,10 @@
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/internal/load"
+	"github.com/damaskcove/damaskcove/internal/metastore"
+	"github.com/damaskcove/damaskcove/internal/metastore/client"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 	"github.com/damaskcove/damaskcove/internal/upstream"
-	"github.com/damaskcove/damaskcove/platform"
-	"github.com/damaskcove/damaskcove/platform/client"
-	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 // background runs a command until the test ends, and returns the last word of its first line.
@@ -104,7 +104,7 @@
 
 	c := client.New(platformAddr, "test")
 	defer c.Close()
-	var listing platform.Listing
+	var listing metastore.Listing
 	for len(listing.Upstreams["stock"]) != 3 {
 		var err error
 		if listing, err = c.Read(context.Background()); err != nil {
--- a/cmd/damaskctl/standin_upstream.go
+++ b/cmd/damaskctl/standin_upstream.go
@@ -14,9 +14,9 @@
 	"github.com/spf13/cobra"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 	"github.com/damaskcove/damaskcove/internal/tomlfile"
 	"github.com/damaskcove/damaskcove/internal/upstream"
-	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 // Times of publishing to the platform's stand-in.
--- a/cmd/damaskctl/store.go
+++ b/cmd/damaskctl/store.go
@@ -10,8 +10,8 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/damaskcove/damaskcove/internal/metastore/client"
 	"github.com/damaskcove/damaskcove/internal/operator/query"
-	"github.com/damaskcove/damaskcove/platform/client"
 )
 
 // Defaults of flags.
--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
-	"github.com/damaskcove/damaskcove/platform/standin"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 )
 
 // BenchmarkChangeInForce measures the time from the operator's call until the last instance of a
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,11 +15,11 @@
 	"github.com/damaskcove/damaskcove/coord/rollout"
 	"github.com/damaskcove/damaskcove/internal/control"
 	"github.com/damaskcove/damaskcove/internal/members"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/refusals"
 	"github.com/damaskcove/damaskcove/internal/storecall"
 	"github.com/damaskcove/damaskcove/internal/storekeys"
 	"github.com/damaskcove/damaskcove/internal/wire"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 const (
@@ -44,7 +44,7 @@
 	Random          *rand.Rand
 	Loop            *control.Loop
 	Sender          control.Sender
-	Store           platform.Store
+	Store           metastore.Store
 	Budget          *storecall.Budget // Nil for no bound.
 	Members         *members.Duty
 	Log             *slog.Logger
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -14,11 +14,11 @@
 	"github.com/damaskcove/damaskcove/internal/config"
 	"github.com/damaskcove/damaskcove/internal/control"
 	"github.com/damaskcove/damaskcove/internal/members"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 	"github.com/damaskcove/damaskcove/internal/operate"
 	"github.com/damaskcove/damaskcove/internal/storecall"
 	"github.com/damaskcove/damaskcove/internal/storekeys"
 	"github.com/damaskcove/damaskcove/internal/wire"
-	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 // patience bounds how long a test waits for something that must happen.
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/rollout"
-	"github.com/damaskcove/damaskcove/platform"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 )
 
 const (
@@ -29,7 +29,7 @@
 }
 
 // postHead hands the outcome of reading the head to the machine. An absent key is a zero head.
-func (d *Duty) postHead(value platform.Value, err error) {
+func (d *Duty) postHead(value metastore.Value, err error) {
 	head, err := decodeHead(value, err)
 	if errors.Is(err, rollout.ErrMalformed) {
 		d.o.Log.Error("head in the store is malformed; the last good configuration stays in force", "error", err.Error())
@@ -37,8 +37,8 @@
 	d.o.Loop.Post(func(now time.Time) { d.run(now, d.machine.HeadRead(now, head, err)) })
 }
 
-func decodeHead(value platform.Value, err error) (rollout.Head, error) {
-	if errors.Is(err, platform.ErrNotFound) {
+func decodeHead(value metastore.Value, err error) (rollout.Head, error) {
+	if errors.Is(err, metastore.ErrNotFound) {
 		return rollout.Head{}, nil
 	}
 	if err != nil {
@@ -56,7 +56,7 @@
 
 // watchHead reads the head each time that it changes, until ctx ends.
 func (d *Duty) watchHead(ctx context.Context) {
-	var after platform.Version
+	var after metastore.Version
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		value, err := d.watchOnce(ctx, after)
@@ -75,7 +75,7 @@
 	}
 }
 
-func (d *Duty) watchOnce(ctx context.Context, after platform.Version) (platform.Value, error) {
+func (d *Duty) watchOnce(ctx context.Context, after metastore.Version) (metastore.Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	return d.store.Watch(ctx, d.o.Keys.Head(), after)
--- a/internal/demo/scenario.go
+++ b/internal/demo/scenario.go
@@ -8,8 +8,8 @@
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/rollout"
 	"github.com/damaskcove/damaskcove/internal/local"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 	"github.com/damaskcove/damaskcove/internal/upstream"
-	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 // leavingGrace is the time after which a leaving endpoint must get no new work.
--- a/internal/endpoints/duty.go
+++ b/internal/endpoints/duty.go
@@ -14,8 +14,8 @@
 	"github.com/damaskcove/damaskcove/coord/rollout"
 	"github.com/damaskcove/damaskcove/coord/routing"
 	"github.com/damaskcove/damaskcove/internal/control"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/wire"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 // Placement says which instances carry and judge a service. Carriers must follow from
@@ -54,7 +54,7 @@
 	placed     uint64 // Counts the calls of SetFleet.
 	ended      *endedLives
 	config     *rollout.Config
-	listing    platform.Listing
+	listing    metastore.Listing
 	services   map[fleet.Service]*service
 	attempts   attempts
 	status     atomic.Pointer[Status]
@@ -102,7 +102,7 @@
 }
 
 // SetListing takes a newer list of the platform.
-func (d *Duty) SetListing(now time.Time, l platform.Listing) {
+func (d *Duty) SetListing(now time.Time, l metastore.Listing) {
 	d.listing = l
 	d.configure(now)
 }
--- a/internal/endpoints/duty_test.go
+++ b/internal/endpoints/duty_test.go
@@ -12,8 +12,8 @@
 	"github.com/damaskcove/damaskcove/coord/health"
 	"github.com/damaskcove/damaskcove/coord/rollout"
 	"github.com/damaskcove/damaskcove/coord/routing"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/wire"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 const catalogue fleet.Service = "catalogue"
@@ -40,7 +40,7 @@
 	now   time.Time
 	nodes map[fleet.Ref]*testNode
 
-	listing platform.Listing
+	listing metastore.Listing
 	config  *rollout.Config
 	all     fixedPlacement
 }
@@ -80,7 +80,7 @@
 			Zone: fleet.Zone([]string{"a", "b", "c"}[i%3]),
 		})
 	}
-	listing := platform.Listing{Upstreams: map[fleet.Service][]fleet.Upstream{}}
+	listing := metastore.Listing{Upstreams: map[fleet.Service][]fleet.Upstream{}}
 	for i := range upstreams {
 		u := fleet.Upstream{Endpoint: fleet.Endpoint(fmt.Sprintf("10.0.0.%d:80", i)), Slots: 3, State: fleet.UpstreamReady}
 		listing.Upstreams[catalogue] = append(listing.Upstreams[catalogue], u)
--- a/internal/listing/bench_test.go
+++ b/internal/listing/bench_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/wire"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 // sizes are the numbers of endpoints that the slopes are taken over; each service has endpointsPerService.
@@ -18,8 +18,8 @@
 	endpointsPerFleet   = 15 // Per entry instance.
 )
 
-func listOf(endpoints int) *platform.Listing {
-	l := &platform.Listing{Version: 1, Upstreams: make(map[fleet.Service][]fleet.Upstream)}
+func listOf(endpoints int) *metastore.Listing {
+	l := &metastore.Listing{Version: 1, Upstreams: make(map[fleet.Service][]fleet.Upstream)}
 	for i := range endpoints {
 		service := fleet.Service(fmt.Sprint("service-", i/endpointsPerService))
 		l.Upstreams[service] = append(l.Upstreams[service], fleet.Upstream{
@@ -37,7 +37,7 @@
 }
 
 // next returns the list after one endpoint began to leave.
-func next(l *platform.Listing) *platform.Listing {
+func next(l *metastore.Listing) *metastore.Listing {
 	out := change(l, l).apply(l)
 	out.Version = l.Version + 1
 	changed := append([]fleet.Upstream(nil), out.Upstreams["service-3"]...)
--- a/internal/listing/clean.go
+++ b/internal/listing/clean.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
-	"github.com/damaskcove/damaskcove/platform"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 )
 
 // MaxSlots bounds the slots of one endpoint.
@@ -13,9 +13,9 @@
 
 // clean returns the list without the entries that cannot be used, and their number. Services,
 // endpoints and instances keep their order.
-func clean(l *platform.Listing) (*platform.Listing, int) {
+func clean(l *metastore.Listing) (*metastore.Listing, int) {
 	dropped := 0
-	out := &platform.Listing{Version: l.Version, Upstreams: make(map[fleet.Service][]fleet.Upstream, len(l.Upstreams))}
+	out := &metastore.Listing{Version: l.Version, Upstreams: make(map[fleet.Service][]fleet.Upstream, len(l.Upstreams))}
 	for service, upstreams := range l.Upstreams {
 		kept := slices.DeleteFunc(slices.Clone(upstreams), func(u fleet.Upstream) bool { return !usable(u) })
 		dropped += len(upstreams) - len(kept)
--- a/internal/listing/duty.go
+++ b/internal/listing/duty.go
@@ -9,8 +9,8 @@
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/internal/control"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/wire"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 // Times of the duty.
@@ -25,13 +25,13 @@
 
 // Options are the parameters of a Duty.
 type Options struct {
-	List     platform.List
+	List     metastore.List
 	Sender   control.Sender
-	Watcher  func() bool                              // Whether this instance reads the list for others now. On the control goroutine.
-	Peers    func() []fleet.Ref                       // The members that a watcher pushes to: those of its zone. On the control goroutine.
-	Post     func(f func(now time.Time)) bool         // Hands f to the control goroutine.
-	Go       func(f func())                           // Runs f aside; nil for a goroutine.
-	OnChange func(now time.Time, l *platform.Listing) // A later list is held. On the control goroutine; may be nil.
+	Watcher  func() bool                               // Whether this instance reads the list for others now. On the control goroutine.
+	Peers    func() []fleet.Ref                        // The members that a watcher pushes to: those of its zone. On the control goroutine.
+	Post     func(f func(now time.Time)) bool          // Hands f to the control goroutine.
+	Go       func(f func())                            // Runs f aside; nil for a goroutine.
+	OnChange func(now time.Time, l *metastore.Listing) // A later list is held. On the control goroutine; may be nil.
 	Random   *rand.Rand
 }
 
@@ -48,7 +48,7 @@
 // Duty keeps the platform's list. Its methods run on the control goroutine, but for Snapshot and Stats.
 type Duty struct {
 	o           Options
-	snapshot    atomic.Pointer[platform.Listing]
+	snapshot    atomic.Pointer[metastore.Listing]
 	stats       atomic.Pointer[Stats]
 	counts      Stats
 	reading     bool
@@ -67,7 +67,7 @@
 		o.Go = func(f func()) { go f() }
 	}
 	if o.OnChange == nil {
-		o.OnChange = func(time.Time, *platform.Listing) {}
+		o.OnChange = func(time.Time, *metastore.Listing) {}
 	}
 	d := &Duty{o: o}
 	d.stats.Store(&Stats{})
@@ -75,7 +75,7 @@
 }
 
 // Snapshot returns the latest list, or nil before the first. It must not be changed.
-func (d *Duty) Snapshot() *platform.Listing {
+func (d *Duty) Snapshot() *metastore.Listing {
 	return d.snapshot.Load()
 }
 
@@ -159,7 +159,7 @@
 	})
 }
 
-func (d *Duty) readDone(now time.Time, l platform.Listing, err error) {
+func (d *Duty) readDone(now time.Time, l metastore.Listing, err error) {
 	defer d.publishStats()
 	d.reading = false
 	if err != nil {
@@ -193,7 +193,7 @@
 }
 
 // take puts a later list in place of the one held.
-func (d *Duty) take(now time.Time, l *platform.Listing) {
+func (d *Duty) take(now time.Time, l *metastore.Listing) {
 	d.snapshot.Store(l)
 	d.counts.Applied++
 	d.o.OnChange(now, l)
--- a/internal/listing/listing_test.go
+++ b/internal/listing/listing_test.go
@@ -12,32 +12,32 @@
 	"pgregory.net/rapid"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/wire"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 func endpoint(port, slots int, state fleet.UpstreamState) fleet.Upstream {
 	return fleet.Upstream{Endpoint: fleet.Endpoint(fmt.Sprint("127.0.0.1:", port)), Zone: "z", Slots: slots, State: state}
 }
 
-func drawChange(rt *rapid.T) func(l *platform.Listing) {
+func drawChange(rt *rapid.T) func(l *metastore.Listing) {
 	service := fleet.Service(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "service"))
 	port := rapid.IntRange(1, 4).Draw(rt, "port")
 	instance := fleet.Instance{Ref: ref(port), PeerAddr: fmt.Sprint("127.0.0.1:", port)}
 	switch rapid.IntRange(0, 3).Draw(rt, "change") {
 	case 0:
-		return func(l *platform.Listing) { delete(l.Upstreams, service) }
+		return func(l *metastore.Listing) { delete(l.Upstreams, service) }
 	case 1:
-		return func(l *platform.Listing) {
+		return func(l *metastore.Listing) {
 			l.Instances = slices.DeleteFunc(l.Instances, func(i fleet.Instance) bool { return i.Ref == instance.Ref })
 		}
 	case 2:
-		return func(l *platform.Listing) {
+		return func(l *metastore.Listing) {
 			l.Instances = slices.DeleteFunc(l.Instances, func(i fleet.Instance) bool { return i.Ref == instance.Ref })
 			l.Instances = append(l.Instances, instance)
 		}
 	default:
-		return func(l *platform.Listing) {
+		return func(l *metastore.Listing) {
 			l.Upstreams[service] = append(l.Upstreams[service], endpoint(port, 4, fleet.UpstreamReady))
 		}
 	}
@@ -107,7 +107,7 @@
 	})
 }
 
-func checkSame(rt *rapid.T, i int, got, want *platform.Listing) {
+func checkSame(rt *rapid.T, i int, got, want *metastore.Listing) {
 	if len(got.Upstreams) != len(want.Upstreams) || len(got.Instances) != len(want.Instances) {
 		rt.Fatalf("instance %d holds %+v, version %d is %+v", i, got, want.Version, want)
 	}
@@ -127,7 +127,7 @@
 func TestReadsDoNotGrowWithTheFleet(t *testing.T) {
 	for _, size := range []int{12, 44} {
 		w := newWorld(size, 2)
-		w.publish(func(l *platform.Listing) { l.Upstreams["a"] = []fleet.Upstream{endpoint(1, 4, fleet.UpstreamReady)} })
+		w.publish(func(l *metastore.Listing) { l.Upstreams["a"] = []fleet.Upstream{endpoint(1, 4, fleet.UpstreamReady)} })
 		w.pass(10 * time.Second)
 		w.reads = 0
 		w.pass(time.Minute)
@@ -141,7 +141,7 @@
 	w := newWorld(3, 1)
 	w.pass(time.Second)
 	w.watchers[0] = false
-	w.publish(func(l *platform.Listing) { l.Upstreams["a"] = []fleet.Upstream{endpoint(1, 4, fleet.UpstreamReady)} })
+	w.publish(func(l *metastore.Listing) { l.Upstreams["a"] = []fleet.Upstream{endpoint(1, 4, fleet.UpstreamReady)} })
 	w.pass(2 * SilenceLimit)
 	for i, d := range w.duties {
 		if d.Snapshot().Version != 1 {
@@ -161,7 +161,7 @@
 
 func TestUnusableEntriesAreDropped(t *testing.T) {
 	good := endpoint(1, 4, fleet.UpstreamCold)
-	l := &platform.Listing{Version: 1, Upstreams: map[fleet.Service][]fleet.Upstream{"a": {
+	l := &metastore.Listing{Version: 1, Upstreams: map[fleet.Service][]fleet.Upstream{"a": {
 		good, endpoint(0, 4, fleet.UpstreamReady), endpoint(2, 0, fleet.UpstreamReady), endpoint(3, MaxSlots+1, fleet.UpstreamReady),
 		endpoint(4, 4, 9), {Endpoint: "localhost:80", Slots: 1, State: fleet.UpstreamReady},
 	}}, Instances: []fleet.Instance{{Ref: ref(1), PeerAddr: "here"}, {Ref: ref(2), PeerAddr: "127.0.0.1:5"}}}
--- a/internal/listing/message.go
+++ b/internal/listing/message.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
-	"github.com/damaskcove/damaskcove/platform"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 )
 
 // MessageKind tells the messages apart.
@@ -32,12 +32,12 @@
 }
 
 // whole returns the message that carries a whole list.
-func whole(l *platform.Listing) Message {
+func whole(l *metastore.Listing) Message {
 	return Message{Kind: MessageWhole, Version: l.Version, Upstreams: l.Upstreams, Instances: l.Instances}
 }
 
 // change returns the message that leads from one list to a later one.
-func change(from, to *platform.Listing) Message {
+func change(from, to *metastore.Listing) Message {
 	m := Message{Kind: MessageChange, Base: from.Version, Version: to.Version}
 	for service, upstreams := range to.Upstreams {
 		before, ok := from.Upstreams[service]
@@ -79,17 +79,17 @@
 }
 
 // list returns the list of a MessageWhole.
-func (m Message) list() *platform.Listing {
+func (m Message) list() *metastore.Listing {
 	upstreams := m.Upstreams
 	if upstreams == nil {
 		upstreams = make(map[fleet.Service][]fleet.Upstream)
 	}
-	return &platform.Listing{Version: m.Version, Upstreams: upstreams, Instances: m.Instances}
+	return &metastore.Listing{Version: m.Version, Upstreams: upstreams, Instances: m.Instances}
 }
 
 // apply returns the list after a MessageChange; the list before is not changed.
-func (m Message) apply(before *platform.Listing) *platform.Listing {
-	after := &platform.Listing{Version: m.Version, Upstreams: maps.Clone(before.Upstreams)}
+func (m Message) apply(before *metastore.Listing) *metastore.Listing {
+	after := &metastore.Listing{Version: m.Version, Upstreams: maps.Clone(before.Upstreams)}
 	if after.Upstreams == nil {
 		after.Upstreams = make(map[fleet.Service][]fleet.Upstream)
 	}
@@ -104,7 +104,7 @@
 // clean drops the entries that cannot be used and returns their number. An instance that
 // cannot be used counts as removed.
 func (m *Message) clean() int {
-	parts, dropped := clean(&platform.Listing{Upstreams: m.Upstreams, Instances: m.Instances})
+	parts, dropped := clean(&metastore.Listing{Upstreams: m.Upstreams, Instances: m.Instances})
 	kept := make(map[fleet.Ref]bool, len(parts.Instances))
 	for _, instance := range parts.Instances {
 		kept[instance.Ref] = true
--- a/internal/listing/world_test.go
+++ b/internal/listing/world_test.go
@@ -8,15 +8,15 @@
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/wire"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 // world is a few duties over a network that loses, delays and doubles messages.
 type world struct {
 	now      time.Time
-	latest   platform.Listing
-	history  []platform.Listing
+	latest   metastore.Listing
+	history  []metastore.Listing
 	lag      int // How many versions back a read sees.
 	down     bool
 	reads    int
@@ -52,17 +52,17 @@
 	return i
 }
 
-func (w *world) Read(context.Context) (platform.Listing, error) {
+func (w *world) Read(context.Context) (metastore.Listing, error) {
 	w.reads++
 	if w.down {
-		return platform.Listing{}, platform.ErrUnavailable
+		return metastore.Listing{}, metastore.ErrUnavailable
 	}
 	return w.history[max(0, len(w.history)-1-w.lag)], nil
 }
 
 func newWorld(size, watchers int) *world {
 	w := &world{now: time.Unix(1000, 0), lost: func(packet) bool { return false }, versions: make([]uint64, size)}
-	w.history = []platform.Listing{{}}
+	w.history = []metastore.Listing{{}}
 	for i := range size {
 		w.watchers = append(w.watchers, i < watchers)
 		w.duties = append(w.duties, New(Options{
@@ -92,8 +92,8 @@
 }
 
 // publish makes the next version of the list.
-func (w *world) publish(change func(l *platform.Listing)) {
-	next := platform.Listing{Version: w.latest.Version + 1, Upstreams: map[fleet.Service][]fleet.Upstream{}}
+func (w *world) publish(change func(l *metastore.Listing)) {
+	next := metastore.Listing{Version: w.latest.Version + 1, Upstreams: map[fleet.Service][]fleet.Upstream{}}
 	for service, upstreams := range w.latest.Upstreams {
 		next.Upstreams[service] = slices.Clone(upstreams)
 	}
--- a/internal/local/failure_test.go
+++ b/internal/local/failure_test.go
@@ -17,11 +17,11 @@
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/membership"
 	"github.com/damaskcove/damaskcove/coord/rollout"
+	platformclient "github.com/damaskcove/damaskcove/internal/metastore/client"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 	"github.com/damaskcove/damaskcove/internal/operate"
 	"github.com/damaskcove/damaskcove/internal/storekeys"
 	"github.com/damaskcove/damaskcove/internal/upstream"
-	platformclient "github.com/damaskcove/damaskcove/platform/client"
-	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 // traffic sends orders from several callers until it is stopped.
--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -16,14 +16,14 @@
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/internal/metastore"
+	"github.com/damaskcove/damaskcove/internal/metastore/client"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 	"github.com/damaskcove/damaskcove/internal/node"
 	"github.com/damaskcove/damaskcove/internal/operate"
 	"github.com/damaskcove/damaskcove/internal/operator/api"
 	"github.com/damaskcove/damaskcove/internal/settings"
 	"github.com/damaskcove/damaskcove/internal/upstream"
-	"github.com/damaskcove/damaskcove/platform"
-	"github.com/damaskcove/damaskcove/platform/client"
-	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 // loopback is the address that everything listens on; the system picks the port.
@@ -101,7 +101,7 @@
 
 // listUpstreams brings the platform's list up to date with the upstreams.
 func (f *Fleet) listUpstreams(h *upstream.Host) {
-	f.Platform.UpdateListing(func(l *platform.Listing) { l.Upstreams = h.Upstreams() })
+	f.Platform.UpdateListing(func(l *metastore.Listing) { l.Upstreams = h.Upstreams() })
 }
 
 // PlatformAddr returns the address of the platform's stand-in.
@@ -221,7 +221,7 @@
 
 // listInstance adds an instance to the platform's list or removes it.
 func (f *Fleet) listInstance(in fleet.Instance, live bool) {
-	f.Platform.UpdateListing(func(l *platform.Listing) {
+	f.Platform.UpdateListing(func(l *metastore.Listing) {
 		var kept []fleet.Instance
 		for _, other := range l.Instances {
 			if other.Ref != in.Ref {
--- a/internal/measure/fleet/main.go
+++ b/internal/measure/fleet/main.go
@@ -23,10 +23,10 @@
 	"github.com/damaskcove/damaskcove/coord/rollout"
 	"github.com/damaskcove/damaskcove/examples"
 	"github.com/damaskcove/damaskcove/internal/local"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 	"github.com/damaskcove/damaskcove/internal/peer"
 	"github.com/damaskcove/damaskcove/internal/template"
 	"github.com/damaskcove/damaskcove/internal/upstream"
-	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 // Times of the measurement.
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -16,10 +16,10 @@
 	"github.com/damaskcove/damaskcove/coord/placement"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/internal/control"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/refusals"
 	"github.com/damaskcove/damaskcove/internal/storecall"
 	"github.com/damaskcove/damaskcove/internal/wire"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 // Snapshot is what an instance knows of the fleet at one moment. It is immutable.
@@ -46,7 +46,7 @@
 	Random    *rand.Rand
 	Loop      *control.Loop
 	Sender    control.Sender
-	Store     platform.Store
+	Store     metastore.Store
 	Budget    *storecall.Budget // Nil for no bound.
 	Log       *slog.Logger
 	// OnChange is told of each new snapshot on the control goroutine.
--- a/internal/members/store.go
+++ b/internal/members/store.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/membership"
-	"github.com/damaskcove/damaskcove/platform"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 )
 
 // callTimeout bounds one call of the store.
@@ -32,9 +32,9 @@
 	d.o.Loop.Post(func(now time.Time) { d.run(now, d.machine.RosterWritten(now, next, err)) })
 }
 
-func (d *Duty) load(ctx context.Context) (membership.Roster, platform.Version, error) {
+func (d *Duty) load(ctx context.Context) (membership.Roster, metastore.Version, error) {
 	value, err := d.store.Get(ctx, d.o.RosterKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, metastore.ErrNotFound) {
 		return membership.Roster{}, 0, nil
 	}
 	if err != nil {
@@ -60,9 +60,9 @@
 	}
 	_, err = d.store.CompareAndSwap(ctx, d.o.RosterKey, version, data, 0)
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, metastore.ErrConflict):
 		return fmt.Errorf("%w: generation %d: %w", membership.ErrConflict, next.Generation, err)
-	case errors.Is(err, platform.ErrUnknownResult), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, metastore.ErrUnknownResult), errors.Is(err, context.DeadlineExceeded):
 		return fmt.Errorf("%w: generation %d: %w", membership.ErrUnknownResult, next.Generation, err)
 	case err != nil:
 		return fmt.Errorf("write roster of generation %d: %w", next.Generation, err)
--- a/platform/client/bench_test.go
+++ b/internal/metastore/client/bench_test.go
@@ -8,9 +8,9 @@
 	"testing"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
-	"github.com/damaskcove/damaskcove/platform"
-	"github.com/damaskcove/damaskcove/platform/protocol"
-	"github.com/damaskcove/damaskcove/platform/standin"
+	"github.com/damaskcove/damaskcove/internal/metastore"
+	"github.com/damaskcove/damaskcove/internal/metastore/protocol"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 )
 
 // BenchmarkReadList reads the list over loopback, with a change before each read and without one, and
@@ -38,7 +38,7 @@
 		endpoint := fleet.Endpoint(fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255))
 		upstreams[service] = append(upstreams[service], fleet.Upstream{Endpoint: endpoint, Zone: fleet.Zone(fmt.Sprint("zone-", i%5)), Slots: 4, State: fleet.UpstreamReady})
 	}
-	server.Platform().SetListing(platform.Listing{Upstreams: upstreams})
+	server.Platform().SetListing(metastore.Listing{Upstreams: upstreams})
 	bytes := bodyBytes(b, server.Addr())
 	if _, err := c.Read(context.Background()); err != nil {
 		b.Fatal(err)
@@ -46,7 +46,7 @@
 	for b.Loop() {
 		if changed {
 			b.StopTimer()
-			server.Platform().UpdateListing(func(*platform.Listing) {})
+			server.Platform().UpdateListing(func(*metastore.Listing) {})
 			b.StartTimer()
 		}
 		if _, err := c.Read(context.Background()); err != nil {
--- a/platform/client/client.go
+++ b/internal/metastore/client/client.go
@@ -15,8 +15,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/damaskcove/damaskcove/platform"
-	"github.com/damaskcove/damaskcove/platform/protocol"
+	"github.com/damaskcove/damaskcove/internal/metastore"
+	"github.com/damaskcove/damaskcove/internal/metastore/protocol"
 )
 
 // Bounds of the client's connections.
@@ -26,17 +26,17 @@
 	maxIdleConnections = 4
 )
 
-// Client is a platform.Store and a platform.List.
+// Client is a metastore.Store and a metastore.List.
 type Client struct {
 	base string
 	name string
 	http *http.Client
-	list atomic.Pointer[platform.Listing] // As last read; never changed.
+	list atomic.Pointer[metastore.Listing] // As last read; never changed.
 }
 
 var (
-	_ platform.Store = (*Client)(nil)
-	_ platform.List  = (*Client)(nil)
+	_ metastore.Store = (*Client)(nil)
+	_ metastore.List  = (*Client)(nil)
 )
 
 // New returns a client of the platform at addr, an IP number and port. name is
@@ -60,13 +60,13 @@
 	c.http.CloseIdleConnections()
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Value, error) {
+// Get implements metastore.Store.
+func (c *Client) Get(ctx context.Context, key string) (metastore.Value, error) {
 	return c.read(ctx, key, "")
 }
 
-// Watch implements platform.Store. It asks again each time that the store says that nothing has changed.
-func (c *Client) Watch(ctx context.Context, key string, after platform.Version) (platform.Value, error) {
+// Watch implements metastore.Store. It asks again each time that the store says that nothing has changed.
+func (c *Client) Watch(ctx context.Context, key string, after metastore.Version) (metastore.Value, error) {
 	query := "?" + protocol.ParamWatch + "=" + formatID(uint64(after))
 	for {
 		value, err := c.read(ctx, key, query)
@@ -76,10 +76,10 @@
 	}
 }
 
-// CompareAndSwap implements platform.Store.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, expected platform.Version, data []byte, lease platform.LeaseID) (platform.Version, error) {
-	if len(data) > platform.MaxValueBytes {
-		return 0, fmt.Errorf("write key %q: %w: %d bytes, at most %d", key, platform.ErrTooLarge, len(data), platform.MaxValueBytes)
+// CompareAndSwap implements metastore.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expected metastore.Version, data []byte, lease metastore.LeaseID) (metastore.Version, error) {
+	if len(data) > metastore.MaxValueBytes {
+		return 0, fmt.Errorf("write key %q: %w: %d bytes, at most %d", key, metastore.ErrTooLarge, len(data), metastore.MaxValueBytes)
 	}
 	header := http.Header{protocol.HeaderExpected: {formatID(uint64(expected))}}
 	if lease != 0 {
@@ -91,13 +91,13 @@
 	}
 	version, err := answer.id(protocol.HeaderVersion)
 	if err != nil {
-		return 0, fmt.Errorf("write key %q: %w: %w", key, platform.ErrUnknownResult, err)
+		return 0, fmt.Errorf("write key %q: %w: %w", key, metastore.ErrUnknownResult, err)
 	}
-	return platform.Version(version), nil
+	return metastore.Version(version), nil
 }
 
-// GrantLease implements platform.Store.
-func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements metastore.Store.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (metastore.LeaseID, error) {
 	path := protocol.PathLeases + "?" + protocol.ParamTTL + "=" + strconv.FormatInt(ttl.Milliseconds(), 10)
 	answer, err := c.write(ctx, http.MethodPost, path, http.Header{}, nil)
 	if err != nil {
@@ -105,13 +105,13 @@
 	}
 	id, err := answer.id(protocol.HeaderLease)
 	if err != nil {
-		return 0, fmt.Errorf("grant lease of %v: %w: %w", ttl, platform.ErrUnknownResult, err)
+		return 0, fmt.Errorf("grant lease of %v: %w: %w", ttl, metastore.ErrUnknownResult, err)
 	}
-	return platform.LeaseID(id), nil
+	return metastore.LeaseID(id), nil
 }
 
-// KeepAlive implements platform.Store.
-func (c *Client) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+// KeepAlive implements metastore.Store.
+func (c *Client) KeepAlive(ctx context.Context, lease metastore.LeaseID) error {
 	path := protocol.PathLeases + "/" + formatID(uint64(lease)) + protocol.PathKeepAlive
 	if _, err := c.write(ctx, http.MethodPost, path, http.Header{}, nil); err != nil {
 		return fmt.Errorf("keep lease %d alive: %w", lease, err)
@@ -119,9 +119,9 @@
 	return nil
 }
 
-// Read implements platform.List. It names the version that it read last, so that the list is sent
+// Read implements metastore.List. It names the version that it read last, so that the list is sent
 // only when it has changed; the listings that it returns share their entries, which must not be changed.
-func (c *Client) Read(ctx context.Context) (platform.Listing, error) {
+func (c *Client) Read(ctx context.Context) (metastore.Listing, error) {
 	header := http.Header{}
 	held := c.list.Load()
 	if held != nil {
@@ -129,46 +129,46 @@
 	}
 	answer, _, err := c.send(ctx, http.MethodGet, protocol.PathList, header, nil, protocol.MaxListBytes)
 	if err != nil {
-		return platform.Listing{}, fmt.Errorf("read list: %w: %w", platform.ErrUnavailable, err)
+		return metastore.Listing{}, fmt.Errorf("read list: %w: %w", metastore.ErrUnavailable, err)
 	}
 	err = answer.check()
 	if errors.Is(err, errNotChanged) && held != nil {
 		return *held, nil
 	}
 	if err != nil {
-		return platform.Listing{}, fmt.Errorf("read list: %w", asRead(err))
+		return metastore.Listing{}, fmt.Errorf("read list: %w", asRead(err))
 	}
-	listing := new(platform.Listing)
+	listing := new(metastore.Listing)
 	if err := json.Unmarshal(answer.body, listing); err != nil {
-		return platform.Listing{}, fmt.Errorf("read list of %d bytes: %w: %w", len(answer.body), platform.ErrUnavailable, err)
+		return metastore.Listing{}, fmt.Errorf("read list of %d bytes: %w: %w", len(answer.body), metastore.ErrUnavailable, err)
 	}
 	c.list.Store(listing)
 	return *listing, nil
 }
 
-func (c *Client) read(ctx context.Context, key, query string) (platform.Value, error) {
-	answer, _, err := c.send(ctx, http.MethodGet, keyPath(key)+query, http.Header{}, nil, platform.MaxValueBytes)
+func (c *Client) read(ctx context.Context, key, query string) (metastore.Value, error) {
+	answer, _, err := c.send(ctx, http.MethodGet, keyPath(key)+query, http.Header{}, nil, metastore.MaxValueBytes)
 	if err != nil {
-		return platform.Value{}, fmt.Errorf("read key %q: %w: %w", key, platform.ErrUnavailable, err)
+		return metastore.Value{}, fmt.Errorf("read key %q: %w: %w", key, metastore.ErrUnavailable, err)
 	}
 	if err := answer.check(); err != nil {
-		return platform.Value{}, fmt.Errorf("read key %q: %w", key, asRead(err))
+		return metastore.Value{}, fmt.Errorf("read key %q: %w", key, asRead(err))
 	}
 	version, err := answer.id(protocol.HeaderVersion)
 	if err != nil {
-		return platform.Value{}, fmt.Errorf("read key %q: %w: %w", key, platform.ErrUnavailable, err)
+		return metastore.Value{}, fmt.Errorf("read key %q: %w: %w", key, metastore.ErrUnavailable, err)
 	}
-	return platform.Value{Data: answer.body, Version: platform.Version(version)}, nil
+	return metastore.Value{Data: answer.body, Version: metastore.Version(version)}, nil
 }
 
 // write sends a call that changes the store, once.
 func (c *Client) write(ctx context.Context, method, path string, header http.Header, body []byte) (reply, error) {
-	answer, sent, err := c.send(ctx, method, path, header, body, platform.MaxValueBytes)
+	answer, sent, err := c.send(ctx, method, path, header, body, metastore.MaxValueBytes)
 	switch {
 	case err != nil && sent:
-		return reply{}, fmt.Errorf("%w: %w", platform.ErrUnknownResult, err)
+		return reply{}, fmt.Errorf("%w: %w", metastore.ErrUnknownResult, err)
 	case err != nil:
-		return reply{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return reply{}, fmt.Errorf("%w: %w", metastore.ErrUnavailable, err)
 	}
 	return answer, answer.check()
 }
--- a/platform/client/client_test.go
+++ b/internal/metastore/client/client_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
-	"github.com/damaskcove/damaskcove/platform"
-	"github.com/damaskcove/damaskcove/platform/standin"
+	"github.com/damaskcove/damaskcove/internal/metastore"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 )
 
 func start(t *testing.T) (*Client, *standin.Server) {
@@ -41,24 +41,24 @@
 	ctx := context.Background()
 	const key = "fleet/a b/head?x=1"
 	_, err := c.Get(ctx, key)
-	want(t, "absent key", err, platform.ErrNotFound)
+	want(t, "absent key", err, metastore.ErrNotFound)
 	version, err := c.CompareAndSwap(ctx, key, 0, []byte("one"), 0)
 	if err != nil || version != 1 {
 		t.Fatalf("first write: %d %v", version, err)
 	}
 	_, err = c.CompareAndSwap(ctx, key, 0, []byte("two"), 0)
-	want(t, "second create", err, platform.ErrConflict)
+	want(t, "second create", err, metastore.ErrConflict)
 	value, err := c.Get(ctx, key)
 	if err != nil || !bytes.Equal(value.Data, []byte("one")) || value.Version != 1 {
 		t.Fatalf("read back: %+v %v", value, err)
 	}
-	_, err = c.CompareAndSwap(ctx, key, 1, make([]byte, platform.MaxValueBytes+1), 0)
-	want(t, "large value", err, platform.ErrTooLarge)
-	full := make([]byte, platform.MaxValueBytes)
+	_, err = c.CompareAndSwap(ctx, key, 1, make([]byte, metastore.MaxValueBytes+1), 0)
+	want(t, "large value", err, metastore.ErrTooLarge)
+	full := make([]byte, metastore.MaxValueBytes)
 	if _, err = c.CompareAndSwap(ctx, key, 1, full, 0); err != nil {
 		t.Fatalf("value at the bound: %v", err)
 	}
-	if value, err = c.Get(ctx, key); err != nil || len(value.Data) != platform.MaxValueBytes {
+	if value, err = c.Get(ctx, key); err != nil || len(value.Data) != metastore.MaxValueBytes {
 		t.Fatalf("read value at the bound: %d bytes, %v", len(value.Data), err)
 	}
 }
@@ -77,24 +77,24 @@
 		t.Fatal(err)
 	}
 	server.Platform().LapseLease(lease)
-	want(t, "lapsed lease", c.KeepAlive(ctx, lease), platform.ErrLeaseLost)
+	want(t, "lapsed lease", c.KeepAlive(ctx, lease), metastore.ErrLeaseLost)
 	_, err = c.Get(ctx, "k")
-	want(t, "key of a lapsed lease", err, platform.ErrNotFound)
+	want(t, "key of a lapsed lease", err, metastore.ErrNotFound)
 	_, err = c.CompareAndSwap(ctx, "k", 0, nil, lease)
-	want(t, "write under a lapsed lease", err, platform.ErrLeaseLost)
+	want(t, "write under a lapsed lease", err, metastore.ErrLeaseLost)
 	_, err = c.GrantLease(ctx, 0)
-	want(t, "lease of no time", err, platform.ErrUnavailable)
+	want(t, "lease of no time", err, metastore.ErrUnavailable)
 }
 
 func TestWatchSeesTheNextVersion(t *testing.T) {
 	c, server := start(t)
 	ctx := context.Background()
-	got := make(chan platform.Value, 1)
+	got := make(chan metastore.Value, 1)
 	go func() {
 		value, _ := c.Watch(ctx, "k", 0)
 		got <- value
 	}()
-	for server.Platform().Counts().ByOp[platform.OpWatch] == 0 {
+	for server.Platform().Counts().ByOp[metastore.OpWatch] == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	if _, err := c.CompareAndSwap(ctx, "k", 0, []byte("new"), 0); err != nil {
@@ -113,7 +113,7 @@
 		_, err := c.Watch(ctx, "k", 0)
 		ended <- err
 	}()
-	for server.Platform().Counts().ByOp[platform.OpWatch] == 0 {
+	for server.Platform().Counts().ByOp[metastore.OpWatch] == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	cancel()
@@ -125,15 +125,15 @@
 	ctx := context.Background()
 	server.Platform().UpdateFaults(func(f *standin.Faults) { f.LoseReplies = 1 })
 	_, err := c.CompareAndSwap(ctx, "k", 0, []byte("taken"), 0)
-	want(t, "lost reply", err, platform.ErrUnknownResult)
-	if errors.Is(err, platform.ErrUnavailable) {
+	want(t, "lost reply", err, metastore.ErrUnknownResult)
+	if errors.Is(err, metastore.ErrUnavailable) {
 		t.Fatalf("a lost reply must not say that nothing was written: %v", err)
 	}
 	value, err := c.Get(ctx, "k")
 	if err != nil || string(value.Data) != "taken" {
 		t.Fatalf("the write took effect: %+v %v", value, err)
 	}
-	if n := server.Platform().Counts().ByOp[platform.OpSwap]; n != 1 {
+	if n := server.Platform().Counts().ByOp[metastore.OpSwap]; n != 1 {
 		t.Fatalf("the write was sent %d times", n)
 	}
 }
@@ -149,7 +149,7 @@
 		cancel()
 	}()
 	_, err := c.CompareAndSwap(ctx, "k", 0, nil, 0)
-	want(t, "write without a reply in time", err, platform.ErrUnknownResult)
+	want(t, "write without a reply in time", err, metastore.ErrUnknownResult)
 }
 
 func TestOutage(t *testing.T) {
@@ -158,14 +158,14 @@
 	for _, outage := range []standin.Outage{standin.OutageRefuse, standin.OutageDrop} {
 		server.Platform().UpdateFaults(func(f *standin.Faults) { f.Store, f.List = outage, outage })
 		_, err := c.Get(ctx, "k")
-		want(t, "read", err, platform.ErrUnavailable)
+		want(t, "read", err, metastore.ErrUnavailable)
 		_, err = c.Read(ctx)
-		want(t, "list", err, platform.ErrUnavailable)
+		want(t, "list", err, metastore.ErrUnavailable)
 		_, err = c.CompareAndSwap(ctx, "k", 0, nil, 0)
 		if outage == standin.OutageRefuse {
-			want(t, "refused write", err, platform.ErrUnavailable)
+			want(t, "refused write", err, metastore.ErrUnavailable)
 		} else {
-			want(t, "dropped write", err, platform.ErrUnknownResult)
+			want(t, "dropped write", err, metastore.ErrUnknownResult)
 		}
 	}
 }
@@ -179,8 +179,8 @@
 	_ = listener.Close()
 	c := New(addr, "test")
 	_, err = c.CompareAndSwap(context.Background(), "k", 0, nil, 0)
-	want(t, "write without a store", err, platform.ErrUnavailable)
-	if errors.Is(err, platform.ErrUnknownResult) {
+	want(t, "write without a store", err, metastore.ErrUnavailable)
+	if errors.Is(err, metastore.ErrUnknownResult) {
 		t.Fatalf("no byte left, yet: %v", err)
 	}
 }
@@ -197,14 +197,14 @@
 	t.Cleanup(func() { _ = other.Close() })
 	c := New(listener.Addr().String(), "test")
 	_, err = c.CompareAndSwap(context.Background(), "k", 0, nil, 0)
-	want(t, "write answered by something else", err, platform.ErrUnknownResult)
+	want(t, "write answered by something else", err, metastore.ErrUnknownResult)
 	_, err = c.Get(context.Background(), "k")
-	want(t, "read answered by something else", err, platform.ErrUnavailable)
+	want(t, "read answered by something else", err, metastore.ErrUnavailable)
 }
 
 func TestList(t *testing.T) {
 	c, server := start(t)
-	server.Platform().SetListing(platform.Listing{
+	server.Platform().SetListing(metastore.Listing{
 		Upstreams: map[fleet.Service][]fleet.Upstream{"stock": {{Endpoint: "127.0.0.1:9", Slots: 4, State: fleet.UpstreamReady}}},
 	})
 	got, err := c.Read(context.Background())
@@ -223,11 +223,11 @@
 				t.Fatalf("version %d: %+v %v", version, got, err)
 			}
 		}
-		server.Platform().UpdateListing(func(l *platform.Listing) {
+		server.Platform().UpdateListing(func(l *metastore.Listing) {
 			l.Instances = append(l.Instances, fleet.Instance{Ref: fleet.Ref{ID: fleet.InstanceID(formatID(version))}})
 		})
 	}
-	if n := server.Platform().Counts().ByOp[platform.OpList]; n != 9 {
+	if n := server.Platform().Counts().ByOp[metastore.OpList]; n != 9 {
 		t.Fatalf("%d reads were counted", n)
 	}
 	request, _ := http.NewRequest(http.MethodGet, "http://"+server.Addr()+"/v1/list", nil)
--- a/platform/client/reply.go
+++ b/internal/metastore/client/reply.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"strconv"
 
-	"github.com/damaskcove/damaskcove/platform"
-	"github.com/damaskcove/damaskcove/platform/protocol"
+	"github.com/damaskcove/damaskcove/internal/metastore"
+	"github.com/damaskcove/damaskcove/internal/metastore/protocol"
 )
 
 // errNotChanged says that a watch ended without a change.
@@ -32,17 +32,17 @@
 	word := r.header.Get(protocol.HeaderError)
 	switch word {
 	case protocol.ErrorNotFound:
-		return platform.ErrNotFound
+		return metastore.ErrNotFound
 	case protocol.ErrorConflict:
-		return fmt.Errorf("%w: the key is at version %s", platform.ErrConflict, r.header.Get(protocol.HeaderVersion))
+		return fmt.Errorf("%w: the key is at version %s", metastore.ErrConflict, r.header.Get(protocol.HeaderVersion))
 	case protocol.ErrorTooLarge:
-		return platform.ErrTooLarge
+		return metastore.ErrTooLarge
 	case protocol.ErrorLeaseLost:
-		return platform.ErrLeaseLost
+		return metastore.ErrLeaseLost
 	case protocol.ErrorUnavailable, protocol.ErrorMalformed:
-		return fmt.Errorf("%w: status %d, %s", platform.ErrUnavailable, r.status, word)
+		return fmt.Errorf("%w: status %d, %s", metastore.ErrUnavailable, r.status, word)
 	default:
-		return fmt.Errorf("%w: status %d without a known %s %q", platform.ErrUnknownResult, r.status, protocol.HeaderError, word)
+		return fmt.Errorf("%w: status %d without a known %s %q", metastore.ErrUnknownResult, r.status, protocol.HeaderError, word)
 	}
 }
 
@@ -58,8 +58,8 @@
 
 // asRead turns an unknown result into a failed call: a read has no effect to be unsure of.
 func asRead(err error) error {
-	if errors.Is(err, platform.ErrUnknownResult) || errors.Is(err, errNotChanged) {
-		return fmt.Errorf("%w: %s", platform.ErrUnavailable, err)
+	if errors.Is(err, metastore.ErrUnknownResult) || errors.Is(err, errNotChanged) {
+		return fmt.Errorf("%w: %s", metastore.ErrUnavailable, err)
 	}
 	return err
 }
--- a/platform/counted.go
+++ b/internal/metastore/counted.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/internal/metastore/platform.go
@@ -1,10 +1,10 @@
-// Package platform is what the fleet needs of the platform it runs on: a small
+// Package metastore is what the fleet needs of the platform it runs on: a small
 // key-value store with compare-and-swap, leases and watches, and a list of live
 // and leaving instances that lags.
 //
-// Store and List are the interfaces. Package platform/client reaches the platform
+// Store and List are the interfaces. Package metastore/client reaches the platform
 // over HTTP; package platform/standin is a stand-in of the platform with faults.
-package platform
+package metastore
 
 import (
 	"context"
--- a/platform/standin/admin.go
+++ b/internal/metastore/standin/admin.go
@@ -9,15 +9,15 @@
 	"strconv"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
-	"github.com/damaskcove/damaskcove/platform"
-	"github.com/damaskcove/damaskcove/platform/protocol"
+	"github.com/damaskcove/damaskcove/internal/metastore"
+	"github.com/damaskcove/damaskcove/internal/metastore/protocol"
 )
 
 // Paths that switch faults and tell counts. They are the stand-in's own, not the platform's.
 const (
 	PathFaults    = "/admin/faults"    // GET and PUT: Faults.
 	PathCounts    = "/admin/counts"    // GET: Counts.
-	PathListing   = "/admin/listing"   // GET and PUT: platform.Listing, without lag.
+	PathListing   = "/admin/listing"   // GET and PUT: metastore.Listing, without lag.
 	PathUpstreams = "/admin/upstreams" // PUT: the upstreams of some services, which replace those listed.
 	PathLapse     = "/admin/lapse"     // POST: ends the lease in the parameter, or every lease.
 	ParamLeaseID  = "lease"            // Of PathLapse.
@@ -48,7 +48,7 @@
 }
 
 func (s *Server) putListing(w http.ResponseWriter, r *http.Request) {
-	var listing platform.Listing
+	var listing metastore.Listing
 	if err := readJSON(r, &listing); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -63,7 +63,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.platform.UpdateListing(func(l *platform.Listing) { maps.Copy(l.Upstreams, upstreams) })
+	s.platform.UpdateListing(func(l *metastore.Listing) { maps.Copy(l.Upstreams, upstreams) })
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -79,7 +79,7 @@
 		http.Error(w, fmt.Sprintf("lease %q is no number", text), http.StatusBadRequest)
 		return
 	}
-	s.platform.LapseLease(platform.LeaseID(id))
+	s.platform.LapseLease(metastore.LeaseID(id))
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/platform/standin/counts.go
+++ b/internal/metastore/standin/counts.go
@@ -4,7 +4,7 @@
 	"maps"
 	"time"
 
-	"github.com/damaskcove/damaskcove/platform"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 )
 
 // rateWindow is the time over which Counts gives rates.
@@ -75,5 +75,5 @@
 }
 
 func isWrite(op string) bool {
-	return op == platform.OpSwap || op == platform.OpGrant || op == platform.OpKeepAlive
+	return op == metastore.OpSwap || op == metastore.OpGrant || op == metastore.OpKeepAlive
 }
--- a/platform/standin/list.go
+++ b/internal/metastore/standin/list.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
-	"github.com/damaskcove/damaskcove/platform"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 )
 
 // history keeps the listings that a lagging reader may still be given. Its caller serialises all calls.
@@ -14,20 +14,20 @@
 
 type datedListing struct {
 	since   time.Time
-	listing platform.Listing
+	listing metastore.Listing
 }
 
 func newHistory(now time.Time) *history {
-	empty := platform.Listing{Upstreams: map[fleet.Service][]fleet.Upstream{}}
+	empty := metastore.Listing{Upstreams: map[fleet.Service][]fleet.Upstream{}}
 	return &history{entries: []datedListing{{since: now, listing: empty}}}
 }
 
-func (h *history) latest() platform.Listing {
+func (h *history) latest() metastore.Listing {
 	return h.entries[len(h.entries)-1].listing
 }
 
 // at returns the listing that was in force lag ago, and forgets those before it.
-func (h *history) at(now time.Time, lag time.Duration) platform.Listing {
+func (h *history) at(now time.Time, lag time.Duration) metastore.Listing {
 	seen := now.Add(-lag)
 	for len(h.entries) > 1 && !h.entries[1].since.After(seen) {
 		h.entries = h.entries[1:]
@@ -36,14 +36,14 @@
 }
 
 // set records a listing and gives it the next version.
-func (h *history) set(now time.Time, listing platform.Listing) {
+func (h *history) set(now time.Time, listing metastore.Listing) {
 	listing = copyListing(listing)
 	listing.Version = h.latest().Version + 1
 	h.entries = append(h.entries, datedListing{since: now, listing: listing})
 }
 
-func copyListing(l platform.Listing) platform.Listing {
-	out := platform.Listing{
+func copyListing(l metastore.Listing) metastore.Listing {
+	out := metastore.Listing{
 		Version:   l.Version,
 		Upstreams: make(map[fleet.Service][]fleet.Upstream, len(l.Upstreams)),
 		Instances: append([]fleet.Instance(nil), l.Instances...),
--- a/platform/standin/platform.go
+++ b/internal/metastore/standin/platform.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/damaskcove/damaskcove/platform"
-	"github.com/damaskcove/damaskcove/platform/protocol"
+	"github.com/damaskcove/damaskcove/internal/metastore"
+	"github.com/damaskcove/damaskcove/internal/metastore/protocol"
 )
 
 // Options are the parameters of a Platform.
@@ -32,8 +32,8 @@
 }
 
 var (
-	_ platform.Store = (*Platform)(nil)
-	_ platform.List  = (*Platform)(nil)
+	_ metastore.Store = (*Platform)(nil)
+	_ metastore.List  = (*Platform)(nil)
 )
 
 // New returns a platform that holds no key and lists nothing.
@@ -55,10 +55,10 @@
 	}
 }
 
-// Get implements platform.Store.
-func (p *Platform) Get(ctx context.Context, key string) (platform.Value, error) {
-	if err := p.enter(ctx, platform.OpGet); err != nil {
-		return platform.Value{}, err
+// Get implements metastore.Store.
+func (p *Platform) Get(ctx context.Context, key string) (metastore.Value, error) {
+	if err := p.enter(ctx, metastore.OpGet); err != nil {
+		return metastore.Value{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -66,9 +66,9 @@
 	return p.store.record(key).value(key)
 }
 
-// CompareAndSwap implements platform.Store.
-func (p *Platform) CompareAndSwap(ctx context.Context, key string, expected platform.Version, data []byte, lease platform.LeaseID) (platform.Version, error) {
-	if err := p.enter(ctx, platform.OpSwap); err != nil {
+// CompareAndSwap implements metastore.Store.
+func (p *Platform) CompareAndSwap(ctx context.Context, key string, expected metastore.Version, data []byte, lease metastore.LeaseID) (metastore.Version, error) {
+	if err := p.enter(ctx, metastore.OpSwap); err != nil {
 		return 0, err
 	}
 	p.mu.Lock()
@@ -81,10 +81,10 @@
 	return version, p.loseReply("write of key " + key)
 }
 
-// Watch implements platform.Store.
-func (p *Platform) Watch(ctx context.Context, key string, after platform.Version) (platform.Value, error) {
-	if err := p.enter(ctx, platform.OpWatch); err != nil {
-		return platform.Value{}, err
+// Watch implements metastore.Store.
+func (p *Platform) Watch(ctx context.Context, key string, after metastore.Version) (metastore.Value, error) {
+	if err := p.enter(ctx, metastore.OpWatch); err != nil {
+		return metastore.Value{}, err
 	}
 	for {
 		value, waits, err := p.poll(key, after)
@@ -93,19 +93,19 @@
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Value{}, fmt.Errorf("%w: watch of key %q: %w", platform.ErrUnavailable, key, ctx.Err())
+			return metastore.Value{}, fmt.Errorf("%w: watch of key %q: %w", metastore.ErrUnavailable, key, ctx.Err())
 		case <-waits.changed:
 		case <-waits.faulted:
 		}
 	}
 }
 
-// GrantLease implements platform.Store.
-func (p *Platform) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements metastore.Store.
+func (p *Platform) GrantLease(ctx context.Context, ttl time.Duration) (metastore.LeaseID, error) {
 	if ttl < protocol.MinLeaseTTL || ttl > protocol.MaxLeaseTTL {
-		return 0, fmt.Errorf("%w: lease of %v is outside %v to %v", platform.ErrUnavailable, ttl, protocol.MinLeaseTTL, protocol.MaxLeaseTTL)
+		return 0, fmt.Errorf("%w: lease of %v is outside %v to %v", metastore.ErrUnavailable, ttl, protocol.MinLeaseTTL, protocol.MaxLeaseTTL)
 	}
-	if err := p.enter(ctx, platform.OpGrant); err != nil {
+	if err := p.enter(ctx, metastore.OpGrant); err != nil {
 		return 0, err
 	}
 	p.mu.Lock()
@@ -114,9 +114,9 @@
 	return id, p.loseReply("grant of a lease")
 }
 
-// KeepAlive implements platform.Store.
-func (p *Platform) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
-	if err := p.enter(ctx, platform.OpKeepAlive); err != nil {
+// KeepAlive implements metastore.Store.
+func (p *Platform) KeepAlive(ctx context.Context, lease metastore.LeaseID) error {
+	if err := p.enter(ctx, metastore.OpKeepAlive); err != nil {
 		return err
 	}
 	p.mu.Lock()
@@ -128,10 +128,10 @@
 	return p.loseReply("renewal of a lease")
 }
 
-// Read implements platform.List.
-func (p *Platform) Read(ctx context.Context) (platform.Listing, error) {
-	if err := p.enter(ctx, platform.OpList); err != nil {
-		return platform.Listing{}, err
+// Read implements metastore.List.
+func (p *Platform) Read(ctx context.Context) (metastore.Listing, error) {
+	if err := p.enter(ctx, metastore.OpList); err != nil {
+		return metastore.Listing{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -148,16 +148,16 @@
 }
 
 // poll returns the key's value when its version is not after, else the channels to wait for.
-func (p *Platform) poll(key string, after platform.Version) (platform.Value, *waits, error) {
+func (p *Platform) poll(key string, after metastore.Version) (metastore.Value, *waits, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err := outageError(p.faults.Store, platform.OpWatch); err != nil {
-		return platform.Value{}, nil, err
+	if err := outageError(p.faults.Store, metastore.OpWatch); err != nil {
+		return metastore.Value{}, nil, err
 	}
 	p.store.expire(p.now())
 	r := p.store.record(key)
 	if r.version == after {
-		return platform.Value{}, &waits{changed: r.changed, faulted: p.faulted}, nil
+		return metastore.Value{}, &waits{changed: r.changed, faulted: p.faulted}, nil
 	}
 	value, err := r.value(key)
 	return value, nil, err
@@ -173,11 +173,11 @@
 		p.sleep(ctx, delay)
 	}
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %s: %w", platform.ErrUnavailable, op, err)
+		return fmt.Errorf("%w: %s: %w", metastore.ErrUnavailable, op, err)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if op == platform.OpList {
+	if op == metastore.OpList {
 		return outageError(p.faults.List, op)
 	}
 	return outageError(p.faults.Store, op)
@@ -189,7 +189,7 @@
 		return nil
 	}
 	p.faults.LoseReplies--
-	return fmt.Errorf("%w: the reply to a %s was lost", platform.ErrUnknownResult, what)
+	return fmt.Errorf("%w: the reply to a %s was lost", metastore.ErrUnknownResult, what)
 }
 
 func outageError(o Outage, op string) error {
@@ -197,11 +197,11 @@
 	case o == OutageNone:
 		return nil
 	case o == OutageDrop && isWrite(op):
-		return fmt.Errorf("%w: %s dropped", platform.ErrUnknownResult, op)
+		return fmt.Errorf("%w: %s dropped", metastore.ErrUnknownResult, op)
 	case o == OutageDrop:
-		return fmt.Errorf("%w: %w: %s", platform.ErrUnavailable, errDropped, op)
+		return fmt.Errorf("%w: %w: %s", metastore.ErrUnavailable, errDropped, op)
 	default:
-		return fmt.Errorf("%w: %s refused", platform.ErrUnavailable, op)
+		return fmt.Errorf("%w: %s refused", metastore.ErrUnavailable, op)
 	}
 }
 
--- a/platform/standin/platform_test.go
+++ b/internal/metastore/standin/platform_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
-	"github.com/damaskcove/damaskcove/platform"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 )
 
 // fakeClock is a clock that moves when told.
@@ -26,12 +26,12 @@
 type storeModel struct {
 	present bool
 	data    byte
-	version platform.Version
-	highest platform.Version
-	lease   platform.LeaseID
+	version metastore.Version
+	highest metastore.Version
+	lease   metastore.LeaseID
 }
 
-func (m *storeModel) write(data byte, version platform.Version, lease platform.LeaseID) {
+func (m *storeModel) write(data byte, version metastore.Version, lease metastore.LeaseID) {
 	*m = storeModel{present: true, data: data, version: version, highest: version, lease: lease}
 }
 
@@ -46,7 +46,7 @@
 		p, clock := newFake()
 		ctx := context.Background()
 		model := &storeModel{}
-		leases := map[platform.LeaseID]time.Time{0: {}}
+		leases := map[metastore.LeaseID]time.Time{0: {}}
 		const ttl = 5 * time.Second
 		expire := func() {
 			for id, until := range leases {
@@ -60,8 +60,8 @@
 		}
 		rt.Repeat(map[string]func(*rapid.T){
 			"swap": func(rt *rapid.T) {
-				expected := platform.Version(rapid.IntRange(0, int(model.highest)+1).Draw(rt, "expected"))
-				lease := platform.LeaseID(rapid.IntRange(0, 3).Draw(rt, "lease"))
+				expected := metastore.Version(rapid.IntRange(0, int(model.highest)+1).Draw(rt, "expected"))
+				lease := metastore.LeaseID(rapid.IntRange(0, 3).Draw(rt, "lease"))
 				data := rapid.Byte().Draw(rt, "data")
 				lost := rapid.Bool().Draw(rt, "lost")
 				if lost {
@@ -72,15 +72,15 @@
 				_, held := leases[lease]
 				switch {
 				case !held:
-					if !errors.Is(err, platform.ErrLeaseLost) {
+					if !errors.Is(err, metastore.ErrLeaseLost) {
 						rt.Fatalf("lost lease %d: %v", lease, err)
 					}
 				case expected != model.version:
-					if !errors.Is(err, platform.ErrConflict) {
+					if !errors.Is(err, metastore.ErrConflict) {
 						rt.Fatalf("version %d, expected %d: %v", model.version, expected, err)
 					}
 				default:
-					if lost != errors.Is(err, platform.ErrUnknownResult) || (!lost && err != nil) {
+					if lost != errors.Is(err, metastore.ErrUnknownResult) || (!lost && err != nil) {
 						rt.Fatalf("lost %v: %v", lost, err)
 					}
 					if version <= model.highest {
@@ -97,10 +97,10 @@
 				leases[id] = clock.now.Add(ttl)
 			},
 			"keepAlive": func(rt *rapid.T) {
-				id := platform.LeaseID(rapid.IntRange(1, 3).Draw(rt, "lease"))
+				id := metastore.LeaseID(rapid.IntRange(1, 3).Draw(rt, "lease"))
 				err := p.KeepAlive(ctx, id)
 				if _, held := leases[id]; !held {
-					if !errors.Is(err, platform.ErrLeaseLost) {
+					if !errors.Is(err, metastore.ErrLeaseLost) {
 						rt.Fatalf("lapsed lease %d: %v", id, err)
 					}
 					return
@@ -111,7 +111,7 @@
 				leases[id] = clock.now.Add(ttl)
 			},
 			"lapse": func(rt *rapid.T) {
-				id := platform.LeaseID(rapid.IntRange(1, 3).Draw(rt, "lease"))
+				id := metastore.LeaseID(rapid.IntRange(1, 3).Draw(rt, "lease"))
 				p.LapseLease(id)
 				if _, held := leases[id]; held {
 					leases[id] = clock.now
@@ -125,7 +125,7 @@
 			"": func(rt *rapid.T) {
 				value, err := p.Get(ctx, "k")
 				if !model.present {
-					if !errors.Is(err, platform.ErrNotFound) {
+					if !errors.Is(err, metastore.ErrNotFound) {
 						rt.Fatalf("absent key: %v %v", value, err)
 					}
 					return
@@ -146,22 +146,22 @@
 		_, err := p.Watch(ctx, "k", 0)
 		ended <- err
 	}()
-	for p.Counts().ByOp[platform.OpWatch] == 0 {
+	for p.Counts().ByOp[metastore.OpWatch] == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	p.UpdateFaults(func(f *Faults) { f.Store = OutageRefuse })
-	if err := <-ended; !errors.Is(err, platform.ErrUnavailable) {
+	if err := <-ended; !errors.Is(err, metastore.ErrUnavailable) {
 		t.Fatalf("watch in an outage: %v", err)
 	}
-	if _, err := p.CompareAndSwap(ctx, "k", 0, nil, 0); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := p.CompareAndSwap(ctx, "k", 0, nil, 0); !errors.Is(err, metastore.ErrUnavailable) {
 		t.Fatalf("write in an outage: %v", err)
 	}
 	p.UpdateFaults(func(f *Faults) { f.Store = OutageDrop })
-	if _, err := p.CompareAndSwap(ctx, "k", 0, nil, 0); !errors.Is(err, platform.ErrUnknownResult) {
+	if _, err := p.CompareAndSwap(ctx, "k", 0, nil, 0); !errors.Is(err, metastore.ErrUnknownResult) {
 		t.Fatalf("dropped write: %v", err)
 	}
 	p.UpdateFaults(func(f *Faults) { f.Store = OutageNone })
-	if _, err := p.Get(ctx, "k"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := p.Get(ctx, "k"); !errors.Is(err, metastore.ErrNotFound) {
 		t.Fatalf("after the outage: %v", err)
 	}
 }
@@ -169,10 +169,10 @@
 func TestValueBound(t *testing.T) {
 	p, _ := newFake()
 	ctx := context.Background()
-	if _, err := p.CompareAndSwap(ctx, "k", 0, make([]byte, platform.MaxValueBytes), 0); err != nil {
+	if _, err := p.CompareAndSwap(ctx, "k", 0, make([]byte, metastore.MaxValueBytes), 0); err != nil {
 		t.Fatalf("value at the bound: %v", err)
 	}
-	if _, err := p.CompareAndSwap(ctx, "k", 1, make([]byte, platform.MaxValueBytes+1), 0); !errors.Is(err, platform.ErrTooLarge) {
+	if _, err := p.CompareAndSwap(ctx, "k", 1, make([]byte, metastore.MaxValueBytes+1), 0); !errors.Is(err, metastore.ErrTooLarge) {
 		t.Fatalf("value over the bound: %v", err)
 	}
 }
@@ -181,7 +181,7 @@
 	p, clock := newFake()
 	p.UpdateFaults(func(f *Faults) { f.ListLag = 3 * time.Second })
 	clock.now = clock.now.Add(time.Minute)
-	listing := platform.Listing{Upstreams: map[fleet.Service][]fleet.Upstream{
+	listing := metastore.Listing{Upstreams: map[fleet.Service][]fleet.Upstream{
 		"stock": {{Endpoint: "127.0.0.1:1", State: fleet.UpstreamReady}},
 	}}
 	p.SetListing(listing)
@@ -200,7 +200,7 @@
 	}
 }
 
-func readList(t *testing.T, p *Platform) platform.Listing {
+func readList(t *testing.T, p *Platform) metastore.Listing {
 	t.Helper()
 	l, err := p.Read(context.Background())
 	if err != nil {
--- a/platform/standin/server.go
+++ b/internal/metastore/standin/server.go
@@ -13,8 +13,8 @@
 	"strings"
 	"time"
 
-	"github.com/damaskcove/damaskcove/platform"
-	"github.com/damaskcove/damaskcove/platform/protocol"
+	"github.com/damaskcove/damaskcove/internal/metastore"
+	"github.com/damaskcove/damaskcove/internal/metastore/protocol"
 )
 
 // expiryInterval is the time between two looks for lapsed leases while a Server runs.
@@ -116,7 +116,7 @@
 	}
 	ctx, cancel := context.WithTimeout(callContext(r), protocol.MaxWatch)
 	defer cancel()
-	value, err := s.platform.Watch(ctx, key, platform.Version(version))
+	value, err := s.platform.Watch(ctx, key, metastore.Version(version))
 	if errors.Is(err, context.DeadlineExceeded) {
 		w.WriteHeader(http.StatusNotModified)
 		return
@@ -133,7 +133,7 @@
 	version, err := s.platform.CompareAndSwap(callContext(r), write.key, write.expected, write.data, write.lease)
 	w.Header().Set(protocol.HeaderVersion, strconv.FormatUint(uint64(version), 10))
 	if err != nil {
-		fail(w, platform.OpSwap, err)
+		fail(w, metastore.OpSwap, err)
 	}
 }
 
@@ -146,7 +146,7 @@
 	}
 	id, err := s.platform.GrantLease(callContext(r), time.Duration(millis)*time.Millisecond)
 	if err != nil {
-		fail(w, platform.OpGrant, err)
+		fail(w, metastore.OpGrant, err)
 		return
 	}
 	w.Header().Set(protocol.HeaderLease, strconv.FormatUint(uint64(id), 10))
@@ -159,8 +159,8 @@
 		refuse(w, http.StatusBadRequest, protocol.ErrorMalformed, fmt.Errorf("lease %q is no number", r.PathValue("lease")))
 		return
 	}
-	if err := s.platform.KeepAlive(callContext(r), platform.LeaseID(id)); err != nil {
-		fail(w, platform.OpKeepAlive, err)
+	if err := s.platform.KeepAlive(callContext(r), metastore.LeaseID(id)); err != nil {
+		fail(w, metastore.OpKeepAlive, err)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -169,7 +169,7 @@
 func (s *Server) readList(w http.ResponseWriter, r *http.Request) {
 	listing, err := s.platform.Read(callContext(r))
 	if err != nil {
-		fail(w, platform.OpList, err)
+		fail(w, metastore.OpList, err)
 		return
 	}
 	if r.Header.Get(protocol.HeaderHeld) == strconv.FormatUint(listing.Version, 10) {
@@ -195,8 +195,8 @@
 // write is a PUT of a key.
 type write struct {
 	key      string
-	expected platform.Version
-	lease    platform.LeaseID
+	expected metastore.Version
+	lease    metastore.LeaseID
 	data     []byte
 }
 
@@ -215,11 +215,11 @@
 			return write{}, fmt.Errorf("%s %q is no lease", protocol.HeaderLease, text)
 		}
 	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	data, err := io.ReadAll(io.LimitReader(r.Body, metastore.MaxValueBytes+1))
 	if err != nil {
 		return write{}, fmt.Errorf("read value of key %q: %w", key, err)
 	}
-	return write{key: key, expected: platform.Version(expected), lease: platform.LeaseID(lease), data: data}, nil
+	return write{key: key, expected: metastore.Version(expected), lease: metastore.LeaseID(lease), data: data}, nil
 }
 
 func keyOf(r *http.Request) (string, error) {
@@ -238,9 +238,9 @@
 	return WithClient(r.Context(), name)
 }
 
-func answerValue(w http.ResponseWriter, value platform.Value, err error) {
+func answerValue(w http.ResponseWriter, value metastore.Value, err error) {
 	if err != nil {
-		fail(w, platform.OpGet, err)
+		fail(w, metastore.OpGet, err)
 		return
 	}
 	w.Header().Set(protocol.HeaderVersion, strconv.FormatUint(uint64(value.Version), 10))
@@ -252,15 +252,15 @@
 // fail answers with a store's error. An unknown result has no answer: the connection is closed.
 func fail(w http.ResponseWriter, op string, err error) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, metastore.ErrNotFound):
 		refuse(w, http.StatusNotFound, protocol.ErrorNotFound, err)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, metastore.ErrConflict):
 		refuse(w, http.StatusPreconditionFailed, protocol.ErrorConflict, err)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, metastore.ErrTooLarge):
 		refuse(w, http.StatusRequestEntityTooLarge, protocol.ErrorTooLarge, err)
-	case errors.Is(err, platform.ErrLeaseLost):
+	case errors.Is(err, metastore.ErrLeaseLost):
 		refuse(w, http.StatusGone, protocol.ErrorLeaseLost, err)
-	case errors.Is(err, platform.ErrUnknownResult), errors.Is(err, errDropped):
+	case errors.Is(err, metastore.ErrUnknownResult), errors.Is(err, errDropped):
 		panic(http.ErrAbortHandler)
 	default:
 		refuse(w, http.StatusServiceUnavailable, protocol.ErrorUnavailable, fmt.Errorf("%s: %w", op, err))
--- a/platform/standin/store.go
+++ b/internal/metastore/standin/store.go
@@ -4,22 +4,22 @@
 	"fmt"
 	"time"
 
-	"github.com/damaskcove/damaskcove/platform"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 )
 
 // store holds keys and leases. Its caller serialises all calls.
 type store struct {
 	records   map[string]*record
-	leases    map[platform.LeaseID]*lease
-	lastLease platform.LeaseID
+	leases    map[metastore.LeaseID]*lease
+	lastLease metastore.LeaseID
 }
 
 // record is one key. It stays, with version 0, after the key was removed.
 type record struct {
 	data    []byte
-	version platform.Version // 0 when the key is absent.
-	last    platform.Version // Highest version ever given.
-	lease   platform.LeaseID
+	version metastore.Version // 0 when the key is absent.
+	last    metastore.Version // Highest version ever given.
+	lease   metastore.LeaseID
 	changed chan struct{} // Closed at the next change.
 }
 
@@ -31,7 +31,7 @@
 func newStore() *store {
 	return &store{
 		records: make(map[string]*record),
-		leases:  make(map[platform.LeaseID]*lease),
+		leases:  make(map[metastore.LeaseID]*lease),
 	}
 }
 
@@ -45,16 +45,16 @@
 }
 
 // swap writes key when its version is expected.
-func (s *store) swap(key string, expected platform.Version, data []byte, id platform.LeaseID) (platform.Version, error) {
-	if len(data) > platform.MaxValueBytes {
-		return 0, fmt.Errorf("%w: key %q, %d bytes, at most %d", platform.ErrTooLarge, key, len(data), platform.MaxValueBytes)
+func (s *store) swap(key string, expected metastore.Version, data []byte, id metastore.LeaseID) (metastore.Version, error) {
+	if len(data) > metastore.MaxValueBytes {
+		return 0, fmt.Errorf("%w: key %q, %d bytes, at most %d", metastore.ErrTooLarge, key, len(data), metastore.MaxValueBytes)
 	}
 	if _, ok := s.leases[id]; id != 0 && !ok {
-		return 0, fmt.Errorf("%w: lease %d of key %q", platform.ErrLeaseLost, id, key)
+		return 0, fmt.Errorf("%w: lease %d of key %q", metastore.ErrLeaseLost, id, key)
 	}
 	r := s.record(key)
 	if r.version != expected {
-		return r.version, fmt.Errorf("%w: key %q is at version %d, expected %d", platform.ErrConflict, key, r.version, expected)
+		return r.version, fmt.Errorf("%w: key %q is at version %d, expected %d", metastore.ErrConflict, key, r.version, expected)
 	}
 	r.last++
 	r.version = r.last
@@ -70,23 +70,23 @@
 }
 
 // value returns what the key holds.
-func (r *record) value(key string) (platform.Value, error) {
+func (r *record) value(key string) (metastore.Value, error) {
 	if r.version == 0 {
-		return platform.Value{}, fmt.Errorf("%w: %q", platform.ErrNotFound, key)
+		return metastore.Value{}, fmt.Errorf("%w: %q", metastore.ErrNotFound, key)
 	}
-	return platform.Value{Data: append([]byte(nil), r.data...), Version: r.version}, nil
+	return metastore.Value{Data: append([]byte(nil), r.data...), Version: r.version}, nil
 }
 
-func (s *store) grant(now time.Time, ttl time.Duration) platform.LeaseID {
+func (s *store) grant(now time.Time, ttl time.Duration) metastore.LeaseID {
 	s.lastLease++
 	s.leases[s.lastLease] = &lease{ttl: ttl, expires: now.Add(ttl)}
 	return s.lastLease
 }
 
-func (s *store) keepAlive(now time.Time, id platform.LeaseID) error {
+func (s *store) keepAlive(now time.Time, id metastore.LeaseID) error {
 	l, ok := s.leases[id]
 	if !ok {
-		return fmt.Errorf("%w: lease %d", platform.ErrLeaseLost, id)
+		return fmt.Errorf("%w: lease %d", metastore.ErrLeaseLost, id)
 	}
 	l.expires = now.Add(l.ttl)
 	return nil
@@ -102,7 +102,7 @@
 }
 
 // lapse ends a lease and removes its keys.
-func (s *store) lapse(id platform.LeaseID) {
+func (s *store) lapse(id metastore.LeaseID) {
 	if _, ok := s.leases[id]; !ok {
 		return
 	}
--- a/platform/standin/switches.go
+++ b/internal/metastore/standin/switches.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
-	"github.com/damaskcove/damaskcove/platform"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 )
 
 // SetFaults replaces the faults under way. Watches that wait end when the store goes into an outage.
@@ -32,7 +32,7 @@
 }
 
 // LapseLease ends a lease at once, as if its holder had been paused for its time to live.
-func (p *Platform) LapseLease(id platform.LeaseID) {
+func (p *Platform) LapseLease(id metastore.LeaseID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.store.lapse(id)
@@ -55,12 +55,12 @@
 }
 
 // SetListing replaces the list and gives it the next version. Readers see it after the lag.
-func (p *Platform) SetListing(l platform.Listing) {
-	p.UpdateListing(func(current *platform.Listing) { *current = l })
+func (p *Platform) SetListing(l metastore.Listing) {
+	p.UpdateListing(func(current *metastore.Listing) { *current = l })
 }
 
 // UpdateListing changes the latest list and gives it the next version. Readers see it after the lag.
-func (p *Platform) UpdateListing(change func(l *platform.Listing)) {
+func (p *Platform) UpdateListing(change func(l *metastore.Listing)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := copyListing(p.history.latest())
@@ -70,7 +70,7 @@
 
 // SetUpstreamState changes the state of one endpoint in the list, if it is listed.
 func (p *Platform) SetUpstreamState(endpoint fleet.Endpoint, state fleet.UpstreamState) {
-	p.UpdateListing(func(l *platform.Listing) {
+	p.UpdateListing(func(l *metastore.Listing) {
 		for _, upstreams := range l.Upstreams {
 			for i := range upstreams {
 				if upstreams[i].Endpoint == endpoint {
@@ -82,7 +82,7 @@
 }
 
 // Listing returns the latest list, without lag.
-func (p *Platform) Listing() platform.Listing {
+func (p *Platform) Listing() metastore.Listing {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return copyListing(p.history.latest())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,13 +21,13 @@
 	"github.com/damaskcove/damaskcove/internal/entry"
 	"github.com/damaskcove/damaskcove/internal/listing"
 	"github.com/damaskcove/damaskcove/internal/members"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/operator"
 	"github.com/damaskcove/damaskcove/internal/peer"
 	"github.com/damaskcove/damaskcove/internal/relay"
 	"github.com/damaskcove/damaskcove/internal/settings"
 	"github.com/damaskcove/damaskcove/internal/storecall"
 	"github.com/damaskcove/damaskcove/internal/wire"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 var (
@@ -43,8 +43,8 @@
 type Options struct {
 	Settings    *settings.Settings
 	Incarnation fleet.Incarnation // Higher than that of any former life.
-	Store       platform.Store
-	List        platform.List
+	Store       metastore.Store
+	List        metastore.List
 	Log         *slog.Logger
 	Tracer      trace.Tracer
 	Seed        uint64 // Of the random choices.
--- a/internal/node/provision.go
+++ b/internal/node/provision.go
@@ -19,11 +19,11 @@
 	"github.com/damaskcove/damaskcove/internal/endpoints"
 	"github.com/damaskcove/damaskcove/internal/listing"
 	"github.com/damaskcove/damaskcove/internal/members"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/relay"
 	"github.com/damaskcove/damaskcove/internal/settings"
 	"github.com/damaskcove/damaskcove/internal/storecall"
 	"github.com/damaskcove/damaskcove/internal/storekeys"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 // provision makes the duties and adds them to the control loop.
@@ -65,7 +65,7 @@
 		OnApply:         n.configApplied,
 	})
 	n.listing = listing.New(listing.Options{
-		List:     platform.CountedList(n.opts.List, func(op string) { storecall.Calls.Add("listing."+op, 1) }),
+		List:     metastore.CountedList(n.opts.List, func(op string) { storecall.Calls.Add("listing."+op, 1) }),
 		Sender:   n.links,
 		Watcher:  n.watches,
 		Peers:    n.zonePeers,
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -7,7 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/damaskcove/damaskcove/platform"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 )
 
 // Times of an instance's life.
@@ -83,14 +83,14 @@
 	})
 }
 
-func (n *Node) readList(ctx context.Context) (platform.Listing, error) {
+func (n *Node) readList(ctx context.Context) (metastore.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	return n.opts.List.Read(ctx)
 }
 
 // takeListing runs on the control goroutine.
-func (n *Node) takeListing(now time.Time, l *platform.Listing) {
+func (n *Node) takeListing(now time.Time, l *metastore.Listing) {
 	n.members.Listed(now, l.Instances)
 	n.endpoints.SetListing(now, *l)
 }
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -16,8 +16,8 @@
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/storekeys"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 // ErrConflict is what a ConflictError wraps.
@@ -61,7 +61,7 @@
 )
 
 // Load reads the configuration. It is nil when there is none yet.
-func Load(ctx context.Context, store platform.Store, fleetName string) (*rollout.Config, error) {
+func Load(ctx context.Context, store metastore.Store, fleetName string) (*rollout.Config, error) {
 	s := session{store: store, keys: storekeys.Keys{Fleet: fleetName}}
 	state, err := s.load(ctx)
 	return state.config, err
@@ -71,7 +71,7 @@
 // fail until ctx ends. base is the configuration that the operator made the change from;
 // nil stands for the one that the store holds now. It returns a rollout.FaultError, a
 // ConflictError, ErrNoChange, rollout.ErrTooLarge or what the store said last.
-func Apply(ctx context.Context, store platform.Store, fleetName string, base *rollout.Config, change rollout.Change, changeID string) (Accepted, error) {
+func Apply(ctx context.Context, store metastore.Store, fleetName string, base *rollout.Config, change rollout.Change, changeID string) (Accepted, error) {
 	change.ID = changeID
 	if change.Empty() {
 		return Accepted{}, ErrNoChange
@@ -101,7 +101,7 @@
 	switch {
 	case errors.As(err, &faults), errors.As(err, &conflict):
 		return false
-	case errors.Is(err, rollout.ErrTooLarge), errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, rollout.ErrTooLarge), errors.Is(err, metastore.ErrTooLarge):
 		return false
 	case errors.Is(err, rollout.ErrMalformed), errors.Is(err, rollout.ErrDigest):
 		return false
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/rollout"
-	"github.com/damaskcove/damaskcove/platform"
-	"github.com/damaskcove/damaskcove/platform/standin"
+	"github.com/damaskcove/damaskcove/internal/metastore"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 )
 
 func service(name string, floor int) rollout.ServiceTemplate {
@@ -27,7 +27,7 @@
 	return rollout.Change{Services: templates}
 }
 
-func apply(t *testing.T, store platform.Store, base *rollout.Config, change rollout.Change, id string) Accepted {
+func apply(t *testing.T, store metastore.Store, base *rollout.Config, change rollout.Change, id string) Accepted {
 	t.Helper()
 	accepted, err := Apply(t.Context(), store, "f", base, change, id)
 	if err != nil {
@@ -36,7 +36,7 @@
 	return accepted
 }
 
-func load(t *testing.T, store platform.Store) *rollout.Config {
+func load(t *testing.T, store metastore.Store) *rollout.Config {
 	t.Helper()
 	c, err := Load(t.Context(), store, "f")
 	if err != nil {
--- a/internal/operate/session.go
+++ b/internal/operate/session.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/rollout"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/storekeys"
-	"github.com/damaskcove/damaskcove/platform"
 )
 
 // retiredFor is the time for which a shard that left the head stays readable.
@@ -16,20 +16,20 @@
 
 // session makes the calls of the store for one fleet.
 type session struct {
-	store platform.Store
+	store metastore.Store
 	keys  storekeys.Keys
 }
 
 // state is the configuration as the store holds it.
 type state struct {
 	head    rollout.Head
-	version platform.Version
+	version metastore.Version
 	config  *rollout.Config // Nil when there is none yet.
 }
 
 func (s session) load(ctx context.Context) (state, error) {
 	value, err := s.store.Get(ctx, s.keys.Head())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, metastore.ErrNotFound) {
 		return state{head: rollout.Head{Fleet: s.keys.Fleet}}, nil
 	}
 	if err != nil {
@@ -78,7 +78,7 @@
 // writeShard writes a shard unless it is there: the key is its content's digest.
 func (s session) writeShard(ctx context.Context, shard rollout.Shard) error {
 	_, err := s.store.CompareAndSwap(ctx, s.keys.Shard(shard.Digest), 0, shard.Data, 0)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, metastore.ErrConflict) {
 		return fmt.Errorf("write shard %v: %w", shard.Digest, err)
 	}
 	return nil
--- a/internal/storecall/reach.go
+++ b/internal/storecall/reach.go
@@ -6,21 +6,21 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/damaskcove/damaskcove/platform"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 )
 
 // Reach is a store that remembers whether its last call was answered. It is safe for concurrent use.
 type Reach struct {
-	store platform.Store
+	store metastore.Store
 	now   func() time.Time
 	ok    atomic.Bool
 	at    atomic.Pointer[time.Time]
 }
 
-var _ platform.Store = (*Reach)(nil)
+var _ metastore.Store = (*Reach)(nil)
 
 // NewReach returns store with a memory. now tells the time.
-func NewReach(store platform.Store, now func() time.Time) *Reach {
+func NewReach(store metastore.Store, now func() time.Time) *Reach {
 	return &Reach{store: store, now: now}
 }
 
@@ -37,8 +37,8 @@
 	if errors.Is(err, context.Canceled) {
 		return
 	}
-	answered := err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) ||
-		errors.Is(err, platform.ErrTooLarge) || errors.Is(err, platform.ErrLeaseLost)
+	answered := err == nil || errors.Is(err, metastore.ErrNotFound) || errors.Is(err, metastore.ErrConflict) ||
+		errors.Is(err, metastore.ErrTooLarge) || errors.Is(err, metastore.ErrLeaseLost)
 	r.ok.Store(answered)
 	if answered {
 		now := r.now()
@@ -46,22 +46,22 @@
 	}
 }
 
-// Get is platform.Store.Get.
-func (r *Reach) Get(ctx context.Context, key string) (platform.Value, error) {
+// Get is metastore.Store.Get.
+func (r *Reach) Get(ctx context.Context, key string) (metastore.Value, error) {
 	v, err := r.store.Get(ctx, key)
 	r.note(err)
 	return v, err
 }
 
-// CompareAndSwap is platform.Store.CompareAndSwap.
-func (r *Reach) CompareAndSwap(ctx context.Context, key string, expected platform.Version, data []byte, lease platform.LeaseID) (platform.Version, error) {
+// CompareAndSwap is metastore.Store.CompareAndSwap.
+func (r *Reach) CompareAndSwap(ctx context.Context, key string, expected metastore.Version, data []byte, lease metastore.LeaseID) (metastore.Version, error) {
 	v, err := r.store.CompareAndSwap(ctx, key, expected, data, lease)
 	r.note(err)
 	return v, err
 }
 
-// Watch is platform.Store.Watch. One that ends with its time has waited in vain, and says nothing.
-func (r *Reach) Watch(ctx context.Context, key string, after platform.Version) (platform.Value, error) {
+// Watch is metastore.Store.Watch. One that ends with its time has waited in vain, and says nothing.
+func (r *Reach) Watch(ctx context.Context, key string, after metastore.Version) (metastore.Value, error) {
 	v, err := r.store.Watch(ctx, key, after)
 	if !errors.Is(err, context.DeadlineExceeded) {
 		r.note(err)
@@ -69,15 +69,15 @@
 	return v, err
 }
 
-// GrantLease is platform.Store.GrantLease.
-func (r *Reach) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease is metastore.Store.GrantLease.
+func (r *Reach) GrantLease(ctx context.Context, ttl time.Duration) (metastore.LeaseID, error) {
 	id, err := r.store.GrantLease(ctx, ttl)
 	r.note(err)
 	return id, err
 }
 
-// KeepAlive is platform.Store.KeepAlive.
-func (r *Reach) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+// KeepAlive is metastore.Store.KeepAlive.
+func (r *Reach) KeepAlive(ctx context.Context, lease metastore.LeaseID) error {
 	err := r.store.KeepAlive(ctx, lease)
 	r.note(err)
 	return err
--- a/internal/storecall/reach_test.go
+++ b/internal/storecall/reach_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/damaskcove/damaskcove/platform/standin"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 )
 
 func TestReachTellsAnswersFromOutages(t *testing.T) {
--- a/internal/storecall/storecall.go
+++ b/internal/storecall/storecall.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/damaskcove/damaskcove/platform"
+	"github.com/damaskcove/damaskcove/internal/metastore"
 )
 
 // Calls counts the calls of the store by duty, and "refused" those over the budget.
@@ -84,13 +84,13 @@
 
 // Store counts the calls of one duty and keeps them within a budget.
 type Store struct {
-	store  platform.Store
+	store  metastore.Store
 	duty   string
 	budget *Budget
 }
 
 // New returns a store for one duty. A nil budget does not bound it.
-func New(store platform.Store, duty string, budget *Budget) *Store {
+func New(store metastore.Store, duty string, budget *Budget) *Store {
 	return &Store{store: store, duty: duty, budget: budget}
 }
 
@@ -103,40 +103,40 @@
 	return nil
 }
 
-// Get is platform.Store.Get.
-func (s *Store) Get(ctx context.Context, key string) (platform.Value, error) {
+// Get is metastore.Store.Get.
+func (s *Store) Get(ctx context.Context, key string) (metastore.Value, error) {
 	if err := s.admit(); err != nil {
-		return platform.Value{}, err
+		return metastore.Value{}, err
 	}
 	return s.store.Get(ctx, key)
 }
 
-// CompareAndSwap is platform.Store.CompareAndSwap.
-func (s *Store) CompareAndSwap(ctx context.Context, key string, expected platform.Version, data []byte, lease platform.LeaseID) (platform.Version, error) {
+// CompareAndSwap is metastore.Store.CompareAndSwap.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expected metastore.Version, data []byte, lease metastore.LeaseID) (metastore.Version, error) {
 	if err := s.admit(); err != nil {
 		return 0, err
 	}
 	return s.store.CompareAndSwap(ctx, key, expected, data, lease)
 }
 
-// Watch is platform.Store.Watch.
-func (s *Store) Watch(ctx context.Context, key string, after platform.Version) (platform.Value, error) {
+// Watch is metastore.Store.Watch.
+func (s *Store) Watch(ctx context.Context, key string, after metastore.Version) (metastore.Value, error) {
 	if err := s.admit(); err != nil {
-		return platform.Value{}, err
+		return metastore.Value{}, err
 	}
 	return s.store.Watch(ctx, key, after)
 }
 
-// GrantLease is platform.Store.GrantLease.
-func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease is metastore.Store.GrantLease.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (metastore.LeaseID, error) {
 	if err := s.admit(); err != nil {
 		return 0, err
 	}
 	return s.store.GrantLease(ctx, ttl)
 }
 
-// KeepAlive is platform.Store.KeepAlive.
-func (s *Store) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+// KeepAlive is metastore.Store.KeepAlive.
+func (s *Store) KeepAlive(ctx context.Context, lease metastore.LeaseID) error {
 	if err := s.admit(); err != nil {
 		return err
 	}
--- a/internal/storecall/storecall_test.go
+++ b/internal/storecall/storecall_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/damaskcove/damaskcove/platform"
-	"github.com/damaskcove/damaskcove/platform/standin"
+	"github.com/damaskcove/damaskcove/internal/metastore"
+	"github.com/damaskcove/damaskcove/internal/metastore/standin"
 )
 
 func TestBudgetFallsWithTheFleetAndRefills(t *testing.T) {
@@ -23,7 +23,7 @@
 	store := New(standin.New(standin.Options{}), "test", b)
 	made := 0
 	for range 1000 {
-		if _, err := store.Get(t.Context(), "key"); errors.Is(err, platform.ErrNotFound) {
+		if _, err := store.Get(t.Context(), "key"); errors.Is(err, metastore.ErrNotFound) {
 			made++
 		}
 	}
@@ -34,11 +34,11 @@
 		t.Fatalf("error %v", err)
 	}
 	now = now.Add(time.Minute)
-	if _, err := store.Get(t.Context(), "key"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := store.Get(t.Context(), "key"); !errors.Is(err, metastore.ErrNotFound) {
 		t.Fatalf("error %v after a minute", err)
 	}
 	now = now.Add(-time.Hour)
-	if _, err := store.Get(t.Context(), "key"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := store.Get(t.Context(), "key"); !errors.Is(err, metastore.ErrNotFound) {
 		t.Fatalf("error %v after the clock went back", err)
 	}
 	if got := Calls.Get("test").String(); got != "102" {
