The whole path on the users' platform, thin

damaskgate is one instance: it follows the platform's store with one watch, registers under a lease, serves callers, and tells all other instances by datagram of each start and end of a request. From these reports each instance estimates every endpoint's chance to serve the next request (coord/outlook), knows what is in flight there (coord/dispatch) and what the fleet has spent on repeats (coord/retrybudget).

--- /dev/null
+++ b/coord/dispatch/selection.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Weights of the choice between endpoints, in parts of one request's credit.
+const (
+	// lateCredit is what an answer after the objective is worth to a caller.
+	lateCredit = 0.5
+	// zoneBonus prefers the instance's own availability zone among equals.
+	zoneBonus = 0.010
+	// crowdCost prefers the emptier among equals; endpoints slow down when nearly full.
+	crowdCost = 0.015
+	// unusedBonus brings a first request to an endpoint that joined.
+	unusedBonus = 0.3
+	// jitter keeps instances with the same view from choosing alike.
+	jitter = 0.004
+	// unprovenChance is the chance under which an endpoint is tried by one request at a time.
+	unprovenChance = 0.85
+	// unprovenCost is taken off for each request that is on trial there already.
+	unprovenCost = 0.1
+	// coldFactor is how many times longer a request takes at an endpoint that warms up.
+	coldFactor = 2
+)
+
+const (
+	// spreadFrom is the unserved share from which requests are spread over all endpoints;
+	// from a tenth on, the users want most of the sound ones in use.
+	spreadFrom = 0.06
+	// spreadMin is the fewest requests that tell a share.
+	spreadMin = 5
+	// spreadEvery is how often each endpoint is used while requests are spread, well inside two seconds.
+	spreadEvery = 1300 * time.Millisecond
+	// spreadRest is how long a failed endpoint is left alone while requests are spread.
+	spreadRest = 1800 * time.Millisecond
+)
+
+// choice is an endpoint with what speaks for it.
+type choice struct {
+	endpoint *tracked
+	chance   float64
+	finish   time.Duration // Expected time to the answer.
+	worth    float64       // Expected credit.
+}
+
+// choose returns the best endpoint for a request; ok is false where none takes work.
+func (m *Machine) choose(now time.Time, s *service, a *Ask) (best choice, ok bool) {
+	spread := s.spreads(now)
+	var due choice
+	for _, e := range s.endpoints {
+		if !m.usable(now, e, a) {
+			continue
+		}
+		c := m.weigh(now, s, e, a)
+		if !ok || c.worth > best.worth {
+			best, ok = c, true
+		}
+		if spread && now.Sub(e.used) > spreadEvery && now.Sub(e.failed) > spreadRest && (due.endpoint == nil || c.worth > due.worth) {
+			due = c
+		}
+	}
+	if due.endpoint != nil && due.finish < a.Deadline.Sub(now) {
+		return due, true
+	}
+	return best, ok
+}
+
+// spreads tells whether so many requests go unserved that every sound endpoint is to be used.
+func (s *service) spreads(now time.Time) bool {
+	share, n := s.recent.unservedShare(now)
+	return n >= spreadMin && share > spreadFrom
+}
+
+// usable tells whether a request may go to an endpoint at all.
+func (m *Machine) usable(now time.Time, e *tracked, a *Ask) bool {
+	return !e.Leaving && !now.Before(e.reach.until) && !slices.Contains(a.Tried, e.ID)
+}
+
+// weigh returns what an endpoint is worth to a request.
+func (m *Machine) weigh(now time.Time, s *service, e *tracked, a *Ask) choice {
+	c := choice{endpoint: e, chance: e.estimate.At(m.cfg.Rates, now)}
+	work := e.took.or(s.usual())
+	if now.Before(e.WarmUntil) {
+		work *= coldFactor
+	}
+	c.finish = work + queueing(e, work)
+	c.worth = c.chance * credit(a, now, c.finish)
+	c.worth -= crowdCost * float64(e.inFlight) / float64(e.Slots)
+	if c.chance < unprovenChance {
+		c.worth -= unprovenCost * float64(e.inFlight)
+	}
+	if e.used.IsZero() && now.After(e.WarmUntil) && now.Sub(e.joined) > time.Second {
+		c.worth += unusedBonus
+	}
+	if e.Zone == m.cfg.Zone {
+		c.worth += zoneBonus
+	}
+	c.worth += jitter * rand.New(m.random).Float64()
+	return c
+}
+
+// queueing returns how long a request waits for a slot.
+func queueing(e *tracked, work time.Duration) time.Duration {
+	ahead := e.inFlight - e.Slots + 1
+	if ahead <= 0 {
+		return 0
+	}
+	return work * time.Duration(ahead) / time.Duration(e.Slots)
+}
+
+// credit returns the part of a request's credit that an answer after about finish earns.
+func credit(a *Ask, now time.Time, finish time.Duration) float64 {
+	onTime := likelyBy(a.Objective.Sub(now), finish)
+	served := likelyBy(a.Deadline.Sub(now), finish)
+	return lateCredit*served + (1-lateCredit)*min(onTime, served)
+}
+
+// likelyBy returns about how likely an answer that takes finish on average comes within a
+// time. Times of work spread by about half, so it falls from 1 at 1.8 times the average to 0 at 0.6.
+func likelyBy(within, finish time.Duration) float64 {
+	const certain, hopeless = 1.8, 0.6
+	ratio := float64(within) / float64(max(finish, time.Millisecond))
+	return min(max((ratio-hopeless)/(certain-hopeless), 0), 1)
+}
--- a/coord/result/codes.go
+++ b/coord/result/codes.go
@@ -8,6 +8,8 @@
 	CodeAccountNotAllowed  Code = 1003
 	CodeBodyTooLarge       Code = 1004
 	CodeMalformedRequest   Code = 1005
+	CodeHeadTooLarge       Code = 1006
+	CodeRequestTimedOut    Code = 1007
 	CodeNoEndpoint         Code = 1010
 	CodeShedQueueFull      Code = 1011
 	CodeShedDeadline       Code = 1012
@@ -67,6 +69,8 @@
 	{CodeAccountNotAllowed, "account-not-allowed", 403, NotRun, "The client account may not call the service."},
 	{CodeBodyTooLarge, "body-too-large", 413, NotRun, "The body is over the service's bound."},
 	{CodeMalformedRequest, "malformed-request", 400, NotRun, "A header of the request has no valid form."},
+	{CodeHeadTooLarge, "head-too-large", 431, NotRun, "The request's head is over the configuration's bound."},
+	{CodeRequestTimedOut, "request-timed-out", 408, NotRun, "The request did not arrive whole in time."},
 	{CodeNoEndpoint, "no-endpoint", 503, NotRun, "The service has no endpoint that takes new work."},
 	{CodeShedQueueFull, "shed-queue-full", 503, NotRun, "The service's queue is at its bound."},
 	{CodeShedDeadline, "shed-deadline", 503, NotRun, "The request could not have met its deadline in the queue."},
--- /dev/null
+++ b/coord/retrybudget/retrybudget.go
@@ -0,0 +1,78 @@
+// Package retrybudget bounds how often requests of a service are sent again, over all instances.
+//
+// Instances tell each other of each first sending and each repeat, so that one window
+// counts both for the whole fleet. An instance that hears of no other falls back to its
+// own share of the bound.
+//
+// The load pattern that it answers: a service fails at once, every instance wants to
+// repeat every request, and the repeats would make up the outage.
+package retrybudget
+
+import "time"
+
+// Bound is what may be repeated in any window: Ratio of the requests, and Extra besides.
+type Bound struct {
+	Window time.Duration
+	Ratio  float64
+	Extra  int
+}
+
+const (
+	// slices divide the window; a count leaves it at most one slice late.
+	slices = 20
+	// margin is the part of the bound that is spent, so that repeats which other instances
+	// have sent but not yet told of stay within it.
+	margin = 0.8
+)
+
+// Budget counts one service. It is not safe for concurrent use.
+type Budget struct {
+	bound    Bound
+	first    [slices]int
+	repeats  [slices]int
+	current  int64 // Number of the newest slice.
+	requests int   // Sum of first.
+	repeated int   // Sum of repeats.
+}
+
+// New returns a budget without counts.
+func New(bound Bound) *Budget {
+	return &Budget{bound: bound}
+}
+
+// advance moves the window to now.
+func (b *Budget) advance(now time.Time) {
+	n := now.UnixNano() / int64(b.bound.Window/slices)
+	if n-b.current >= slices {
+		*b = Budget{bound: b.bound, current: n}
+		return
+	}
+	for b.current < n {
+		b.current++
+		i := b.current % slices
+		b.requests -= b.first[i]
+		b.repeated -= b.repeats[i]
+		b.first[i], b.repeats[i] = 0, 0
+	}
+}
+
+// Sent counts a sending by any instance.
+func (b *Budget) Sent(now time.Time, repeat bool) {
+	b.advance(now)
+	i := b.current % slices
+	if repeat {
+		b.repeats[i]++
+		b.repeated++
+		return
+	}
+	b.first[i]++
+	b.requests++
+}
+
+// Allows tells whether one more repeat is within the bound. share is the part of Extra that
+// this instance may count on: 1 while it hears the others, its own part while it does not.
+func (b *Budget) Allows(now time.Time, share float64) bool {
+	b.advance(now)
+	bound := margin * (b.bound.Ratio*float64(b.requests) + share*float64(b.bound.Extra))
+	return float64(b.repeated+1) <= bound
+}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,213 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+const (
+	// readTimeout is many times the store's usual answer of 4 ms, and short of the 2 s in which changes must be in force.
+	readTimeout = time.Second
+	// watchWait is how long a watch waits for a change; a dead connection shows by keep-alives.
+	watchWait = 25 * time.Second
+	// watchPause gathers the changes of a moment into one call.
+	watchPause = 200 * time.Millisecond
+	// firstRetry and lastRetry bound the pause after a failed call; it doubles.
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 400 * time.Millisecond
+	// leaseTTL is how long after its last renewal an instance is taken off the list.
+	leaseTTL = 5 * time.Second
+	// leaseRenewal leaves two more tries before a lease ends.
+	leaseRenewal = 1500 * time.Millisecond
+)
+
+// everything is the prefix of all keys: one watch carries all that an instance follows.
+const everything = ""
+
+// follower keeps the control loop in step with the platform's store.
+type follower struct {
+	store   *platform.Store
+	control *control
+	log     *slog.Logger
+	reach   *reach
+}
+
+// reach logs when the store is lost and regained.
+type reach struct {
+	log  *slog.Logger
+	lost time.Time
+}
+
+func (r *reach) report(err error) {
+	switch {
+	case err != nil && r.lost.IsZero():
+		r.lost = time.Now()
+		r.log.Warn("store lost", "error", err.Error())
+	case err == nil && !r.lost.IsZero():
+		r.log.Info("store regained", "after_ms", time.Since(r.lost).Milliseconds())
+		r.lost = time.Time{}
+	}
+}
+
+// run follows the store until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	retry := firstRetry
+	var at platform.Revision
+	read := false
+	for ctx.Err() == nil {
+		var err error
+		if read {
+			at, err = f.watch(ctx, at)
+		} else {
+			at, err = f.readAll(ctx)
+			read = err == nil
+		}
+		if errors.Is(err, platform.ErrHistoryLost) {
+			f.log.Warn("history of the store lost", "after", uint64(at))
+			read = false
+			continue
+		}
+		if errors.Is(err, errKicked) {
+			continue
+		}
+		f.reach.report(err)
+		if err == nil {
+			retry = firstRetry
+			continue
+		}
+		f.control.post(func() { f.control.trouble = time.Now() })
+		sleep(ctx, retry)
+		retry = min(2*retry, lastRetry)
+	}
+}
+
+// readAll reads every key and hands it to the control loop.
+func (f *follower) readAll(ctx context.Context) (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	items, at, err := f.store.Range(ctx, everything)
+	if err != nil {
+		return 0, err
+	}
+	f.control.post(func() { f.control.replace(time.Now(), items, at) })
+	return at, nil
+}
+
+var errKicked = errors.New("the watch is begun anew")
+
+// watch waits for changes after a revision and hands them to the control loop.
+func (f *follower) watch(ctx context.Context, after platform.Revision) (platform.Revision, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-f.control.kick:
+			cancel(errKicked)
+		case <-ended:
+		}
+	}()
+	items, at, err := f.store.Watch(ctx, everything, after, watchWait)
+	if err != nil {
+		if errors.Is(context.Cause(ctx), errKicked) {
+			return after, errKicked
+		}
+		return after, err
+	}
+	if len(items) > 0 {
+		f.control.post(func() { f.control.change(time.Now(), items, at) })
+		sleep(ctx, watchPause)
+	}
+	return max(after, at), nil
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// registrar keeps the instance's registration in the platform's store.
+type registrar struct {
+	store  *platform.Store
+	key    string
+	record memberRecord
+	log    *slog.Logger
+	gone   chan struct{} // Told when the registration went.
+}
+
+// run registers the instance and renews its lease until ctx ends, and then ends it.
+func (r *registrar) run(ctx context.Context) {
+	var lease platform.Lease
+	for ctx.Err() == nil {
+		var err error
+		if lease == 0 {
+			lease, err = r.register(ctx)
+		} else {
+			err = r.renew(ctx, lease)
+		}
+		wait := leaseRenewal
+		switch {
+		case errors.Is(err, platform.ErrLeaseEnded):
+			r.log.Warn("lease of the registration ended", "lease", uint64(lease))
+			lease, wait = 0, 0
+		case err != nil:
+			wait = lastRetry
+		}
+		r.wait(ctx, wait, &lease)
+	}
+	if lease == 0 {
+		return
+	}
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
+	defer cancel()
+	if err := r.store.EndLease(end, lease); err != nil {
+		r.log.Warn("registration not withdrawn; it ends with its lease", "error", err.Error())
+	}
+}
+
+// wait waits for d; a registration that went is made anew at once.
+func (r *registrar) wait(ctx context.Context, d time.Duration, lease *platform.Lease) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-r.gone:
+		*lease = 0
+	}
+}
+
+func (r *registrar) register(ctx context.Context) (platform.Lease, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	value, err := cbor.Marshal(r.record)
+	if err != nil {
+		return 0, err
+	}
+	lease, _, err := r.store.GrantLease(ctx, leaseTTL)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := r.store.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: r.key, Value: value, Lease: lease}}}); err != nil {
+		return 0, err
+	}
+	return lease, nil
+}
+
+func (r *registrar) renew(ctx context.Context, lease platform.Lease) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return r.store.RenewLease(ctx, lease)
+}
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/callers"
+	"github.com/damaskcove/damaskcove/internal/forward"
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+// startingRetryAfter is when a caller may come back to an instance that has no configuration yet.
+const startingRetryAfter = 200 * time.Millisecond
+
+// handler serves callers' requests.
+type handler struct {
+	control   *control
+	forwarder *forward.Forwarder
+	metrics   *metrics
+	log       *slog.Logger
+	logAll    func() bool
+}
+
+// Limits implements callers.Handler.
+func (h *handler) Limits() callers.Limits {
+	return h.control.snapshot.Load().limits
+}
+
+// Refuse implements callers.Handler.
+func (h *handler) Refuse(code result.Code, detail string, resp *fasthttp.Response) {
+	forward.Refuse(resp, "", code, detail, 0)
+	h.metrics.answered(code, 0)
+	h.log.Warn("request not read", "code", code, "detail", detail)
+}
+
+// Serve implements callers.Handler.
+func (h *handler) Serve(ctx context.Context, r callers.Request, resp *fasthttp.Response) {
+	s := h.control.snapshot.Load()
+	id := platform.RequestID(&r.HTTP.Header)
+	if s.router == nil {
+		h.refuse(r, id, resp, result.CodeNotReady, "", startingRetryAfter)
+		return
+	}
+	uri := string(r.HTTP.Header.RequestURI())
+	host := string(r.HTTP.Header.Host())
+	route, ok := s.router.find(host, uri)
+	if !ok {
+		h.refuse(r, id, resp, result.CodeNoRoute, "host "+host+", version "+s.Version.String(), 0)
+		return
+	}
+	in := forward.Request{
+		ID: id, Route: route, Service: pick(route.Parts), HTTP: r.HTTP, Arrived: r.Arrived,
+		Deadline: r.Arrived.Add(route.Timeout),
+	}
+	if left, ok := platform.TimeLeft(&r.HTTP.Header); ok && left < route.Timeout {
+		in.Deadline = r.Arrived.Add(left)
+	}
+	report := h.forwarder.Serve(ctx, in, resp)
+	h.metrics.answered(report.Code, time.Since(r.Arrived))
+	h.logRequest(ctx, &in, s, report)
+}
+
+func (h *handler) refuse(r callers.Request, id string, resp *fasthttp.Response, code result.Code, detail string, retryAfter time.Duration) {
+	forward.Refuse(resp, id, code, detail, retryAfter)
+	h.metrics.answered(code, time.Since(r.Arrived))
+	h.log.Info("request", "request", id, "code", code, "detail", detail, "host", string(r.HTTP.Header.Host()), "uri", string(r.HTTP.Header.RequestURI()))
+}
+
+// logRequest writes one line for a request.
+func (h *handler) logRequest(ctx context.Context, r *forward.Request, s *Snapshot, report forward.Report) {
+	plain := report.Code == result.CodeAnswered && report.Status < fasthttp.StatusInternalServerError && len(report.Attempts) == 1
+	if plain && !h.logAll() {
+		return
+	}
+	h.log.LogAttrs(ctx, slog.LevelInfo, "request",
+		slog.String("request", r.ID),
+		slog.Int("code", int(report.Code)),
+		slog.Int("status", report.Status),
+		slog.String("detail", report.Detail),
+		slog.String("route", r.Route.Name),
+		slog.String("service", r.Service),
+		slog.String("version", s.Version.String()),
+		slog.Int64("ms", time.Since(r.Arrived).Milliseconds()),
+		slog.Bool("caller_left", ctx.Err() != nil),
+		slog.Any("attempts", report.Attempts),
+	)
+}
--- /dev/null
+++ b/internal/gateway/members.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/damaskcove/damaskcove/coord/dispatch"
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+// memberPrefix is where instances register in the platform's store.
+const memberPrefix = "instances/"
+
+// memberRecord is what an instance registers.
+type memberRecord struct {
+	Peer    dispatch.Peer  `cbor:"1,keyasint"` // New at each start.
+	Zone    string         `cbor:"2,keyasint"`
+	Callers string         `cbor:"3,keyasint"` // Where callers connect.
+	Peers   netip.AddrPort `cbor:"4,keyasint"` // Where datagrams go.
+}
+
+// member is another instance.
+type member struct {
+	memberRecord
+	joined  time.Time
+	heard   time.Time // Zero before its first message.
+	leaving bool
+	lapsed  bool // Its key went while the store was in trouble.
+}
+
+// members holds the other instances.
+type members struct {
+	self string // Key of this instance.
+	zone string
+	log  *slog.Logger
+	list map[string]*member // By key.
+}
+
+const (
+	// silenceTimeout is several times the interval of heartbeats.
+	silenceTimeout = 2 * time.Second
+	// localMin is the fewest instances of a zone that callers are given alone.
+	localMin = 3
+)
+
+func newMembers(id, zone string, log *slog.Logger) *members {
+	return &members{self: memberPrefix + id, zone: zone, log: log, list: make(map[string]*member)}
+}
+
+// put takes in an instance's registration.
+func (m *members) put(now time.Time, key string, value []byte) {
+	if key == m.self {
+		return
+	}
+	var r memberRecord
+	if err := cbor.Unmarshal(value, &r); err != nil {
+		m.log.Warn("registration of an instance ignored", "key", key, "error", fmt.Sprintf("decode %d bytes: %s", len(value), err))
+		return
+	}
+	if old := m.list[key]; old != nil && old.Peer == r.Peer {
+		old.memberRecord, old.lapsed = r, false
+		return
+	}
+	m.list[key] = &member{memberRecord: r, joined: now}
+	m.log.Info("instance joined", "instance", strings.TrimPrefix(key, memberPrefix), "zone", r.Zone, "callers", r.Callers)
+}
+
+// remove drops an instance whose registration went. While the store is in trouble it stays
+// as long as it is heard.
+func (m *members) remove(key string, trouble bool) {
+	e := m.list[key]
+	if e == nil {
+		return
+	}
+	if trouble && !e.leaving {
+		e.lapsed = true
+		return
+	}
+	delete(m.list, key)
+	m.log.Info("instance left", "instance", strings.TrimPrefix(key, memberPrefix))
+}
+
+// hear notes a message of an instance.
+func (m *members) hear(now time.Time, from dispatch.Peer, leaving bool) {
+	for _, e := range m.list {
+		if e.Peer == from {
+			e.heard = now
+			e.leaving = e.leaving || leaving
+			return
+		}
+	}
+}
+
+// expire drops instances that lapsed and are silent.
+func (m *members) expire(now time.Time) {
+	for key, e := range m.list {
+		if e.lapsed && now.Sub(e.heard) > silenceTimeout {
+			delete(m.list, key)
+			m.log.Info("instance lapsed and silent", "instance", strings.TrimPrefix(key, memberPrefix))
+		}
+	}
+}
+
+// isolated tells whether this instance hears less than half of the others, and so cannot
+// tell a silent one from its own trouble.
+func (m *members) isolated(now time.Time) bool {
+	heard := 0
+	for _, e := range m.list {
+		if now.Sub(e.heard) <= silenceTimeout {
+			heard++
+		}
+	}
+	return 2*heard < len(m.list)
+}
+
+// alive returns the instances to which callers and messages may go.
+func (m *members) alive(now time.Time) []*member {
+	isolated := m.isolated(now)
+	var out []*member
+	for _, e := range m.list {
+		fresh := now.Sub(e.joined) <= silenceTimeout
+		if !e.leaving && (isolated || fresh || now.Sub(e.heard) <= silenceTimeout) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// addresses returns where callers of a zone connect: instances of the zone, or all where it has few.
+func addresses(alive []*member, zone string) []string {
+	var local, all []string
+	for _, e := range alive {
+		all = append(all, e.Callers)
+		if e.Zone == zone {
+			local = append(local, e.Callers)
+		}
+	}
+	if len(local) >= localMin {
+		all = local
+	}
+	slices.Sort(all)
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), platform.MaxAddresses)]
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/damaskcove/damaskcove/coord/result"
+)
+
+// Bounds of the histogram of answer times, in milliseconds.
+const (
+	histogramMin    = 1
+	histogramMax    = 60_000
+	histogramDigits = 2
+)
+
+// metrics counts answers. It is safe for concurrent use.
+type metrics struct {
+	mu     sync.Mutex
+	byCode map[result.Code]int64
+	took   *hdrhistogram.Histogram // Milliseconds.
+}
+
+func newMetrics() *metrics {
+	return &metrics{byCode: make(map[result.Code]int64), took: hdrhistogram.New(histogramMin, histogramMax, histogramDigits)}
+}
+
+func (m *metrics) answered(code result.Code, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.byCode[code]++
+	// Times over the bound are of requests that are counted by their code.
+	_ = m.took.RecordValue(min(max(took.Milliseconds(), histogramMin), histogramMax))
+}
+
+// quantiles are the quantiles of answer times that are shown.
+var quantiles = []float64{50, 90, 99, 99.9}
+
+// text returns the counts, one "name value" a line. gauges are appended.
+func (m *metrics) text(gauges map[string]int64) string {
+	var b strings.Builder
+	m.mu.Lock()
+	for _, e := range result.Table {
+		if n := m.byCode[e.Code]; n > 0 {
+			fmt.Fprintf(&b, "answers_%s %d\n", strings.ReplaceAll(e.Name, "-", "_"), n)
+		}
+	}
+	for _, q := range quantiles {
+		fmt.Fprintf(&b, "answer_ms_p%g %d\n", q, m.took.ValueAtQuantile(q))
+	}
+	m.mu.Unlock()
+	for name, v := range gauges {
+		fmt.Fprintf(&b, "%s %d\n", name, v)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/gateway/router.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+// router finds the route of a request. It is immutable.
+type router struct {
+	byHost map[string][]platform.Route // Longest prefix first.
+}
+
+func newRouter(c *platform.Config) *router {
+	r := &router{byHost: make(map[string][]platform.Route)}
+	for _, route := range c.Routes {
+		r.byHost[route.Host] = append(r.byHost[route.Host], route)
+	}
+	for _, routes := range r.byHost {
+		slices.SortFunc(routes, func(a, b platform.Route) int {
+			if d := len(b.Prefix) - len(a.Prefix); d != 0 {
+				return d
+			}
+			return strings.Compare(a.Name, b.Name)
+		})
+	}
+	return r
+}
+
+// find returns the route with the longest prefix that begins the path.
+func (r *router) find(host, uri string) (platform.Route, bool) {
+	path, _, _ := strings.Cut(uri, "?")
+	for _, route := range r.byHost[hostName(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return platform.Route{}, false
+}
+
+// hostName returns the name in a Host header, without its port.
+func hostName(host string) string {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// pick draws a service by the parts' weights.
+func pick(parts []platform.Part) string {
+	if len(parts) == 1 {
+		return parts[0].Service
+	}
+	total := 0
+	for _, p := range parts {
+		total += p.Weight
+	}
+	n := rand.IntN(total)
+	for _, p := range parts {
+		if n -= p.Weight; n < 0 {
+			return p.Service
+		}
+	}
+	return parts[len(parts)-1].Service
+}
--- /dev/null
+++ b/internal/gateway/side.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+const (
+	// sideTimeout bounds the reading and writing of one short request.
+	sideTimeout = 3 * time.Second
+	// sideIdle is how long a caller may keep such a connection.
+	sideIdle = 10 * time.Second
+)
+
+// side is a listener for short requests about the instance itself.
+type side struct {
+	listener net.Listener
+	server   *fasthttp.Server
+}
+
+func listenSide(addr string, handler fasthttp.RequestHandler) (*side, error) {
+	listener, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	return &side{listener: listener, server: &fasthttp.Server{
+		Handler:               handler,
+		ReadTimeout:           sideTimeout,
+		WriteTimeout:          sideTimeout,
+		IdleTimeout:           sideIdle,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+	}}, nil
+}
+
+func (s *side) run() error {
+	if err := s.server.Serve(s.listener); err != nil && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("serve on %s: %w", s.listener.Addr(), err)
+	}
+	return nil
+}
+
+func (s *side) close() error {
+	return s.listener.Close()
+}
+
+// serveReady answers the platform's check.
+func (g *Gateway) serveReady(ctx *fasthttp.RequestCtx) {
+	switch {
+	case string(ctx.Path()) != platform.PathReadiness:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	case !g.ready():
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// serveDiscovery tells a caller where to connect.
+func (g *Gateway) serveDiscovery(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != platform.PathDiscovery {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	asker := platform.ReadAsker(&ctx.Request)
+	list := g.addresses(asker.Zone)
+	if len(list) == 0 {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	if err := platform.WriteDiscovery(&ctx.Response, list, g.current().Promises.DiscoveryTTL); err != nil {
+		g.log.Error("discovery not answered", "error", err.Error())
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	}
+}
+
+// addresses returns where callers of a zone connect.
+func (g *Gateway) addresses(zone string) []string {
+	alive := g.control.snapshot.Load().alive
+	if g.ready() {
+		alive = append(alive[:len(alive):len(alive)], &member{memberRecord: g.record})
+	}
+	return addresses(alive, zone)
+}
+
+// serveMetrics writes the counters.
+func (g *Gateway) serveMetrics(ctx *fasthttp.RequestCtx) {
+	dials, strays := g.forwarder.Counts()
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(g.metrics.text(map[string]int64{
+		"upstream_dials":     dials,
+		"upstream_strays":    strays,
+		"store_calls":        g.store.Calls(),
+		"log_lines_dropped":  g.logs.dropped.Load(),
+		"caller_connections": int64(g.server.Connections()),
+		"requests_in_flight": g.server.InFlight(),
+		"instances_alive":    int64(len(g.control.snapshot.Load().alive)),
+		"config_version":     int64(g.control.snapshot.Load().Version),
+		"ready":              boolGauge(g.ready()),
+		"control_commands":   int64(len(g.control.commands)),
+		"process_uptime_ms":  time.Since(g.started).Milliseconds(),
+	}))
+}
+
+func boolGauge(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
