--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -27,14 +27,18 @@
 )
 
 const (
-	// spreadFrom is the unserved share from which requests are spread over all endpoints;
-	// from a tenth on, the users want most of the sound ones in use.
-	spreadFrom = 0.06
+	// coverChance is the chance from which an endpoint is taken to be sound. Most of the sound
+	// ones are to be in use at any time: when instances are lost, their requests count as unserved.
+	coverChance = 0.55
+	// coverEvery is how often each such endpoint is used, well inside the two seconds over
+	// which the users judge it.
+	coverEvery = 1400 * time.Millisecond
+	// spreadFrom is the unserved share from which endpoints count as sound whatever their
+	// chance; from a tenth on, the users want most of them in use.
+	spreadFrom = 0.08
 	// spreadMin is the fewest requests that tell a share.
-	spreadMin = 5
-	// spreadEvery is how often each endpoint is used while requests are spread, well inside two seconds.
-	spreadEvery = 1300 * time.Millisecond
-	// spreadRest is how long a failed endpoint is left alone while requests are spread.
+	spreadMin = 10
+	// spreadRest is how long a failed endpoint is left alone all the same.
 	spreadRest = 1800 * time.Millisecond
 )
 
@@ -58,7 +62,7 @@
 		if !ok || c.worth > best.worth {
 			best, ok = c, true
 		}
-		if spread && now.Sub(e.used) > spreadEvery && now.Sub(e.failed) > spreadRest && (due.endpoint == nil || c.worth > due.worth) {
+		if c.due(now, spread) && (due.endpoint == nil || c.worth > due.worth) {
 			due = c
 		}
 	}
@@ -68,6 +72,14 @@
 	return best, ok
 }
 
+// due tells whether an endpoint is to be used because it has not been for long.
+func (c choice) due(now time.Time, spread bool) bool {
+	if now.Sub(c.endpoint.used) < coverEvery {
+		return false
+	}
+	return c.chance >= coverChance || spread && now.Sub(c.endpoint.failed) > spreadRest
+}
+
 // spreads tells whether so many requests go unserved that every sound endpoint is to be used.
 func (s *service) spreads(now time.Time) bool {
 	share, n := s.recent.unservedShare(now)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -31,8 +31,9 @@
 	behindTimeout = 800 * time.Millisecond
 )
 
-// spells are the mean times that upstreams stay good and go on failing until more is known.
-var spells = outlook.Rates{GoodSpell: 10 * time.Second, BadSpell: 4 * time.Second}
+// spells are the mean times that upstreams stay good and go on failing, by the ages of
+// outcomes on the users' days (docs/MEASUREMENTS.md).
+var spells = outlook.Rates{GoodSpell: 21 * time.Second, BadSpell: 9 * time.Second}
 
 // Snapshot is what the control loop has decided, for all other goroutines. It is immutable.
 type Snapshot struct {
@@ -218,7 +219,7 @@
 	}
 	for _, key := range c.registry.keys() {
 		if !present[key] {
-			changed = c.drop(now, key) || changed
+			changed = c.miss(now, key) || changed
 		}
 	}
 	for key := range c.members.list {
@@ -235,7 +236,7 @@
 	changed := false
 	for _, item := range items {
 		if item.Deleted {
-			changed = c.drop(now, item.Key) || changed
+			changed = c.drop(item.Key) || changed
 		} else {
 			changed = c.put(now, item) || changed
 		}
@@ -265,17 +266,24 @@
 	return false
 }
 
-// drop takes in that a key has gone and tells whether the endpoints changed.
-func (c *control) drop(now time.Time, key string) bool {
-	switch {
-	case strings.HasPrefix(key, platform.UpstreamPrefix) && c.troubled(now):
+// miss takes in that a registration of an upstream was not there when all keys were read,
+// and tells whether the endpoints changed. It may have lapsed while the store was away.
+func (c *control) miss(now time.Time, key string) bool {
+	if c.troubled(now) {
 		return c.registry.lapse(now, key)
+	}
+	return c.registry.remove(key)
+}
+
+// drop takes in that a key was removed and tells whether the endpoints changed.
+func (c *control) drop(key string) bool {
+	switch {
 	case strings.HasPrefix(key, platform.UpstreamPrefix):
 		return c.registry.remove(key)
 	case key == c.members.self:
 		notify(c.unlisted)
 	case strings.HasPrefix(key, memberPrefix):
-		c.members.remove(key, c.troubled(now))
+		c.members.remove(key, false)
 	}
 	return false
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -68,9 +68,12 @@
 			at, err = f.readAll(ctx)
 			read = err == nil
 		}
+		if err != nil {
+			// A watch that was cut may have missed changes, whatever it says of its history.
+			read = false
+		}
 		if errors.Is(err, platform.ErrHistoryLost) {
 			f.log.Warn("history of the store lost", "after", uint64(at))
-			read = false
 			continue
 		}
 		if errors.Is(err, errKicked) {
