--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -140,6 +140,10 @@
 		m.reject(a, NoEndpoint, s.usual())
 		return true
 	}
+	if a.Hedge && (c.chance < coverChance || c.endpoint.inFlight >= c.endpoint.Slots-1) {
+		m.reject(a, NoSpare, 0)
+		return true
+	}
 	if c.finish > a.Deadline.Sub(now) {
 		m.reject(a, Overloaded, s.usual())
 		return true
--- /dev/null
+++ b/coord/dispatch/machine_test.go
@@ -0,0 +1,256 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/damaskcove/damaskcove/coord/outlook"
+	"github.com/damaskcove/damaskcove/coord/retrybudget"
+)
+
+var testConfig = Config{
+	Zone:        "a",
+	Rates:       outlook.Rates{GoodSpell: 21 * time.Second, BadSpell: 9 * time.Second},
+	Retry:       retrybudget.Bound{Window: 10 * time.Second, Ratio: 0.2, Extra: 60},
+	PeerTimeout: 6 * time.Second,
+}
+
+var start = time.Unix(1000, 0)
+
+func endpoints(n int) []Endpoint {
+	var list []Endpoint
+	for i := range n {
+		list = append(list, Endpoint{
+			ID: EndpointID(i + 1), Name: fmt.Sprint("i-", i+1), Service: "orders",
+			Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: string(rune('a' + i%3)), Slots: 4,
+		})
+	}
+	return list
+}
+
+func newMachine(list []Endpoint) *Machine {
+	m := New(testConfig, rand.NewPCG(1, 2))
+	m.SetEndpoints(start, list)
+	return m
+}
+
+func ask(id uint64, now time.Time) Ask {
+	return Ask{ID: id, Service: "orders", Objective: now.Add(1200 * time.Millisecond), Deadline: now.Add(5 * time.Second)}
+}
+
+// grant asks once and returns the endpoint granted.
+func grant(t *testing.T, m *Machine, a Ask, now time.Time) Endpoint {
+	t.Helper()
+	m.Ask(now, a)
+	e := m.Take()
+	if len(e.Grants) != 1 {
+		t.Fatalf("request %d: %d grants, rejections %+v", a.ID, len(e.Grants), e.Rejections)
+	}
+	return e.Grants[0].Endpoint
+}
+
+func TestAFailureSeenAnywhereKeepsWorkAway(t *testing.T) {
+	m := newMachine(endpoints(3))
+	m.Report(start, 7, []Event{{Endpoint: 1, Kind: EndedServed, Took: 300}, {Endpoint: 2, Kind: EndedServed, Took: 300}, {Endpoint: 3, Kind: EndedFailed, Took: 3}})
+	for i := range uint64(8) {
+		if got := grant(t, m, ask(i, start), start); got.ID == 3 {
+			t.Errorf("request %d goes to the endpoint that has just failed", i)
+		}
+	}
+}
+
+func TestOthersWorkCountsAsLoad(t *testing.T) {
+	m := newMachine(endpoints(2))
+	for id := EndpointID(1); id <= 2; id++ {
+		m.Report(start, 7, []Event{{Endpoint: id, Kind: EndedServed, Took: 300}})
+	}
+	m.Report(start, 7, []Event{{Endpoint: 1, InFlight: 4, Kind: Started}})
+	for i := range uint64(4) {
+		if got := grant(t, m, ask(i, start), start); got.ID != 2 {
+			t.Errorf("request %d goes to the endpoint that another instance has filled", i)
+		}
+	}
+}
+
+func TestASilentPeersWorkIsForgotten(t *testing.T) {
+	m := newMachine(endpoints(1))
+	m.Report(start, 7, []Event{{Endpoint: 1, InFlight: 4, Kind: Started}})
+	m.Forget(start.Add(testConfig.PeerTimeout))
+	if got := m.endpoints[1].inFlight; got != 0 {
+		t.Errorf("%d in flight of a peer that has been silent for %s", got, testConfig.PeerTimeout)
+	}
+}
+
+func TestAnEndpointThatCannotBeReachedFromHereIsLeftToOthers(t *testing.T) {
+	m := newMachine(endpoints(2))
+	first := grant(t, m, ask(1, start), start)
+	m.Unreachable(start, first.ID)
+	for i := range uint64(3) {
+		if got := grant(t, m, ask(2+i, start), start); got.ID == first.ID {
+			t.Errorf("request %d goes to the endpoint that could not be reached", 2+i)
+		}
+	}
+	later := start.Add(reachHoldMax)
+	m.Take()
+	found := false
+	for i := range uint64(20) {
+		got := grant(t, m, ask(10+i, later), later)
+		found = found || got.ID == first.ID
+		m.Ended(later, got.ID, EndedServed, 300*time.Millisecond)
+		m.Take()
+	}
+	if !found {
+		t.Error("the endpoint is never tried again")
+	}
+}
+
+func TestNoEndpointIsARejectionWithATimeToComeBack(t *testing.T) {
+	list := endpoints(2)
+	for i := range list {
+		list[i].Leaving = true
+	}
+	m := newMachine(list)
+	m.Ask(start, ask(1, start))
+	e := m.Take()
+	if len(e.Rejections) != 1 || e.Rejections[0].Reason != NoEndpoint || e.Rejections[0].RetryAfter <= 0 {
+		t.Errorf("effects %+v", e)
+	}
+}
+
+func TestRepeatsStopWithTheBudget(t *testing.T) {
+	m := newMachine(endpoints(30))
+	granted := 0
+	for i := range uint64(200) {
+		a := ask(i, start)
+		a.Repeat = true
+		m.Ask(start, a)
+		e := m.Take()
+		granted += len(e.Grants)
+		for _, r := range e.Rejections {
+			if r.Reason != BudgetSpent {
+				t.Fatalf("request %d is rejected for reason %d", i, r.Reason)
+			}
+		}
+	}
+	if granted == 0 || granted > testConfig.Retry.Extra {
+		t.Errorf("%d repeats without a first request, bound %d", granted, testConfig.Retry.Extra)
+	}
+}
+
+// The load that it answers: few endpoints would do for the traffic, but when instances are
+// lost their requests count as unserved, and most sound endpoints must have been in use.
+func TestSoundEndpointsStayInUse(t *testing.T) {
+	m := newMachine(endpoints(19))
+	lastUsed := make(map[EndpointID]time.Time)
+	failing := map[EndpointID]bool{3: true, 8: true, 11: true, 17: true}
+	now := start
+	for i := range uint64(1500) {
+		now = now.Add(13 * time.Millisecond)
+		got := grant(t, m, ask(i, now), now)
+		lastUsed[got.ID] = now
+		kind := EndedServed
+		if failing[got.ID] {
+			kind = EndedFailed
+		}
+		m.Ended(now, got.ID, kind, 300*time.Millisecond)
+		m.Take()
+		if now.Sub(start) < 4*time.Second {
+			continue
+		}
+		used := 0
+		for id, at := range lastUsed {
+			if !failing[id] && now.Sub(at) < 2*time.Second {
+				used++
+			}
+		}
+		if sound := 19 - len(failing); float64(used) < 0.7*float64(sound) {
+			t.Fatalf("at %s only %d of %d sound endpoints were used within 2 s", now.Sub(start), used, sound)
+		}
+	}
+}
+
+// Whatever comes, each request gets one end, and none goes where it must not.
+func TestEveryAskEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(testConfig, rand.NewPCG(3, 4))
+		list := endpoints(rapid.IntRange(0, 8).Draw(t, "endpoints"))
+		now := start
+		m.SetEndpoints(now, list)
+		ends := make(map[uint64]int)
+		var open []EndpointID
+		asks := make(map[uint64]Ask)
+		next := uint64(0)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, 4e8).Draw(t, "gap")))
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				next++
+				a := ask(next, now)
+				a.Repeat = rapid.Bool().Draw(t, "repeat")
+				for _, e := range list {
+					if rapid.IntRange(0, 5).Draw(t, "tried") == 0 {
+						a.Tried = append(a.Tried, e.ID)
+					}
+				}
+				asks[next] = a
+				m.Ask(now, a)
+			case 2:
+				if len(open) > 0 {
+					m.Ended(now, open[0], EventKind(rapid.IntRange(int(EndedServed), int(EndedUnknown)).Draw(t, "kind")), 100*time.Millisecond)
+					open = open[1:]
+				}
+			case 3:
+				if len(open) > 0 {
+					m.Unreachable(now, open[0])
+					open = open[1:]
+				}
+			case 4:
+				m.Report(now, Peer(rapid.Uint64Range(1, 4).Draw(t, "peer")), []Event{{
+					Endpoint: EndpointID(rapid.Uint32Range(0, 9).Draw(t, "endpoint")),
+					InFlight: rapid.IntRange(-1, 9).Draw(t, "in flight"),
+					Kind:     EventKind(rapid.IntRange(0, 9).Draw(t, "kind")),
+					Took:     rapid.IntRange(0, 9000).Draw(t, "took"),
+				}})
+			case 5:
+				for i := range list {
+					list[i].Leaving = rapid.IntRange(0, 3).Draw(t, "leaving") == 0
+				}
+				m.SetEndpoints(now, list)
+				m.Forget(now)
+			}
+			e := m.Take()
+			for _, g := range e.Grants {
+				ends[g.Ask]++
+				open = append(open, g.Endpoint.ID)
+				if slices.Contains(asks[g.Ask].Tried, g.Endpoint.ID) {
+					t.Fatalf("request %d goes to %s again", g.Ask, g.Endpoint.Name)
+				}
+				if g.Endpoint.Leaving {
+					t.Fatalf("request %d goes to %s, which is leaving", g.Ask, g.Endpoint.Name)
+				}
+			}
+			for _, r := range e.Rejections {
+				ends[r.Ask]++
+			}
+		}
+		for id := range asks {
+			if ends[id] != 1 {
+				t.Fatalf("request %d ended %d times", id, ends[id])
+			}
+		}
+		for _, e := range m.endpoints {
+			sum := e.own
+			for _, n := range e.peers {
+				sum += n
+			}
+			if sum != e.inFlight || e.own < 0 {
+				t.Fatalf("%s: %d in flight, own and peers' sum is %d", e.Name, e.inFlight, sum)
+			}
+		}
+	})
+}
--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -14,6 +14,8 @@
 	zoneBonus = 0.010
 	// crowdCost prefers the emptier among equals; endpoints slow down when nearly full.
 	crowdCost = 0.015
+	// waitCost is taken off for each usual time that a request would wait for a slot.
+	waitCost = 0.03
 	// unusedBonus brings a first request to an endpoint that joined.
 	unusedBonus = 0.3
 	// jitter keeps instances with the same view from choosing alike.
@@ -29,7 +31,7 @@
 const (
 	// coverChance is the chance from which an endpoint is taken to be sound. Most of the sound
 	// ones are to be in use at any time: when instances are lost, their requests count as unserved.
-	coverChance = 0.55
+	coverChance = 0.42
 	// coverEvery is how often each such endpoint is used, well inside the two seconds over
 	// which the users judge it.
 	coverEvery = 1400 * time.Millisecond
@@ -98,9 +100,10 @@
 	if now.Before(e.WarmUntil) {
 		work *= coldFactor
 	}
-	c.finish = work + queueing(e, work)
+	wait := queueing(e, work)
+	c.finish = work + wait
 	c.worth = c.chance * credit(a, now, c.finish)
-	c.worth -= crowdCost * float64(e.inFlight) / float64(e.Slots)
+	c.worth -= crowdCost*float64(e.inFlight)/float64(e.Slots) + waitCost*wait.Seconds()/work.Seconds()
 	if c.chance < unprovenChance {
 		c.worth -= unprovenCost * float64(e.inFlight)
 	}
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -31,6 +31,7 @@
 	Service    string
 	Idempotent bool
 	Repeat     bool // It was sent before and draws on the retry budget.
+	Hedge      bool // It is under way elsewhere; it gets a free slot at a sound endpoint or none.
 	Priority   int  // 0 is the highest.
 	Objective  time.Time
 	Deadline   time.Time
@@ -45,6 +46,7 @@
 	NoEndpoint  Reason = iota + 1 // The service has none that takes work.
 	Overloaded                    // No endpoint could answer before the deadline.
 	BudgetSpent                   // The retry budget is spent.
+	NoSpare                       // No sound endpoint has a slot to spare for a Hedge.
 )
 
 // Grant gives a request an endpoint. It counts as in flight until Ended.
--- /dev/null
+++ b/coord/retrybudget/retrybudget_test.go
@@ -0,0 +1,74 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var bound = Bound{Window: 10 * time.Second, Ratio: 0.2, Extra: 62}
+
+// The load that the budget answers: a service fails at once and every request wants a repeat.
+func TestRepeatsOfAFailedServiceStayWithinTheBound(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := New(bound)
+	var repeats []time.Time
+	requests := 0
+	for range 3000 {
+		now = now.Add(10 * time.Millisecond)
+		b.Sent(now, false)
+		requests++
+		if b.Allows(now, 1) {
+			b.Sent(now, true)
+			repeats = append(repeats, now)
+		}
+	}
+	perWindow := int(bound.Window / (10 * time.Millisecond))
+	most := int(bound.Ratio*float64(perWindow)) + bound.Extra
+	for i, at := range repeats {
+		n := 0
+		for _, other := range repeats[i:] {
+			if other.Sub(at) < bound.Window {
+				n++
+			}
+		}
+		if n > most {
+			t.Fatalf("%d repeats within %s, bound %d", n, bound.Window, most)
+		}
+	}
+	if len(repeats) < most {
+		t.Errorf("only %d repeats in three windows, bound %d in each", len(repeats), most)
+	}
+}
+
+func TestAnIsolatedInstanceSpendsItsOwnShare(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := New(bound)
+	n := 0
+	for b.Allows(now, 1.0/44) {
+		b.Sent(now, true)
+		n++
+	}
+	if n > bound.Extra/44+1 {
+		t.Errorf("%d repeats without a request, its share is %d", n, bound.Extra/44)
+	}
+}
+
+func TestCountsLeaveTheWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(100, 0)
+		b := New(bound)
+		for range rapid.IntRange(0, 300).Draw(t, "sent") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, 2e9).Draw(t, "gap")))
+			b.Sent(now, rapid.Bool().Draw(t, "repeat"))
+			if b.requests < 0 || b.repeated < 0 {
+				t.Fatalf("counts %d and %d", b.requests, b.repeated)
+			}
+		}
+		b.advance(now.Add(2 * bound.Window))
+		if b.requests != 0 || b.repeated != 0 {
+			t.Fatalf("two windows later %d and %d are left", b.requests, b.repeated)
+		}
+	})
+}
--- /dev/null
+++ b/internal/callers/callers_test.go
@@ -0,0 +1,282 @@
+package callers
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskcove/damaskcove/coord/result"
+)
+
+const patience = 10 * time.Second
+
+// echo answers with the request's path and body. Paths that begin with /wait wait for release.
+type echo struct {
+	limits  Limits
+	started chan string
+	left    chan string
+	release chan struct{}
+}
+
+func newEcho() *echo {
+	return &echo{
+		limits:  Limits{HeadBytes: 8 << 10, BodyBytes: 1000, HeadTimeout: patience, IdleTimeout: patience},
+		started: make(chan string, 100), left: make(chan string, 100), release: make(chan struct{}),
+	}
+}
+
+func (e *echo) Limits() Limits { return e.limits }
+
+func (e *echo) Refuse(code result.Code, _ string, resp *fasthttp.Response) {
+	entry, _ := result.Lookup(code)
+	resp.SetStatusCode(entry.Status)
+}
+
+func (e *echo) Serve(ctx context.Context, r Request, resp *fasthttp.Response) {
+	path := string(r.HTTP.Header.RequestURI())
+	e.started <- path
+	if strings.HasPrefix(path, "/wait") {
+		select {
+		case <-ctx.Done():
+			e.left <- path
+		case <-e.release:
+		}
+	}
+	resp.SetBodyString(path + " " + string(r.HTTP.Body()))
+}
+
+func serve(t *testing.T, e *echo) *Server {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Run() }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		_ = s.Shutdown(ctx)
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+func dial(t *testing.T, s *Server) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return c, bufio.NewReader(c)
+}
+
+func write(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func read(t *testing.T, br *bufio.Reader) (int, string) {
+	t.Helper()
+	var resp fasthttp.Response
+	if err := resp.Read(br); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode(), string(resp.Body())
+}
+
+func wait[T any](t *testing.T, what string, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(patience):
+		t.Fatalf("never: %s", what)
+		panic("unreachable")
+	}
+}
+
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	s := serve(t, newEcho())
+	c, br := dial(t, s)
+	var all strings.Builder
+	for i := range 20 {
+		fmt.Fprintf(&all, "POST /%d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", i)
+	}
+	write(t, c, all.String())
+	for i := range 20 {
+		if status, body := read(t, br); status != 200 || body != fmt.Sprintf("/%d abc", i) {
+			t.Fatalf("answer %d: %d %q", i, status, body)
+		}
+	}
+}
+
+func TestRequestsThatCanBeReadInTwoWaysAreRefused(t *testing.T) {
+	const smuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, head := range map[string]string{
+		"two lengths":          "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nContent-Length: 36\r\n\r\n",
+		"same length twice":    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nContent-Length: 0\r\n\r\n",
+		"length and chunks":    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"another coding":       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		"bare line feeds":      "POST / HTTP/1.1\nHost: h\nContent-Length: 0\n\n",
+		"one bare line feed":   "POST / HTTP/1.1\r\nX-A: b\nContent-Length: 36\r\nHost: h\r\n\r\n",
+		"folded header":        "POST / HTTP/1.1\r\nHost: h\r\nX-A: b\r\n Content-Length: 36\r\n\r\n",
+		"space before colon":   "POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 36\r\n\r\n",
+		"length with a sign":   "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +36\r\n\r\n",
+		"length out of bounds": "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999999999999\r\n\r\n",
+		"two hosts":            "GET / HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n",
+		"no host":              "GET / HTTP/1.1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEcho()
+			s := serve(t, e)
+			c, br := dial(t, s)
+			write(t, c, head+smuggled)
+			if status, _ := read(t, br); status != 400 {
+				t.Errorf("status %d", status)
+			}
+			if _, err := br.ReadByte(); err != io.EOF {
+				t.Errorf("the connection goes on: %v", err)
+			}
+			if len(e.started) != 0 {
+				t.Errorf("served %q", <-e.started)
+			}
+		})
+	}
+}
+
+func TestBoundsOfARequest(t *testing.T) {
+	for name, tc := range map[string]struct {
+		request string
+		status  int
+	}{
+		"head":           {"GET / HTTP/1.1\r\nHost: h\r\nX-A: " + strings.Repeat("a", 9000) + "\r\n\r\n", 431},
+		"head in bounds": {"GET / HTTP/1.1\r\nHost: h\r\nX-A: " + strings.Repeat("a", 7000) + "\r\n\r\n", 200},
+		"length":         {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n", 413},
+		"chunks":         {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" + strings.Repeat("a", 1001) + "\r\n0\r\n\r\n", 413},
+		"body in bounds": {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("a", 1000), 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, newEcho())
+			c, br := dial(t, s)
+			write(t, c, tc.request)
+			if status, _ := read(t, br); status != tc.status {
+				t.Errorf("status %d, want %d", status, tc.status)
+			}
+		})
+	}
+}
+
+func TestASlowHeadTimesOut(t *testing.T) {
+	e := newEcho()
+	e.limits.HeadTimeout = 50 * time.Millisecond
+	s := serve(t, e)
+	c, br := dial(t, s)
+	write(t, c, "GET / HTTP/1.1\r\nHost: h\r\nX-")
+	if status, _ := read(t, br); status != 408 {
+		t.Errorf("status %d", status)
+	}
+}
+
+func TestACallerThatLeavesEndsItsRequest(t *testing.T) {
+	e := newEcho()
+	s := serve(t, e)
+	c, _ := dial(t, s)
+	write(t, c, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	wait(t, "the request starts", e.started)
+	_ = c.Close()
+	wait(t, "the request is told that its caller left", e.left)
+}
+
+func TestAPipelinedRequestIsNoLeaving(t *testing.T) {
+	e := newEcho()
+	s := serve(t, e)
+	c, br := dial(t, s)
+	write(t, c, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	wait(t, "the request starts", e.started)
+	write(t, c, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+	close(e.release)
+	for _, want := range []string{"/wait ", "/next "} {
+		if status, body := read(t, br); status != 200 || body != want {
+			t.Errorf("%d %q, want %q", status, body, want)
+		}
+	}
+	if len(e.left) != 0 {
+		t.Error("the request was told that its caller left")
+	}
+}
+
+func TestShutdownCutsOffNoRequest(t *testing.T) {
+	e := newEcho()
+	s := serve(t, e)
+	busy, busyReader := dial(t, s)
+	idle, idleReader := dial(t, s)
+	write(t, idle, "GET /idle HTTP/1.1\r\nHost: h\r\n\r\n")
+	read(t, idleReader)
+	<-e.started
+	write(t, busy, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	wait(t, "the request starts", e.started)
+	done := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		done <- s.Shutdown(ctx)
+	}()
+	if _, err := idleReader.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v", err)
+	}
+	close(e.release)
+	var resp fasthttp.Response
+	if err := resp.Read(busyReader); err != nil || resp.StatusCode() != 200 || !resp.ConnectionClose() {
+		t.Errorf("status %d, close %v, %v", resp.StatusCode(), resp.ConnectionClose(), err)
+	}
+	if err := wait(t, "shutdown ends", done); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestHeadRequestGetsNoBody(t *testing.T) {
+	s := serve(t, newEcho())
+	c, br := dial(t, s)
+	write(t, c, "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n")
+	var resp fasthttp.Response
+	resp.SkipBody = true
+	if err := resp.Read(br); err != nil {
+		t.Fatal(err)
+	}
+	if status, body := read(t, br); status != 200 || body != "/b " {
+		t.Errorf("%d %q", status, body)
+	}
+}
+
+func FuzzHead(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		head, err := awaitHead(bufio.NewReaderSize(strings.NewReader(string(data)), 8<<10), 8<<10)
+		if err != nil || checkHead(head) != nil {
+			return
+		}
+		var req fasthttp.Request
+		if err := req.Header.Read(bufio.NewReader(strings.NewReader(string(head)))); err != nil {
+			return
+		}
+		if len(req.Header.PeekAll(fasthttp.HeaderContentLength)) > 1 {
+			t.Errorf("two lengths pass: %q", head)
+		}
+	})
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"os"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -52,7 +51,7 @@
 const maxAnswerBytes = 64 << 20
 
 // send sends a request to the granted endpoint and reads its answer. ctx ends the attempt.
-func (f *Forwarder) send(ctx context.Context, r *request, a *attempt) {
+func (f *Forwarder) send(ctx context.Context, r *request, req *fasthttp.Request, a *attempt) {
 	to := target{id: a.grant.Endpoint.ID, addr: a.grant.Endpoint.Address}
 	conn := f.pool.take(to, a.started)
 	a.reused = conn != nil
@@ -71,9 +70,12 @@
 		a.ending, a.err = endedNotSent, ctx.Err()
 		return
 	}
-	f.exchange(r, a, conn)
-	if ctx.Err() != nil && (a.ending == endedBroken || a.ending == endedNotSent) {
+	f.exchange(r, req, a, conn)
+	if ctx.Err() != nil && a.ending == endedBroken {
 		a.ending = endedLeft
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			a.ending = endedTimedOut
+		}
 	}
 	if a.ending == endedBroken || a.ending == endedTimedOut || a.ending == endedLeft || a.ending == endedNotSent {
 		_ = conn.Close()
@@ -83,10 +85,7 @@
 }
 
 // exchange sends the request on a connection and sorts out what comes back.
-func (f *Forwarder) exchange(r *request, a *attempt, conn *httpconn.Conn) {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	r.http.CopyTo(req)
+func (f *Forwarder) exchange(r *request, req *fasthttp.Request, a *attempt, conn *httpconn.Conn) {
 	prepare(&req.Header)
 	platform.SetSend(&req.Header, time.Until(r.deadline), a.grant.Endpoint.Name)
 	sent, err := conn.Send(req, r.deadline)
@@ -100,13 +99,13 @@
 	for strays := 0; ; strays++ {
 		if recvErr := conn.Receive(a.resp, maxAnswerBytes); recvErr != nil {
 			a.ending, a.err = endedBroken, errors.Join(err, recvErr)
-			if errors.Is(recvErr, os.ErrDeadlineExceeded) {
+			if errors.Is(recvErr, httpconn.ErrTimedOut) {
 				a.ending = endedTimedOut
 			}
 			return
 		}
 		a.answer = platform.ReadAnswer(&a.resp.Header)
-		if a.answer.RequestID == r.id || a.answer.RequestID == "" && !a.reused && strays == 0 {
+		if a.answer.RequestID == r.ID || a.answer.RequestID == "" && !a.reused && strays == 0 {
 			break
 		}
 		f.metrics.strays.Add(1)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -94,31 +94,34 @@
 // answerMargin is kept to a deadline, so that the answer is there before the caller gives up.
 const answerMargin = 15 * time.Millisecond
 
+// maxOpen is the most attempts of one request that are under way at a time.
+const maxOpen = 2
+
 // overdueFactor is the multiple of an endpoint's usual time after which a request runs long.
 const overdueFactor = 4
 
 // request is one request on its way.
 type request struct {
 	Request
-	http     *fasthttp.Request
-	id       string
-	deadline time.Time
+	deadline time.Time // When its final answer is due.
 	tried    []dispatch.EndpointID
-	attempts []*attempt
-	sent     int // Attempts of which a byte may have left.
+	attempts []*attempt // That have ended.
+	sent     int        // Attempts of which a byte may have left.
+	open     int        // Attempts under way.
+	endings  chan *attempt
 	report   Report
 	failure  *attempt // The last one that an endpoint answered with a failure.
 }
 
 // Serve carries a request through and fills in its answer.
 func (f *Forwarder) Serve(ctx context.Context, in Request, resp *fasthttp.Response) Report {
-	r := &request{Request: in, http: in.HTTP, id: in.ID, deadline: in.Deadline.Add(-answerMargin)}
+	r := &request{Request: in, deadline: in.Deadline.Add(-answerMargin), endings: make(chan *attempt, maxOpen)}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	refusal := f.run(ctx, r, resp)
 	if refusal != nil {
 		r.report.Code, r.report.Detail = refusal.code, refusal.detail
-		refusal.write(r.id, resp)
+		refusal.write(r.ID, resp)
 	}
 	r.report.Status = resp.StatusCode()
 	for _, a := range r.attempts {
@@ -127,34 +130,94 @@
 	return r.report
 }
 
-// run makes attempts until one is answered or none is left to make.
+// run makes attempts until one is served or none is left to make.
 func (f *Forwarder) run(ctx context.Context, r *request, resp *fasthttp.Response) *refusal {
 	for {
 		grant, err := f.acquire(ctx, r)
-		if err != nil {
+		if err == nil {
+			f.launch(ctx, r, grant)
+		}
+		if r.open == 0 {
 			return r.giveUp(err, resp)
 		}
-		a := f.attempt(ctx, r, grant)
+		a := r.await(err == nil && r.mayHedge(), hedgeDelay(r, grant))
+		if a == nil {
+			continue // The attempt under way takes long: another is made beside it.
+		}
+		if done, refusal := r.take(a, resp); done {
+			return refusal
+		}
+	}
+}
+
+// await returns the next attempt that ends, or nil when it is time for another beside it.
+func (r *request) await(hedge bool, delay time.Duration) *attempt {
+	if !hedge {
+		return <-r.endings
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case a := <-r.endings:
+		return a
+	case <-timer.C:
+		return nil
+	}
+}
+
+// take takes in the end of an attempt, and of those beside it where they may still be
+// served, and tells whether the request has its answer.
+func (r *request) take(a *attempt, resp *fasthttp.Response) (done bool, _ *refusal) {
+	for {
+		r.open--
 		r.attempts = append(r.attempts, a)
-		if a.ending == endedServed {
+		switch a.ending {
+		case endedServed:
 			r.deliver(a, resp)
-			return nil
-		}
-		if a.ending == endedFailed {
+			return true, nil
+		case endedFailed:
 			r.keepFailure(a)
+		case endedNotSent:
+			r.sent--
+		}
+		if r.mayRepeat(a) {
+			return false, nil
 		}
-		if !r.mayRepeat(a) {
-			return r.giveUp(nil, resp)
+		if r.open == 0 {
+			return true, r.giveUp(nil, resp)
 		}
+		a = <-r.endings
 	}
 }
 
+const (
+	// hedgeFactor is the multiple of an endpoint's usual time after which an idempotent request
+	// is also sent elsewhere: two or three in a hundred take longer.
+	hedgeFactor = 2.5
+	// hedgeFloor is the least multiple, where the objective is near.
+	hedgeFloor = 1.5
+)
+
+// hedgeDelay returns how long an attempt may take before another is made beside it: so
+// that the other can still meet the objective, where that leaves the first a fair time.
+func hedgeDelay(r *request, grant dispatch.Grant) time.Duration {
+	usual := float64(grant.Usual)
+	untilObjective := float64(time.Until(r.Arrived.Add(r.Route.Objective)) - grant.Usual)
+	return time.Duration(max(min(hedgeFactor*usual, untilObjective), hedgeFloor*usual))
+}
+
+// mayHedge tells whether another attempt may be made beside the ones under way.
+func (r *request) mayHedge() bool {
+	return r.Route.Idempotent && r.open == 1 && r.sent < r.Route.MaxAttempts
+}
+
 func (f *Forwarder) acquire(ctx context.Context, r *request) (dispatch.Grant, error) {
 	return f.dispatcher.Acquire(ctx, dispatch.Ask{
 		ID:         f.nextAsk.Add(1),
 		Service:    r.Service,
 		Idempotent: r.Route.Idempotent,
 		Repeat:     r.sent > 0,
+		Hedge:      r.open > 0,
 		Priority:   r.Route.Priority,
 		Objective:  r.Arrived.Add(r.Route.Objective),
 		Deadline:   r.deadline,
@@ -162,21 +225,30 @@
 	})
 }
 
-// attempt sends the request to the granted endpoint.
-func (f *Forwarder) attempt(ctx context.Context, r *request, grant dispatch.Grant) *attempt {
+// launch sends the request to the granted endpoint. Its attempt comes to r.endings.
+func (f *Forwarder) launch(ctx context.Context, r *request, grant dispatch.Grant) {
+	r.tried = append(r.tried, grant.Endpoint.ID)
+	r.sent++
+	r.open++
+	req := fasthttp.AcquireRequest()
+	r.HTTP.CopyTo(req)
+	go func() {
+		defer fasthttp.ReleaseRequest(req)
+		r.endings <- f.attempt(ctx, r, req, grant)
+	}()
+}
+
+// attempt sends a copy of the request to the granted endpoint.
+func (f *Forwarder) attempt(ctx context.Context, r *request, req *fasthttp.Request, grant dispatch.Grant) *attempt {
 	a := &attempt{grant: grant, started: time.Now()}
-	defer func() { a.took = time.Since(a.started) }()
 	overdue := time.AfterFunc(grant.Usual*overdueFactor, func() { f.dispatcher.RunsLong(grant.Endpoint.ID) })
-	f.send(f.sendContext(ctx, r), r, a)
+	f.send(f.sendContext(ctx, r), r, req, a)
 	overdue.Stop()
+	a.took = time.Since(a.started)
 	if a.ending == endedNotSent && ctx.Err() == nil {
 		f.dispatcher.Unreachable(grant.Endpoint.ID)
 	} else {
-		f.dispatcher.Ended(grant.Endpoint.ID, a.eventOf(), time.Since(a.started))
-	}
-	r.tried = append(r.tried, grant.Endpoint.ID)
-	if a.ending != endedNotSent {
-		r.sent++
+		f.dispatcher.Ended(grant.Endpoint.ID, a.eventOf(), a.took)
 	}
 	return a
 }
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,407 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskcove/damaskcove/coord/dispatch"
+	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+const patience = 10 * time.Second
+
+// scripted is an upstream endpoint that answers each request by the next line of a script.
+type scripted struct {
+	listener net.Listener
+	script   func(n int, req *fasthttp.Request, c net.Conn) bool // Returns whether the connection goes on.
+	requests atomic.Int64
+	conns    atomic.Int64
+}
+
+func startUpstream(t *testing.T, script func(n int, req *fasthttp.Request, c net.Conn) bool) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scripted{listener: l, script: script}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		var req fasthttp.Request
+		if err := req.Read(br); err != nil {
+			return
+		}
+		if !s.script(int(s.requests.Add(1)), &req, c) {
+			return
+		}
+	}
+}
+
+// answer writes a signed answer to a request.
+func answer(c net.Conn, req *fasthttp.Request, status int, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nServer-Stamp: 3e.07\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s",
+		status, req.Header.Peek("Request-Id"), len(body), body)
+	return err == nil
+}
+
+func serveOK(_ int, req *fasthttp.Request, c net.Conn) bool {
+	return answer(c, req, 200, "fine")
+}
+
+func refuseUnrun(_ int, req *fasthttp.Request, c net.Conn) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 503 X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", req.Header.Peek("Request-Id"))
+	return err == nil
+}
+
+func reset(_ int, _ *fasthttp.Request, c net.Conn) bool {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+// inTurn grants endpoints in the order of a list, each once for a request.
+type inTurn struct {
+	list []dispatch.Endpoint
+
+	mu     sync.Mutex
+	events []dispatch.EventKind
+	open   int
+}
+
+func dispatcherOf(upstreams ...string) *inTurn {
+	d := &inTurn{}
+	for i, addr := range upstreams {
+		d.list = append(d.list, dispatch.Endpoint{ID: dispatch.EndpointID(i + 1), Name: fmt.Sprint("i-", i+1), Address: addr, Slots: 4})
+	}
+	return d
+}
+
+func (d *inTurn) Acquire(_ context.Context, a dispatch.Ask) (dispatch.Grant, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.list {
+		if !slices.Contains(a.Tried, e.ID) {
+			d.open++
+			return dispatch.Grant{Ask: a.ID, Endpoint: e, Usual: 20 * time.Millisecond}, nil
+		}
+	}
+	return dispatch.Grant{}, &Rejected{dispatch.Rejection{Ask: a.ID, Reason: dispatch.NoEndpoint, RetryAfter: time.Second}}
+}
+
+func (d *inTurn) Ended(_ dispatch.EndpointID, kind dispatch.EventKind, _ time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open--
+	d.events = append(d.events, kind)
+}
+
+func (d *inTurn) Unreachable(dispatch.EndpointID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open--
+}
+
+func (d *inTurn) RunsLong(dispatch.EndpointID) {}
+
+// closed returns an address on which nobody listens.
+func closed(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+type call struct {
+	idempotent  bool
+	maxAttempts int
+	timeout     time.Duration
+	method      string
+}
+
+func (c call) serve(t *testing.T, f *Forwarder, id string) (*fasthttp.Response, Report) {
+	t.Helper()
+	var req fasthttp.Request
+	req.Header.SetMethod(c.method)
+	req.Header.SetRequestURI("/a%2Fb/../c?d=%20")
+	req.Header.SetHost("h.example")
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Connection", "keep-alive, X-Hop")
+	req.SetBodyString("body")
+	now := time.Now()
+	timeout := c.timeout
+	if timeout == 0 {
+		timeout = patience
+	}
+	var resp fasthttp.Response
+	report := f.Serve(t.Context(), Request{
+		ID: id, Service: "s", HTTP: &req, Arrived: now, Deadline: now.Add(timeout),
+		Route: platform.Route{Idempotent: c.idempotent, MaxAttempts: c.maxAttempts, Objective: patience},
+	}, &resp)
+	return &resp, report
+}
+
+var (
+	order  = call{maxAttempts: 3, method: "POST"}
+	lookup = call{idempotent: true, maxAttempts: 3, method: "POST"}
+)
+
+func TestWhatMayBeSentAgain(t *testing.T) {
+	ok := startUpstream(t, serveOK).listener.Addr().String()
+	failing := func(_ int, req *fasthttp.Request, c net.Conn) bool { return answer(c, req, 500, "own failure") }
+	cutOff := func(_ int, req *fasthttp.Request, c net.Conn) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nServer-Stamp: 3e\r\nContent-Length: 100\r\n\r\npart", req.Header.Peek("Request-Id"))
+		return false
+	}
+	unsigned := func(_ int, req *fasthttp.Request, c net.Conn) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nContent-Length: 4\r\n\r\nfine", req.Header.Peek("Request-Id"))
+		return err == nil
+	}
+	encoded := func(_ int, req *fasthttp.Request, c net.Conn) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nServer-Stamp: 3e\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nfine", req.Header.Peek("Request-Id"))
+		return err == nil
+	}
+	garbage := func(_ int, _ *fasthttp.Request, c net.Conn) bool {
+		_, _ = c.Write([]byte("\x00\x01 not an answer\r\n\r\n"))
+		return false
+	}
+	misdirected := func(_ int, req *fasthttp.Request, c net.Conn) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 421 X\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Peek("Request-Id"))
+		return err == nil
+	}
+	for name, tc := range map[string]struct {
+		first          func(int, *fasthttp.Request, net.Conn) bool // Nil: nobody listens.
+		orderStatus    int
+		orderCode      result.Code
+		lookupAttempts int
+	}{
+		"nobody listens":     {nil, 200, result.CodeAnswered, 2},
+		"refused unrun":      {refuseUnrun, 200, result.CodeAnswered, 2},
+		"another upstream":   {misdirected, 200, result.CodeAnswered, 2},
+		"its own failure":    {failing, 500, result.CodeAnswered, 2},
+		"reset":              {reset, 502, result.CodeAnswerCutOff, 2},
+		"cut off":            {cutOff, 502, result.CodeAnswerCutOff, 2},
+		"unsigned":           {unsigned, 502, result.CodeAnswerCutOff, 2},
+		"encoded":            {encoded, 502, result.CodeAnswerCutOff, 2},
+		"bytes of no answer": {garbage, 502, result.CodeAnswerCutOff, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := closed(t)
+			if tc.first != nil {
+				addr = startUpstream(t, tc.first).listener.Addr().String()
+			}
+			resp, report := order.serve(t, New(dispatcherOf(addr, ok)), "order")
+			if resp.StatusCode() != tc.orderStatus || report.Code != tc.orderCode {
+				t.Errorf("order: status %d, %+v", resp.StatusCode(), report)
+			}
+			resp, report = lookup.serve(t, New(dispatcherOf(addr, ok)), "lookup")
+			if resp.StatusCode() != 200 || len(report.Attempts) != tc.lookupAttempts {
+				t.Errorf("lookup: status %d, %+v", resp.StatusCode(), report)
+			}
+		})
+	}
+}
+
+func TestRefusalsThatSayNotRunAreTrue(t *testing.T) {
+	refusing := startUpstream(t, refuseUnrun)
+	addr := refusing.listener.Addr().String()
+	resp, report := order.serve(t, New(dispatcherOf(addr, closed(t))), "a")
+	if resp.StatusCode() != 503 || len(resp.Header.Peek("Retry-After")) == 0 {
+		t.Errorf("refused everywhere: status %d, %+v", resp.StatusCode(), report)
+	}
+	broken := startUpstream(t, reset)
+	resp, report = lookup.serve(t, New(dispatcherOf(broken.listener.Addr().String(), addr)), "b")
+	if resp.StatusCode() != 502 {
+		t.Errorf("one may have run, one refused: status %d, %+v", resp.StatusCode(), report)
+	}
+}
+
+func TestAttemptsStayWithinTheRoutesBound(t *testing.T) {
+	d := dispatcherOf()
+	var all []*scripted
+	for i := range 5 {
+		u := startUpstream(t, refuseUnrun)
+		all = append(all, u)
+		d.list = append(d.list, dispatch.Endpoint{ID: dispatch.EndpointID(i + 1), Name: fmt.Sprint(i), Address: u.listener.Addr().String(), Slots: 1})
+	}
+	resp, _ := order.serve(t, New(d), "a")
+	sent := int64(0)
+	for _, u := range all {
+		sent += u.requests.Load()
+	}
+	if sent != int64(order.maxAttempts) || resp.StatusCode() != 503 {
+		t.Errorf("sent %d times, bound %d; status %d", sent, order.maxAttempts, resp.StatusCode())
+	}
+}
+
+func TestRequestArrivesUnchanged(t *testing.T) {
+	var got fasthttp.Request
+	u := startUpstream(t, func(_ int, req *fasthttp.Request, c net.Conn) bool {
+		req.CopyTo(&got)
+		return answer(c, req, 200, "")
+	})
+	order.serve(t, New(dispatcherOf(u.listener.Addr().String())), "9c41")
+	h := &got.Header
+	if string(h.RequestURI()) != "/a%2Fb/../c?d=%20" || string(h.Host()) != "h.example" || string(got.Body()) != "body" || string(h.Peek("Request-Id")) != "9c41" {
+		t.Errorf("got %s%s", h, got.Body())
+	}
+	if string(h.Peek("Expect-Instance")) != "i-1" || len(h.Peek("Deadline-Ms")) == 0 || len(h.Peek("Connection")) != 0 {
+		t.Errorf("got %s", h)
+	}
+}
+
+// An answer of a former request may arrive where the next is expected.
+func TestAnswersOfOtherRequestsAreSkipped(t *testing.T) {
+	u := startUpstream(t, func(n int, req *fasthttp.Request, c net.Conn) bool {
+		if n == 2 {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nRequest-Id: first\r\nServer-Stamp: 3e\r\nContent-Length: 5\r\n\r\nstale")
+		}
+		return answer(c, req, 200, "fine")
+	})
+	f := New(dispatcherOf(u.listener.Addr().String()))
+	order.serve(t, f, "first")
+	resp, report := order.serve(t, f, "second")
+	if string(resp.Body()) != "fine" || !report.Attempts[0].Reused {
+		t.Errorf("got %q, %+v", resp.Body(), report)
+	}
+}
+
+// A second answer that is there before the next request shows while the connection is idle.
+func TestAConnectionWithStrayBytesIsNotUsedAgain(t *testing.T) {
+	u := startUpstream(t, func(_ int, req *fasthttp.Request, c net.Conn) bool {
+		return answer(c, req, 200, "fine") && answer(c, req, 200, "extra")
+	})
+	f := New(dispatcherOf(u.listener.Addr().String()))
+	for i := range 3 {
+		if resp, report := order.serve(t, f, fmt.Sprint("r", i)); string(resp.Body()) != "fine" {
+			t.Errorf("request %d: %q, %+v", i, resp.Body(), report)
+		}
+	}
+}
+
+func TestAnAnswerWithoutALengthEndsWithItsConnection(t *testing.T) {
+	write := func(req *fasthttp.Request, c net.Conn) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nServer-Stamp: 3e\r\nConnection: close\r\n\r\nwhole", req.Header.Peek("Request-Id"))
+	}
+	u := startUpstream(t, func(_ int, req *fasthttp.Request, c net.Conn) bool {
+		write(req, c)
+		return false
+	})
+	if resp, report := order.serve(t, New(dispatcherOf(u.listener.Addr().String())), "a"); string(resp.Body()) != "whole" {
+		t.Errorf("closed in order: %q, %+v", resp.Body(), report)
+	}
+	u = startUpstream(t, func(_ int, req *fasthttp.Request, c net.Conn) bool {
+		write(req, c)
+		time.Sleep(50 * time.Millisecond)
+		return reset(0, req, c)
+	})
+	if resp, report := order.serve(t, New(dispatcherOf(u.listener.Addr().String())), "b"); resp.StatusCode() != 502 {
+		t.Errorf("reset on the way: status %d, %+v", resp.StatusCode(), report)
+	}
+}
+
+func TestSilenceEndsWithTheRoutesTimeout(t *testing.T) {
+	u := startUpstream(t, func(_ int, _ *fasthttp.Request, c net.Conn) bool {
+		time.Sleep(patience)
+		return false
+	})
+	silent := order
+	silent.timeout = 200 * time.Millisecond
+	resp, report := silent.serve(t, New(dispatcherOf(u.listener.Addr().String(), startUpstream(t, serveOK).listener.Addr().String())), "a")
+	if resp.StatusCode() != 504 || report.Code != result.CodeAnswerTimedOut || u.requests.Load() != 1 {
+		t.Errorf("status %d, %+v", resp.StatusCode(), report)
+	}
+}
+
+// The load that hedging answers: an endpoint takes lookups and does not answer them.
+func TestALookupThatTakesLongIsAlsoSentElsewhere(t *testing.T) {
+	hanging := startUpstream(t, func(_ int, _ *fasthttp.Request, c net.Conn) bool {
+		time.Sleep(patience)
+		return false
+	})
+	d := dispatcherOf(hanging.listener.Addr().String(), startUpstream(t, serveOK).listener.Addr().String())
+	resp, report := lookup.serve(t, New(d), "a")
+	if resp.StatusCode() != 200 || string(resp.Body()) != "fine" {
+		t.Errorf("status %d, %+v", resp.StatusCode(), report)
+	}
+	resp, _ = call{maxAttempts: 3, method: "POST", timeout: 300 * time.Millisecond}.serve(t, New(d), "b")
+	if resp.StatusCode() != 504 {
+		t.Errorf("an order that takes long: status %d", resp.StatusCode())
+	}
+}
+
+func TestCallersLeavingEndsALookupAndNotAnOrder(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		ended := make(chan bool, 1)
+		started := make(chan struct{}, 1)
+		u := startUpstream(t, func(_ int, req *fasthttp.Request, c net.Conn) bool {
+			started <- struct{}{}
+			_ = c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+			_, err := c.Read(make([]byte, 1))
+			timeout, ok := err.(net.Error)
+			ended <- ok && timeout.Timeout()
+			return answer(c, req, 200, "fine")
+		})
+		ctx, leave := context.WithCancel(t.Context())
+		var req fasthttp.Request
+		req.Header.SetHost("h")
+		req.Header.Set("Request-Id", "a")
+		now := time.Now()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			New(dispatcherOf(u.listener.Addr().String())).Serve(ctx, Request{
+				ID: "a", HTTP: &req, Arrived: now, Deadline: now.Add(patience),
+				Route: platform.Route{Idempotent: idempotent, MaxAttempts: 1, Objective: patience},
+			}, &fasthttp.Response{})
+		}()
+		<-started
+		leave()
+		if ranOn := <-ended; ranOn == idempotent {
+			t.Errorf("idempotent %v: the upstream's connection stayed open %v", idempotent, ranOn)
+		}
+		<-done
+	}
+}
+
+func TestIdleTime(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"":                   idleDefault,
+		"timeout=10":         9 * time.Second,
+		"max=5, timeout=2":   time.Second,
+		"timeout=0":          0,
+		"timeout=-1":         idleDefault,
+		"timeout=9999999999": idleDefault,
+	} {
+		if got := idleTime(header); got != want {
+			t.Errorf("%q: %s, want %s", header, got, want)
+		}
+	}
+}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -33,6 +33,8 @@
 var (
 	// ErrStrayBytes is returned when bytes that belong to no request wait on a connection.
 	ErrStrayBytes = errors.New("the connection holds bytes that belong to no request")
+	// ErrTimedOut is returned when the deadline passed before an answer was whole.
+	ErrTimedOut = errors.New("no whole answer before the deadline")
 	// ErrClosed is returned when the other side has closed an idle connection.
 	ErrClosed = errors.New("the connection was closed while idle")
 )
@@ -107,7 +109,12 @@
 // Receive reads one answer, whole. An answer whose end is not marked is whole only when
 // the other side closed the connection in order.
 func (c *Conn) Receive(resp *fasthttp.Response, maxBody int) error {
-	if err := resp.ReadLimitBody(c.br, maxBody); err != nil {
+	err := resp.ReadLimitBody(c.br, maxBody)
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, fasthttp.ErrTimeout) {
+		return fmt.Errorf("%w: %w", ErrTimedOut, err)
+	}
+	if err != nil {
 		return fmt.Errorf("read an answer: %w", err)
 	}
 	return nil
