Changes of half a second are read with one call; more of the retry budget is spent

The pause between two watches is 0.5 s (0.2 s before): calls of the platform are the largest price, and 0.5 s is a quarter of the time in which changes must be in force.

--- a/coord/retrybudget/retrybudget.go
+++ b/coord/retrybudget/retrybudget.go
@@ -22,7 +22,7 @@
 	slices = 20
 	// margin is the part of the bound that is spent, so that repeats which other instances
 	// have sent but not yet told of stay within it.
-	margin = 0.8
+	margin = 0.9
 )
 
 // Budget counts one service. It is not safe for concurrent use.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -17,8 +17,8 @@
 	readTimeout = time.Second
 	// watchWait is how long a watch waits for a change; a dead connection shows by keep-alives.
 	watchWait = 25 * time.Second
-	// watchPause gathers the changes of a moment into one call.
-	watchPause = 200 * time.Millisecond
+	// watchPause gathers changes into one call, well inside the 2 s in which they must be in force.
+	watchPause = 500 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a failed call; it doubles.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 400 * time.Millisecond
