--- a/coord/dispatch/machine_test.go
+++ b/coord/dispatch/machine_test.go
@@ -210,6 +210,33 @@
 	}
 }
 
+// The load that it answers: lookups and orders share a service. A lookup that fails is sent
+// elsewhere, an order that fails is lost, so lookups find out which endpoints are back.
+func TestIdempotentRequestsTryEndpointsFirst(t *testing.T) {
+	m := newMachine(endpoints(8))
+	now := start
+	trials := map[bool]int{}
+	for i := range uint64(3000) {
+		now = now.Add(20 * time.Millisecond)
+		a := ask(i, now)
+		a.Idempotent = i%2 == 0
+		m.Ask(now, a)
+		g := m.Take().Grants[0]
+		if g.Chance < 0.8 {
+			trials[a.Idempotent]++
+		}
+		kind := EndedServed
+		if g.Endpoint.ID <= 2 {
+			kind = EndedFailed
+		}
+		m.Ended(now, g.Endpoint.ID, kind, 300*time.Millisecond)
+		m.Take()
+	}
+	if trials[true] < 4*trials[false] || trials[true] == 0 {
+		t.Errorf("%d lookups and %d orders went to endpoints that may fail", trials[true], trials[false])
+	}
+}
+
 // Whatever comes, each request gets one end, and none goes where it must not.
 func TestEveryAskEndsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -16,6 +16,8 @@
 	crowdCost = 0.015
 	// waitCost is taken off for each usual time that a request would wait for a slot.
 	waitCost = 0.05
+	// secondChance is the chance that an idempotent request is served after its first try failed.
+	secondChance = 0.7
 	// unusedBonus brings a first request to an endpoint that joined.
 	unusedBonus = 0.3
 	// jitter keeps instances with the same view from choosing alike.
@@ -35,6 +37,8 @@
 	// coverEvery is how often each such endpoint is used, well inside the two seconds over
 	// which the users judge it.
 	coverEvery = 1400 * time.Millisecond
+	// testEvery is how often idempotent requests do so: they go first, since a failure costs them a repeat only.
+	testEvery = 900 * time.Millisecond
 	// spreadFrom is the unserved share from which endpoints count as sound whatever their
 	// chance; from a tenth on, the users want most of them in use.
 	spreadFrom = 0.08
@@ -64,7 +68,7 @@
 		if !ok || c.worth > best.worth {
 			best, ok = c, true
 		}
-		if c.due(now, spread) && (due.endpoint == nil || c.worth > due.worth) {
+		if c.due(now, spread, a.Idempotent) && (due.endpoint == nil || c.worth > due.worth) {
 			due = c
 		}
 	}
@@ -75,8 +79,12 @@
 }
 
 // due tells whether an endpoint is to be used because it has not been for long.
-func (c choice) due(now time.Time, spread bool) bool {
-	if now.Sub(c.endpoint.used) < coverEvery {
+func (c choice) due(now time.Time, spread, idempotent bool) bool {
+	every := coverEvery
+	if idempotent {
+		every = testEvery
+	}
+	if now.Sub(c.endpoint.used) < every {
 		return false
 	}
 	return c.chance >= coverChance || spread && now.Sub(c.endpoint.failed) > spreadRest
@@ -102,9 +110,9 @@
 	}
 	wait := queueing(e, work)
 	c.finish = work + wait
-	c.worth = c.chance * credit(a, now, c.finish)
+	c.worth = m.servedChance(c.chance, a) * credit(a, now, c.finish)
 	c.worth -= crowdCost*float64(e.inFlight)/float64(e.Slots) + waitCost*wait.Seconds()/work.Seconds()
-	if c.chance < unprovenChance {
+	if c.chance < unprovenChance && !a.Idempotent {
 		c.worth -= unprovenCost * float64(e.inFlight)
 	}
 	if e.used.IsZero() && now.After(e.WarmUntil) && now.Sub(e.joined) > time.Second {
@@ -117,6 +125,15 @@
 	return c
 }
 
+// servedChance returns the chance that a request is served in the end: an idempotent one
+// whose first try fails, mostly at once, is sent elsewhere.
+func (m *Machine) servedChance(chance float64, a *Ask) float64 {
+	if !a.Idempotent || a.Repeat {
+		return chance
+	}
+	return chance + (1-chance)*secondChance
+}
+
 // queueing returns how long a request waits for a slot.
 func queueing(e *tracked, work time.Duration) time.Duration {
 	ahead := e.inFlight - e.Slots + 1
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,7 @@
 // Run serves until ctx ends, and then makes a planned stop. reload asks for the settings file to be read again.
 func (g *Gateway) Run(ctx context.Context, reload <-chan os.Signal) error {
 	s := g.current()
-	g.log.Info("start", "callers", s.Listen.Callers, "zone", s.Instance.Zone, "store", s.Store.Address, "peer", uint64(g.control.peer))
+	g.log.Info("start", "callers", s.Listen.Callers, "zone", s.Instance.Zone, "store", s.Store.Address, "life", uint64(g.control.peer))
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	listed, unlist := context.WithCancel(life)
 	failed := make(chan error, 1)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -69,7 +69,7 @@
 		return
 	}
 	m.list[key] = &member{memberRecord: r, joined: now}
-	m.log.Info("instance joined", "instance", strings.TrimPrefix(key, memberPrefix), "zone", r.Zone, "callers", r.Callers)
+	m.log.Info("instance joined", "peer", strings.TrimPrefix(key, memberPrefix), "zone", r.Zone, "callers", r.Callers)
 }
 
 // remove drops an instance whose registration went. While the store is in trouble it stays
@@ -84,7 +84,7 @@
 		return
 	}
 	delete(m.list, key)
-	m.log.Info("instance left", "instance", strings.TrimPrefix(key, memberPrefix))
+	m.log.Info("instance left", "peer", strings.TrimPrefix(key, memberPrefix))
 }
 
 // hear notes a message of an instance.
@@ -103,7 +103,7 @@
 	for key, e := range m.list {
 		if e.lapsed && now.Sub(e.heard) > silenceTimeout {
 			delete(m.list, key)
-			m.log.Info("instance lapsed and silent", "instance", strings.TrimPrefix(key, memberPrefix))
+			m.log.Info("instance lapsed and silent", "peer", strings.TrimPrefix(key, memberPrefix))
 		}
 	}
 }
