--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -37,8 +37,10 @@
 	// coverEvery is how often each such endpoint is used, well inside the two seconds over
 	// which the users judge it.
 	coverEvery = 1400 * time.Millisecond
-	// testEvery is how often idempotent requests do so: they go first, since a failure costs them a repeat only.
-	testEvery = 900 * time.Millisecond
+	// testChance and testEvery hold for idempotent requests: they go first, since a failure
+	// costs them a repeat only.
+	testChance = 0.35
+	testEvery  = 900 * time.Millisecond
 	// spreadFrom is the unserved share from which endpoints count as sound whatever their
 	// chance; from a tenth on, the users want most of them in use.
 	spreadFrom = 0.08
@@ -80,14 +82,14 @@
 
 // due tells whether an endpoint is to be used because it has not been for long.
 func (c choice) due(now time.Time, spread, idempotent bool) bool {
-	every := coverEvery
+	chance, every := coverChance, coverEvery
 	if idempotent {
-		every = testEvery
+		chance, every = testChance, testEvery
 	}
 	if now.Sub(c.endpoint.used) < every {
 		return false
 	}
-	return c.chance >= coverChance || spread && now.Sub(c.endpoint.failed) > spreadRest
+	return c.chance >= chance || spread && now.Sub(c.endpoint.failed) > spreadRest
 }
 
 // spreads tells whether so many requests go unserved that every sound endpoint is to be used.
