Costs are parts of the credit; an order that would fail for certain is turned away unrun

Cause: the costs of a queue were taken off a credit that was already small, so a crowded sound endpoint came out below zero and any failing one above it. Ruled out: a stale view (the chances in the log are right), the cover of unused endpoints (the tries were 0.1 s apart). Costs now multiply the credit, and below a chance of 0.05 an order gets a refusal that says when to come back.

--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -144,7 +144,7 @@
 	case a.Hedge && (c.chance < coverChance || c.endpoint.inFlight >= c.endpoint.Slots-1):
 		m.reject(Rejection{Ask: a.ID, Reason: NoSpare, Left: left})
 		return true
-	case likelyBy(left, c.finish) == 0:
+	case c.lost(left, a.Idempotent):
 		m.reject(Rejection{Ask: a.ID, Reason: Overloaded, RetryAfter: s.usual(), Expected: c.finish, Left: left})
 		return true
 	}
--- a/coord/dispatch/machine_test.go
+++ b/coord/dispatch/machine_test.go
@@ -210,6 +210,35 @@
 	}
 }
 
+// The load that it answers: a burst while a third of the endpoints fail. However crowded the
+// sound ones are, an order is not sent where it fails for certain.
+func TestCrowdedEndpointsGoBeforeFailingOnes(t *testing.T) {
+	m := newMachine(endpoints(9))
+	for id := EndpointID(1); id <= 9; id++ {
+		kind, took := EndedServed, 240
+		if id <= 3 {
+			kind, took = EndedFailed, 3
+		}
+		m.Report(start, 7, []Event{{Endpoint: id, Kind: kind, Took: took}, {Endpoint: id, Kind: kind, Took: took}})
+	}
+	turnedAway := 0
+	for i := range uint64(400) {
+		a := ask(i, start)
+		a.Objective, a.Deadline = start.Add(time.Second), start.Add(2*time.Second)
+		m.Ask(start, a)
+		e := m.Take()
+		turnedAway += len(e.Rejections)
+		for _, g := range e.Grants {
+			if g.Chance < lostChance {
+				t.Fatalf("order %d goes to %s with a chance of %.2f", i, g.Endpoint.Name, g.Chance)
+			}
+		}
+	}
+	if turnedAway == 0 {
+		t.Error("400 orders with 2 s each are all queued on 24 slots")
+	}
+}
+
 // The load that it answers: lookups and orders share a service. A lookup that fails is sent
 // elsewhere, an order that fails is lost, so lookups find out which endpoints are back.
 func TestIdempotentRequestsTryEndpointsFirst(t *testing.T) {
--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -26,6 +26,11 @@
 	unprovenChance = 0.85
 	// unprovenCost is taken off for each request that is on trial there already.
 	unprovenCost = 0.1
+	// leastPreference bounds what costs take off.
+	leastPreference = 0.2
+	// lostChance is the chance of an answer under which an order is turned away unrun: a
+	// refusal that says so serves its caller better than a failure that is all but certain.
+	lostChance = 0.05
 	// coldFactor is how many times longer a request takes at an endpoint that warms up.
 	coldFactor = 2
 )
@@ -80,6 +85,12 @@
 	return best, ok
 }
 
+// lost tells whether a request is better turned away than sent to its best endpoint.
+func (c choice) lost(left time.Duration, idempotent bool) bool {
+	inTime := likelyBy(left, c.finish)
+	return inTime == 0 || !idempotent && c.chance*inTime < lostChance
+}
+
 // due tells whether an endpoint is to be used because it has not been for long.
 func (c choice) due(now time.Time, spread, idempotent bool) bool {
 	chance, every := coverChance, coverEvery
@@ -103,7 +114,8 @@
 	return !e.Leaving && !now.Before(e.reach.until) && !slices.Contains(a.Tried, e.ID)
 }
 
-// weigh returns what an endpoint is worth to a request.
+// weigh returns what an endpoint is worth to a request. Costs and preferences are parts of
+// the expected credit: however crowded, a sound endpoint goes before one that fails.
 func (m *Machine) weigh(now time.Time, s *service, e *tracked, a *Ask) choice {
 	c := choice{endpoint: e, chance: e.estimate.At(m.cfg.Rates, now)}
 	work := e.took.or(s.usual())
@@ -112,17 +124,17 @@
 	}
 	wait := queueing(e, work)
 	c.finish = work + wait
-	c.worth = m.servedChance(c.chance, a) * credit(a, now, c.finish)
-	c.worth -= crowdCost*float64(e.inFlight)/float64(e.Slots) + waitCost*wait.Seconds()/work.Seconds()
+	preference := 1 - crowdCost*float64(e.inFlight)/float64(e.Slots) - waitCost*wait.Seconds()/work.Seconds()
 	if c.chance < unprovenChance && !a.Idempotent {
-		c.worth -= unprovenCost * float64(e.inFlight)
+		preference -= unprovenCost * float64(e.inFlight)
+	}
+	if e.Zone == m.cfg.Zone {
+		preference += zoneBonus
 	}
+	c.worth = m.servedChance(c.chance, a) * credit(a, now, c.finish) * max(preference, leastPreference)
 	if e.used.IsZero() && now.After(e.WarmUntil) && now.Sub(e.joined) > time.Second {
 		c.worth += unusedBonus
 	}
-	if e.Zone == m.cfg.Zone {
-		c.worth += zoneBonus
-	}
 	c.worth += jitter * rand.New(m.random).Float64()
 	return c
 }
