Each request is settled at once; long files split, dead parts removed

Every Ask was granted or turned away as it came, so the machine's queue and its withdrawal are gone and Acquire is one question and one answer. The pause between watches follows the promised times. An upstream that starts again under its id is another life.

--- a/coord/dispatch/doc.go
+++ b/coord/dispatch/doc.go
@@ -11,7 +11,7 @@
 //
 // Guarantees:
 //
-//   - Each Ask ends with exactly one Grant or one Rejection, at the latest at its Latest time.
+//   - Each Ask gets a Grant or a Rejection at once.
 //   - No Grant names an endpoint that is leaving or that the Ask has tried already.
 //   - A repeat is granted only within the service's retry budget.
 package dispatch
--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -2,20 +2,12 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/outlook"
 	"github.com/damaskcove/damaskcove/coord/retrybudget"
 )
 
-// Effects are what a Machine wants done.
-type Effects struct {
-	Grants     []Grant
-	Rejections []Rejection
-	Reports    []Event // To be told to all other instances.
-}
-
 // Machine is one instance's view of the fleet's work.
 type Machine struct {
 	cfg       Config
@@ -23,8 +15,8 @@
 	services  map[string]*service
 	endpoints map[EndpointID]*tracked
 	heard     map[Peer]time.Time
-	peers     int // Other instances that are known.
-	effects   Effects
+	peers     int     // Other instances that are known.
+	reports   []Event // Not yet taken.
 }
 
 // New returns a Machine without endpoints.
@@ -38,11 +30,11 @@
 	}
 }
 
-// Take returns the effects since the last Take.
-func (m *Machine) Take() Effects {
-	e := m.effects
-	m.effects = Effects{}
-	return e
+// TakeReports returns what is to be told to all other instances since the last call.
+func (m *Machine) TakeReports() []Event {
+	events := m.reports
+	m.reports = nil
+	return events
 }
 
 // SetPeers tells how many other instances there are.
@@ -58,7 +50,7 @@
 	}
 	for _, e := range list {
 		t := m.endpoints[e.ID]
-		if t == nil || t.Service != e.Service || t.Address != e.Address {
+		if t == nil || t.Service != e.Service || t.Address != e.Address || !t.Started.Equal(e.Started) {
 			t = &tracked{joined: now, peers: make(map[Peer]int), estimate: outlook.New(m.cfg.Rates, now)}
 		}
 		t.Endpoint = e
@@ -67,7 +59,6 @@
 		s.endpoints = append(s.endpoints, t)
 	}
 	m.endpoints = next
-	m.place(now)
 }
 
 func (m *Machine) service(name string) *service {
@@ -79,32 +70,23 @@
 	return s
 }
 
-// waiting is an Ask that has no endpoint yet.
-type waiting struct {
-	Ask
-	since time.Time
-}
-
-// Ask takes a request in. Its Grant or Rejection is among the effects, now or later.
-func (m *Machine) Ask(now time.Time, a Ask) {
+// Ask gives a request an endpoint, or turns it away.
+func (m *Machine) Ask(now time.Time, a Ask) (Grant, *Rejection) {
 	s := m.service(a.Service)
+	left := a.Deadline.Sub(now)
 	if a.Repeat && !s.budget.Allows(now, m.budgetShare(now)) {
-		m.reject(Rejection{Ask: a.ID, Reason: BudgetSpent, Left: a.Deadline.Sub(now)})
-		return
+		return Grant{}, &Rejection{Reason: BudgetSpent, Left: left}
 	}
-	w := waiting{Ask: a, since: now}
-	at := slices.IndexFunc(s.waiting, func(o waiting) bool { return o.Priority > a.Priority })
-	if at < 0 {
-		at = len(s.waiting)
+	c, ok := m.choose(now, s, &a)
+	switch {
+	case !ok:
+		return Grant{}, &Rejection{Reason: NoEndpoint, RetryAfter: s.usual(), Left: left}
+	case a.Hedge && (c.chance < coverChance || c.endpoint.inFlight >= c.endpoint.Slots-1):
+		return Grant{}, &Rejection{Reason: NoSpare, Left: left}
+	case c.lost(left, a.Idempotent):
+		return Grant{}, &Rejection{Reason: Overloaded, RetryAfter: s.usual(), Expected: c.finish, Left: left}
 	}
-	s.waiting = slices.Insert(s.waiting, at, w)
-	m.placeService(now, s)
-}
-
-// Withdraw takes back an Ask that has no endpoint yet; it gets no answer.
-func (m *Machine) Withdraw(service string, ask uint64) {
-	s := m.service(service)
-	s.waiting = slices.DeleteFunc(s.waiting, func(w waiting) bool { return w.ID == ask })
+	return m.start(now, s, c, a.Repeat), nil
 }
 
 // budgetShare returns the part of the shared budget that this instance may spend.
@@ -121,57 +103,22 @@
 	return float64(min(heard, m.peers)+1) / float64(m.peers+1)
 }
 
-// place looks again at every request that waits.
-func (m *Machine) place(now time.Time) {
-	for _, s := range m.services {
-		m.placeService(now, s)
-	}
-}
-
-// placeService grants or rejects the waiting requests of a service in order.
-func (m *Machine) placeService(now time.Time, s *service) {
-	s.waiting = slices.DeleteFunc(s.waiting, func(w waiting) bool { return m.settle(now, s, w.Ask) })
-}
-
-// settle grants or rejects a request and tells whether it did.
-func (m *Machine) settle(now time.Time, s *service, a Ask) bool {
-	left := a.Deadline.Sub(now)
-	c, ok := m.choose(now, s, &a)
-	switch {
-	case !ok:
-		m.reject(Rejection{Ask: a.ID, Reason: NoEndpoint, RetryAfter: s.usual(), Left: left})
-		return true
-	case a.Hedge && (c.chance < coverChance || c.endpoint.inFlight >= c.endpoint.Slots-1):
-		m.reject(Rejection{Ask: a.ID, Reason: NoSpare, Left: left})
-		return true
-	case c.lost(left, a.Idempotent):
-		m.reject(Rejection{Ask: a.ID, Reason: Overloaded, RetryAfter: s.usual(), Expected: c.finish, Left: left})
-		return true
-	}
-	m.start(now, s, c, a)
-	return true
-}
-
-func (m *Machine) reject(r Rejection) {
-	m.effects.Rejections = append(m.effects.Rejections, r)
-}
-
-func (m *Machine) start(now time.Time, s *service, c choice, a Ask) {
+func (m *Machine) start(now time.Time, s *service, c choice, repeat bool) Grant {
 	e := c.endpoint
 	e.own++
 	e.inFlight++
 	e.used = now
-	s.budget.Sent(now, a.Repeat)
-	m.effects.Grants = append(m.effects.Grants, Grant{Ask: a.ID, Endpoint: e.Endpoint, Chance: c.chance, InFlight: e.inFlight, Usual: e.took.or(s.usual())})
+	s.budget.Sent(now, repeat)
 	kind := Started
-	if a.Repeat {
+	if repeat {
 		kind = Repeated
 	}
 	m.report(e, kind, 0)
+	return Grant{Endpoint: e.Endpoint, Chance: c.chance, InFlight: e.inFlight, Usual: e.took.or(s.usual())}
 }
 
 func (m *Machine) report(e *tracked, kind EventKind, took time.Duration) {
-	m.effects.Reports = append(m.effects.Reports, Event{Endpoint: e.ID, InFlight: e.own, Kind: kind, Took: int(took.Milliseconds())})
+	m.reports = append(m.reports, Event{Endpoint: e.ID, InFlight: e.own, Kind: kind, Took: int(took.Milliseconds())})
 }
 
 // Ended takes in the end of a granted request.
@@ -185,7 +132,6 @@
 	e.reach.failures = 0
 	m.learn(now, e, kind, took)
 	m.report(e, kind, took)
-	m.placeService(now, m.service(e.Service))
 }
 
 // Unreachable takes in that a granted request could not be sent from this instance.
--- a/coord/dispatch/service.go
+++ b/coord/dispatch/service.go
@@ -13,7 +13,6 @@
 	budget    *retrybudget.Budget
 	took      average
 	recent    recent
-	waiting   []waiting // In the order in which they are placed.
 }
 
 // recent counts how requests of all instances ended over the last two seconds.
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -22,17 +22,16 @@
 	Zone      string
 	Slots     int
 	Leaving   bool
+	Started   time.Time // A start under the same id is another life, of which nothing is known.
 	WarmUntil time.Time // It is slow until then.
 }
 
 // Ask is a request that wants an endpoint.
 type Ask struct {
-	ID         uint64
 	Service    string
 	Idempotent bool
 	Repeat     bool // It was sent before and draws on the retry budget.
 	Hedge      bool // It is under way elsewhere; it gets a free slot at a sound endpoint or none.
-	Priority   int  // 0 is the highest.
 	Objective  time.Time
 	Deadline   time.Time
 	Tried      []EndpointID
@@ -51,7 +50,6 @@
 
 // Grant gives a request an endpoint. It counts as in flight until Ended.
 type Grant struct {
-	Ask      uint64
 	Endpoint Endpoint
 	Chance   float64       // Estimated chance that it is served.
 	InFlight int           // Requests of all instances there, this one included.
@@ -60,7 +58,6 @@
 
 // Rejection turns a request away.
 type Rejection struct {
-	Ask        uint64
 	Reason     Reason
 	RetryAfter time.Duration
 	Expected   time.Duration // Of Overloaded: time to an answer at the best endpoint.
--- /dev/null
+++ b/internal/gateway/contents.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"strings"
+	"time"
+
+	"github.com/damaskcove/damaskcove/platform"
+)
+
+// replace takes in everything that the store holds.
+func (c *control) replace(now time.Time, items []platform.Item, at platform.Revision) {
+	present := make(map[string]bool, len(items))
+	changed := false
+	for _, item := range items {
+		present[item.Key] = true
+		changed = c.put(now, item) || changed
+	}
+	for _, key := range c.registry.keys() {
+		if !present[key] {
+			changed = c.miss(now, key) || changed
+		}
+	}
+	for key := range c.members.list {
+		if !present[key] {
+			c.members.remove(key, c.troubled(now))
+		}
+	}
+	c.synced = true
+	c.followed(now, at, changed)
+}
+
+// change takes in what has changed in the store.
+func (c *control) change(now time.Time, items []platform.Item, at platform.Revision) {
+	changed := false
+	for _, item := range items {
+		if item.Deleted {
+			changed = c.drop(item.Key) || changed
+		} else {
+			changed = c.put(now, item) || changed
+		}
+	}
+	c.followed(now, at, changed)
+}
+
+func (c *control) followed(now time.Time, at platform.Revision, changed bool) {
+	c.revision = max(c.revision, at)
+	c.behind = time.Time{}
+	if changed {
+		c.applyUpstreams(now)
+	}
+	c.publish(now)
+}
+
+// put takes in one key and tells whether the endpoints changed.
+func (c *control) put(now time.Time, item platform.Item) bool {
+	switch {
+	case item.Key == platform.ConfigKey:
+		return c.adopt(item.Value)
+	case strings.HasPrefix(item.Key, platform.UpstreamPrefix):
+		return c.registry.put(now, item.Key, item.Value)
+	case strings.HasPrefix(item.Key, memberPrefix):
+		c.members.put(now, item.Key, item.Value)
+	}
+	return false
+}
+
+// miss takes in that a registration of an upstream was not there when all keys were read,
+// and tells whether the endpoints changed. It may have lapsed while the store was away.
+func (c *control) miss(now time.Time, key string) bool {
+	if c.troubled(now) {
+		return c.registry.lapse(now, key)
+	}
+	return c.registry.remove(key)
+}
+
+// drop takes in that a key was removed and tells whether the endpoints changed.
+func (c *control) drop(key string) bool {
+	switch {
+	case strings.HasPrefix(key, platform.UpstreamPrefix):
+		return c.registry.remove(key)
+	case key == c.members.self:
+		notify(c.unlisted)
+	case strings.HasPrefix(key, memberPrefix):
+		c.members.remove(key, false)
+	}
+	return false
+}
+
+// notify wakes the receiver of a channel with room for one.
+func notify(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// adopt takes in a configuration that is newer than the one in force.
+func (c *control) adopt(value []byte) bool {
+	next, err := platform.DecodeConfig(value)
+	if err != nil {
+		c.log.Error("configuration ignored", "error", err.Error())
+		return false
+	}
+	if c.config != nil && next.Version <= c.config.Version {
+		return false
+	}
+	c.config = next
+	c.log.Info("configuration in force", "version", next.Version.String(), "routes", len(next.Routes), "services", len(next.Services))
+	return true
+}
+
+func (c *control) applyUpstreams(now time.Time) {
+	if c.config != nil {
+		c.machine.SetEndpoints(now, c.registry.endpoints(c.config))
+	}
+}
+
+func (c *control) troubled(now time.Time) bool {
+	return now.Sub(c.trouble) < troubleWindow
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -61,7 +61,6 @@
 
 	// Owned by the loop.
 	machine  *dispatch.Machine
-	asks     map[uint64]chan<- acquired
 	config   *platform.Config
 	registry *registry
 	members  *members
@@ -76,10 +75,12 @@
 
 // acquired is the outcome of an Acquire.
 type acquired struct {
-	grant dispatch.Grant
-	err   error
+	grant     dispatch.Grant
+	rejection *dispatch.Rejection
 }
 
+var errStopped = errors.New("the control loop has ended")
+
 func newControl(s *Settings, log *slog.Logger, socket *peerSocket) *control {
 	c := &control{
 		settings: s,
@@ -96,7 +97,6 @@
 			Retry:       retrybudget.Bound{Window: s.Retry.Window, Ratio: s.Retry.Ratio, Extra: s.Retry.Extra},
 			PeerTimeout: peerTimeout,
 		}, rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		asks:     make(map[uint64]chan<- acquired),
 		registry: newRegistry(log),
 		members:  newMembers(s.Instance.ID, s.Instance.Zone, log),
 	}
@@ -122,28 +122,14 @@
 	}
 }
 
-// settle carries out the machine's effects, and tells the others once nothing more waits.
+// settle tells the others what has happened, once no more commands wait.
 func (c *control) settle() {
-	e := c.machine.Take()
-	for _, g := range e.Grants {
-		c.answer(g.Ask, acquired{grant: g})
-	}
-	for _, r := range e.Rejections {
-		c.answer(r.Ask, acquired{err: &forward.Rejected{Rejection: r}})
-	}
-	c.reports = append(c.reports, e.Reports...)
+	c.reports = append(c.reports, c.machine.TakeReports()...)
 	if len(c.reports) > 0 && (len(c.commands) == 0 || len(c.reports) >= maxEvents) {
 		c.tell()
 	}
 }
 
-func (c *control) answer(ask uint64, a acquired) {
-	if to, ok := c.asks[ask]; ok {
-		delete(c.asks, ask)
-		to <- a
-	}
-}
-
 // tell sends what has happened to all other instances.
 func (c *control) tell() {
 	for first := true; first || len(c.reports) > 0; first = false {
@@ -209,118 +195,6 @@
 	return callers.Limits{HeadBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeadTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
 }
 
-// replace takes in everything that the store holds.
-func (c *control) replace(now time.Time, items []platform.Item, at platform.Revision) {
-	present := make(map[string]bool, len(items))
-	changed := false
-	for _, item := range items {
-		present[item.Key] = true
-		changed = c.put(now, item) || changed
-	}
-	for _, key := range c.registry.keys() {
-		if !present[key] {
-			changed = c.miss(now, key) || changed
-		}
-	}
-	for key := range c.members.list {
-		if !present[key] {
-			c.members.remove(key, c.troubled(now))
-		}
-	}
-	c.synced = true
-	c.followed(now, at, changed)
-}
-
-// change takes in what has changed in the store.
-func (c *control) change(now time.Time, items []platform.Item, at platform.Revision) {
-	changed := false
-	for _, item := range items {
-		if item.Deleted {
-			changed = c.drop(item.Key) || changed
-		} else {
-			changed = c.put(now, item) || changed
-		}
-	}
-	c.followed(now, at, changed)
-}
-
-func (c *control) followed(now time.Time, at platform.Revision, changed bool) {
-	c.revision = max(c.revision, at)
-	c.behind = time.Time{}
-	if changed {
-		c.applyUpstreams(now)
-	}
-	c.publish(now)
-}
-
-// put takes in one key and tells whether the endpoints changed.
-func (c *control) put(now time.Time, item platform.Item) bool {
-	switch {
-	case item.Key == platform.ConfigKey:
-		return c.adopt(item.Value)
-	case strings.HasPrefix(item.Key, platform.UpstreamPrefix):
-		return c.registry.put(now, item.Key, item.Value)
-	case strings.HasPrefix(item.Key, memberPrefix):
-		c.members.put(now, item.Key, item.Value)
-	}
-	return false
-}
-
-// miss takes in that a registration of an upstream was not there when all keys were read,
-// and tells whether the endpoints changed. It may have lapsed while the store was away.
-func (c *control) miss(now time.Time, key string) bool {
-	if c.troubled(now) {
-		return c.registry.lapse(now, key)
-	}
-	return c.registry.remove(key)
-}
-
-// drop takes in that a key was removed and tells whether the endpoints changed.
-func (c *control) drop(key string) bool {
-	switch {
-	case strings.HasPrefix(key, platform.UpstreamPrefix):
-		return c.registry.remove(key)
-	case key == c.members.self:
-		notify(c.unlisted)
-	case strings.HasPrefix(key, memberPrefix):
-		c.members.remove(key, false)
-	}
-	return false
-}
-
-// notify wakes the receiver of a channel with room for one.
-func notify(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
-// adopt takes in a configuration that is newer than the one in force.
-func (c *control) adopt(value []byte) bool {
-	next, err := platform.DecodeConfig(value)
-	if err != nil {
-		c.log.Error("configuration ignored", "error", err.Error())
-		return false
-	}
-	if c.config != nil && next.Version <= c.config.Version {
-		return false
-	}
-	c.config = next
-	c.log.Info("configuration in force", "version", next.Version.String(), "routes", len(next.Routes), "services", len(next.Services))
-	return true
-}
-
-func (c *control) applyUpstreams(now time.Time) {
-	if c.config != nil {
-		c.machine.SetEndpoints(now, c.registry.endpoints(c.config))
-	}
-}
-
-func (c *control) troubled(now time.Time) bool {
-	return now.Sub(c.trouble) < troubleWindow
-}
-
 // hear takes in another instance's message.
 func (c *control) hear(now time.Time, m message) {
 	if m.From == c.peer {
@@ -334,32 +208,20 @@
 }
 
 // Acquire implements forward.Dispatcher.
-func (c *control) Acquire(ctx context.Context, a dispatch.Ask) (dispatch.Grant, error) {
+func (c *control) Acquire(a dispatch.Ask) (dispatch.Grant, error) {
 	reply := make(chan acquired, 1)
 	c.post(func() {
-		c.asks[a.ID] = reply
-		c.machine.Ask(time.Now(), a)
+		grant, rejection := c.machine.Ask(time.Now(), a)
+		reply <- acquired{grant: grant, rejection: rejection}
 	})
 	select {
 	case got := <-reply:
-		return got.grant, got.err
-	case <-ctx.Done():
-		c.post(func() { c.withdraw(a, reply) })
-		return dispatch.Grant{}, context.Cause(ctx)
+		if got.rejection != nil {
+			return dispatch.Grant{}, &forward.Rejected{Rejection: *got.rejection}
+		}
+		return got.grant, nil
 	case <-c.done:
-		return dispatch.Grant{}, context.Canceled
-	}
-}
-
-// withdraw ends an Acquire that nobody waits for.
-func (c *control) withdraw(a dispatch.Ask, reply <-chan acquired) {
-	if _, waits := c.asks[a.ID]; waits {
-		delete(c.asks, a.ID)
-		c.machine.Withdraw(a.Service, a.ID)
-		return
-	}
-	if got := <-reply; got.err == nil {
-		c.machine.Ended(time.Now(), got.grant.Endpoint.ID, dispatch.EndedUnknown, 0)
+		return dispatch.Grant{}, errStopped
 	}
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -17,8 +17,8 @@
 	readTimeout = time.Second
 	// watchWait is how long a watch waits for a change; a dead connection shows by keep-alives.
 	watchWait = 25 * time.Second
-	// watchPause gathers changes into one call, well inside the 2 s in which they must be in force.
-	watchPause = 500 * time.Millisecond
+	// pauseParts divides the time in which a change must be in force: a part of it gathers changes into one call.
+	pauseParts = 4
 	// firstRetry and lastRetry bound the pause after a failed call; it doubles.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 400 * time.Millisecond
@@ -37,6 +37,7 @@
 	control *control
 	log     *slog.Logger
 	reach   *reach
+	pause   func() time.Duration // After each change, before the next watch.
 }
 
 // reach tells whether the store answers, by the calls of the follower and the registrar.
@@ -136,7 +137,7 @@
 	}
 	if len(items) > 0 {
 		f.control.post(func() { f.control.change(time.Now(), items, at) })
-		sleep(ctx, watchPause)
+		sleep(ctx, f.pause())
 	}
 	return max(after, at), nil
 }
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -112,7 +112,7 @@
 		}
 		list = append(list, dispatch.Endpoint{
 			ID: endpointID(e.ID), Name: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone,
-			Slots: e.Slots, Leaving: e.State == platform.UpstreamLeaving, WarmUntil: e.warmUntil,
+			Slots: e.Slots, Leaving: e.State == platform.UpstreamLeaving, Started: e.Started, WarmUntil: e.warmUntil,
 		})
 	}
 	return list
--- /dev/null
+++ b/internal/gateway/reload.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"context"
+	"os"
+	"time"
+)
+
+// settingsInterval is how often the settings file is looked at: it may change without a signal.
+const settingsInterval = time.Second
+
+// watchSettings reads the settings file again when it changes or a signal asks for it.
+func (g *Gateway) watchSettings(ctx context.Context, reload <-chan os.Signal) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+			signalled = true
+		case <-ticker.C:
+		}
+		if at := modified(g.path); signalled || !at.Equal(g.loaded) {
+			g.loaded = at
+			g.reload(signalled)
+		}
+	}
+}
+
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+func (g *Gateway) reload(signalled bool) {
+	next, err := LoadSettings(g.path)
+	if err != nil {
+		g.log.Error("settings not reloaded; the former ones stay", "error", err.Error())
+		return
+	}
+	kept := g.current().restartNeeded(next)
+	g.settings.Store(next)
+	g.log.Info("reload", "signal", signalled, "need_restart", kept)
+}
