--- a/internal/gateway/contents.go
+++ b/internal/gateway/contents.go
@@ -25,6 +25,7 @@
 			c.members.remove(key, c.troubled(now))
 		}
 	}
+	changed = c.registry.expire(now) || changed
 	c.synced = true
 	c.followed(now, at, changed)
 }
@@ -44,7 +45,7 @@
 
 func (c *control) followed(now time.Time, at platform.Revision, changed bool) {
 	c.revision = max(c.revision, at)
-	c.behind = time.Time{}
+	c.behind, c.ahead = time.Time{}, time.Time{}
 	if changed {
 		c.applyUpstreams(now)
 	}
@@ -65,12 +66,17 @@
 }
 
 // miss takes in that a registration of an upstream was not there when all keys were read,
-// and tells whether the endpoints changed. It may have lapsed while the store was away.
+// and tells whether the endpoints changed. It may have lapsed while the store was away; the
+// store is back since another instance was ahead, if one was.
 func (c *control) miss(now time.Time, key string) bool {
-	if c.troubled(now) {
-		return c.registry.lapse(now, key)
+	if !c.troubled(now) {
+		return c.registry.remove(key)
+	}
+	back := now
+	if !c.ahead.IsZero() {
+		back = c.ahead
 	}
-	return c.registry.remove(key)
+	return c.registry.lapse(back, key)
 }
 
 // drop takes in that a key was removed and tells whether the endpoints changed.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -68,6 +68,7 @@
 	revision platform.Revision
 	trouble  time.Time // Last failed call of the store.
 	behind   time.Time // Since when another instance has followed the store further; zero while none has.
+	ahead    time.Time // The same, but since the last change that this instance read.
 	leaving  bool
 	reports  []dispatch.Event
 	told     time.Time // Last message to the others.
@@ -202,9 +203,15 @@
 	}
 	c.members.hear(now, m.From, m.Leaving)
 	c.machine.Report(now, m.From, m.Events)
-	if m.Revision > c.revision && c.behind.IsZero() {
+	if m.Revision <= c.revision {
+		return
+	}
+	if c.behind.IsZero() {
 		c.behind = now
 	}
+	if c.ahead.IsZero() {
+		c.ahead = now
+	}
 }
 
 // Acquire implements forward.Dispatcher.
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -148,6 +148,40 @@
 	}
 }
 
+// The load that it answers: upstreams leave while one instance is cut off. If the others
+// followed the store meanwhile, it was not away, and what is missing has left.
+func TestWhatIsMissingAfterACutOfOneInstanceHasLeft(t *testing.T) {
+	entry := []byte(`{"service":"s","address":"192.0.2.1:80","zone":"a","version":"v","capacity":4,"state":"ready","warmup_left":"0ms","sequence":1}`)
+	for name, tc := range map[string]struct {
+		othersAhead bool
+		kept        bool
+	}{
+		"the others went on":     {othersAhead: true, kept: false},
+		"the store was away too": {othersAhead: false, kept: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			settings := DefaultSettings()
+			settings.Instance = InstanceSettings{ID: "one", Zone: "a"}
+			c := newControl(&settings, slog.New(slog.DiscardHandler), nil)
+			now := time.Unix(1000, 0)
+			c.replace(now, []platform.Item{{Key: "servers/i-1", Value: entry, Revision: 5}}, 5)
+			if tc.othersAhead {
+				c.hear(now.Add(time.Second), message{From: c.peer + 1, Revision: 9})
+			}
+			back := now.Add(12 * time.Second)
+			c.trouble = back
+			c.replace(back, nil, 9)
+			if kept := len(c.registry.keys()) == 1; kept != tc.kept {
+				t.Errorf("kept %v", kept)
+			}
+			c.registry.expire(back.Add(2 * time.Second))
+			if len(c.registry.keys()) != 0 {
+				t.Error("still kept two seconds after the store's return")
+			}
+		})
+	}
+}
+
 func TestLogNeverBlocks(t *testing.T) {
 	r, w := io.Pipe()
 	l := newLogWriter(w)
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -23,12 +23,13 @@
 type entry struct {
 	platform.Upstream
 	warmUntil time.Time
-	lapsed    time.Time // When its key went while the store was in trouble; zero while the key is there.
+	lapsed    time.Time // When the store was back without its key; zero while the key is there.
 }
 
 // lapseGrace is how long after the store's return a registration that went meanwhile may
-// take to come back; the platform gives two seconds.
-const lapseGrace = 2200 * time.Millisecond
+// take to come back: the upstreams' interval of registration and a little more. The platform
+// gives two seconds, and as many until an upstream that left may get no more work.
+const lapseGrace = 1600 * time.Millisecond
 
 func newRegistry(log *slog.Logger) *registry {
 	return &registry{log: log, entries: make(map[string]*entry)}
@@ -70,8 +71,8 @@
 	return true
 }
 
-// lapse marks a registration that went while the store was in trouble: it may come back.
-func (r *registry) lapse(now time.Time, key string) bool {
+// lapse marks a registration that was missing when the store was back: it may come back too.
+func (r *registry) lapse(back time.Time, key string) bool {
 	e := r.entries[key]
 	if e == nil {
 		return false
@@ -80,7 +81,7 @@
 		return r.remove(key)
 	}
 	if e.lapsed.IsZero() {
-		e.lapsed = now
+		e.lapsed = back
 		r.log.Info("upstream's registration lapsed with the store", "upstream", e.ID, "service", e.Service)
 	}
 	return false
