An instance that has just started leaves repeats to those that know what was spent

Messages now tell whether their sender has counted for a whole window; beside one that has, an instance that has not repeats nothing.

Settings of [retry] are taken at the start and now named as such on a reload. Tests of instances listen on loopback addresses of their own process.

--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -15,11 +15,17 @@
 	started   time.Time
 	services  map[string]*service
 	endpoints map[EndpointID]*tracked
-	heard     map[Peer]time.Time
+	heard     map[Peer]heard
 	peers     int     // Other instances that are known.
 	reports   []Event // Not yet taken.
 }
 
+// heard is when a peer was heard last.
+type heard struct {
+	at       time.Time
+	seasoned bool // It has counted for a whole retry window.
+}
+
 // New returns a Machine without endpoints for an instance that starts now.
 func New(cfg Config, now time.Time, random rand.Source) *Machine {
 	return &Machine{
@@ -28,7 +34,7 @@
 		started:   now,
 		services:  make(map[string]*service),
 		endpoints: make(map[EndpointID]*tracked),
-		heard:     make(map[Peer]time.Time),
+		heard:     make(map[Peer]heard),
 	}
 }
 
@@ -76,7 +82,7 @@
 func (m *Machine) Ask(now time.Time, a Ask) (Grant, *Rejection) {
 	s := m.service(a.Service)
 	left := a.Deadline.Sub(now)
-	if a.Repeat && !s.budget.Allows(now, m.budgetShare(now)) {
+	if a.Repeat && (m.deferred(now) || !s.budget.Allows(now, m.budgetShare(now))) {
 		return Grant{}, &Rejection{Reason: BudgetSpent, Left: left}
 	}
 	c, ok := m.choose(now, s, &a)
@@ -91,14 +97,33 @@
 	return m.start(now, s, c, a.Repeat), nil
 }
 
+// Seasoned tells whether this instance has counted for a whole retry window.
+func (m *Machine) Seasoned(now time.Time) bool {
+	return now.Sub(m.started) >= m.cfg.Retry.Window
+}
+
+// deferred tells whether repeats are left to others: they know what was spent before this
+// instance started, and may be spending all of the budget.
+func (m *Machine) deferred(now time.Time) bool {
+	if m.Seasoned(now) {
+		return false
+	}
+	for _, h := range m.heard {
+		if h.seasoned && now.Sub(h.at) < m.cfg.PeerTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // budgetShare returns the part of the shared budget that this instance may spend.
 func (m *Machine) budgetShare(now time.Time) float64 {
 	if m.peers == 0 {
 		return 1
 	}
 	heard := 0
-	for _, at := range m.heard {
-		if now.Sub(at) < m.cfg.PeerTimeout {
+	for _, h := range m.heard {
+		if now.Sub(h.at) < m.cfg.PeerTimeout {
 			heard++
 		}
 	}
@@ -175,9 +200,9 @@
 	}
 }
 
-// Report takes in what another instance tells.
-func (m *Machine) Report(now time.Time, from Peer, events []Event) {
-	m.heard[from] = now
+// Report takes in what another instance tells, and whether that one is Seasoned.
+func (m *Machine) Report(now time.Time, from Peer, seasoned bool, events []Event) {
+	m.heard[from] = heard{at: now, seasoned: seasoned}
 	for _, ev := range events {
 		e := m.endpoints[ev.Endpoint]
 		if e == nil {
@@ -196,8 +221,8 @@
 
 // Forget drops what peers that have been silent for long, or are gone, had in flight.
 func (m *Machine) Forget(now time.Time) {
-	for p, at := range m.heard {
-		if now.Sub(at) < m.cfg.PeerTimeout {
+	for p, h := range m.heard {
+		if now.Sub(h.at) < m.cfg.PeerTimeout {
 			continue
 		}
 		delete(m.heard, p)
--- a/coord/dispatch/machine_test.go
+++ b/coord/dispatch/machine_test.go
@@ -55,7 +55,7 @@
 
 func TestAFailureSeenAnywhereKeepsWorkAway(t *testing.T) {
 	m := newMachine(endpoints(3))
-	m.Report(start, 7, []Event{{Endpoint: 1, Kind: EndedServed, Took: 300}, {Endpoint: 2, Kind: EndedServed, Took: 300}, {Endpoint: 3, Kind: EndedFailed, Took: 3}})
+	m.Report(start, 7, true, []Event{{Endpoint: 1, Kind: EndedServed, Took: 300}, {Endpoint: 2, Kind: EndedServed, Took: 300}, {Endpoint: 3, Kind: EndedFailed, Took: 3}})
 	for i := range 8 {
 		if got := grant(t, m, start); got.ID == 3 {
 			t.Errorf("request %d goes to the endpoint that has just failed", i)
@@ -68,9 +68,9 @@
 	list[1].Zone = list[0].Zone
 	m := newMachine(list)
 	for id := EndpointID(1); id <= 2; id++ {
-		m.Report(start, 7, []Event{{Endpoint: id, Kind: EndedServed, Took: 300}})
+		m.Report(start, 7, true, []Event{{Endpoint: id, Kind: EndedServed, Took: 300}})
 	}
-	m.Report(start, 7, []Event{{Endpoint: 1, InFlight: 4, Kind: Started}})
+	m.Report(start, 7, true, []Event{{Endpoint: 1, InFlight: 4, Kind: Started}})
 	for i := range 4 {
 		if got := grant(t, m, start); got.ID != 2 {
 			t.Errorf("request %d goes to the endpoint that another instance has filled", i)
@@ -81,7 +81,7 @@
 func TestAnotherLifeUnderTheSameIDStartsUnknown(t *testing.T) {
 	list := endpoints(1)
 	m := newMachine(list)
-	m.Report(start, 7, []Event{{Endpoint: 1, InFlight: 3, Kind: EndedFailed}})
+	m.Report(start, 7, true, []Event{{Endpoint: 1, InFlight: 3, Kind: EndedFailed}})
 	list[0].Started = start
 	m.SetEndpoints(start, list)
 	if e := m.endpoints[1]; e.inFlight != 0 || m.Chance(start, 1) < 0.5 {
@@ -91,7 +91,7 @@
 
 func TestASilentPeersWorkIsForgotten(t *testing.T) {
 	m := newMachine(endpoints(1))
-	m.Report(start, 7, []Event{{Endpoint: 1, InFlight: 4, Kind: Started}})
+	m.Report(start, 7, true, []Event{{Endpoint: 1, InFlight: 4, Kind: Started}})
 	m.Forget(start.Add(testConfig.PeerTimeout))
 	if got := m.endpoints[1].inFlight; got != 0 {
 		t.Errorf("%d in flight of a peer that has been silent for %s", got, testConfig.PeerTimeout)
@@ -136,7 +136,7 @@
 func TestABurstOnOneServiceIsNotTurnedAwayOnAnEstimate(t *testing.T) {
 	m := newMachine(endpoints(6))
 	for id := EndpointID(1); id <= 6; id++ {
-		m.Report(start, 7, []Event{{Endpoint: id, Kind: EndedServed, Took: 300}})
+		m.Report(start, 7, true, []Event{{Endpoint: id, Kind: EndedServed, Took: 300}})
 	}
 	for i := range 44 {
 		a := ask(start)
@@ -184,6 +184,31 @@
 	}
 }
 
+// The load that it answers: half of the instances are killed while a service fails. Those
+// that stay go on spending the budget; the others do not know what was spent.
+func TestAnInstanceThatHasJustStartedLeavesRepeatsToOthers(t *testing.T) {
+	repeat := ask(start)
+	repeat.Repeat = true
+	m := New(testConfig, start, rand.NewPCG(1, 2))
+	m.SetEndpoints(start, endpoints(9))
+	for range 100 {
+		if _, r := m.Ask(start, ask(start)); r != nil {
+			t.Fatalf("turned away: %+v", r)
+		}
+	}
+	if _, r := m.Ask(start, repeat); r != nil {
+		t.Errorf("alone it may repeat within the share of what it has seen: %+v", r)
+	}
+	m.Report(start, 7, false, nil)
+	if _, r := m.Ask(start, repeat); r != nil {
+		t.Errorf("beside another that has just started: %+v", r)
+	}
+	m.Report(start, 8, true, nil)
+	if _, r := m.Ask(start, repeat); r == nil || r.Reason != BudgetSpent {
+		t.Errorf("beside one that has counted for a window: %+v", r)
+	}
+}
+
 // The load that it answers: few endpoints would do for the traffic, but when instances are
 // lost their requests count as unserved, and most sound endpoints must have been in use.
 func TestSoundEndpointsStayInUse(t *testing.T) {
@@ -224,7 +249,7 @@
 		if id <= 3 {
 			kind, took = EndedFailed, 3
 		}
-		m.Report(start, 7, []Event{{Endpoint: id, Kind: kind, Took: took}, {Endpoint: id, Kind: kind, Took: took}})
+		m.Report(start, 7, true, []Event{{Endpoint: id, Kind: kind, Took: took}, {Endpoint: id, Kind: kind, Took: took}})
 	}
 	turnedAway := 0
 	for i := range 400 {
@@ -309,7 +334,7 @@
 					open = open[1:]
 				}
 			case 4:
-				m.Report(now, Peer(rapid.Uint64Range(1, 4).Draw(t, "peer")), []Event{{
+				m.Report(now, Peer(rapid.Uint64Range(1, 4).Draw(t, "peer")), rapid.Bool().Draw(t, "seasoned"), []Event{{
 					Endpoint: EndpointID(rapid.Uint32Range(0, 9).Draw(t, "endpoint")),
 					InFlight: rapid.IntRange(-1, 9).Draw(t, "in flight"),
 					Kind:     EventKind(rapid.IntRange(0, 9).Draw(t, "kind")),
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -135,7 +135,7 @@
 func (c *control) tell() {
 	for first := true; first || len(c.reports) > 0; first = false {
 		n := min(len(c.reports), maxEvents)
-		data, err := encodeMessage(message{From: c.peer, Revision: c.revision, Leaving: c.leaving, Events: c.reports[:n]})
+		data, err := encodeMessage(message{From: c.peer, Revision: c.revision, Leaving: c.leaving, Seasoned: c.machine.Seasoned(time.Now()), Events: c.reports[:n]})
 		if err != nil {
 			c.log.Error("message not sent", "error", err.Error())
 		} else {
@@ -202,7 +202,7 @@
 		return
 	}
 	c.members.hear(now, m.From, m.Leaving)
-	c.machine.Report(now, m.From, m.Events)
+	c.machine.Report(now, m.From, m.Seasoned, m.Events)
 	if m.Revision <= c.revision {
 		return
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -65,18 +65,21 @@
 	return &world{t: t, store: store}
 }
 
-// freeAddr returns an address that was free a moment ago.
+// freeAddr returns an address that was free a moment ago, on a loopback address of this
+// process alone, so that no other takes the port meanwhile.
 func freeAddr(t *testing.T, network string) string {
 	t.Helper()
+	pid := os.Getpid()
+	at := fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&0x3f, pid>>8&0xff, pid&0xff|1)
 	if network == "udp" {
-		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		c, err := net.ListenPacket("udp4", at)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer func() { _ = c.Close() }()
 		return c.LocalAddr().String()
 	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", at)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -74,7 +74,7 @@
 func TestChangesThatNeedARestartAreNamed(t *testing.T) {
 	a, b := DefaultSettings(), DefaultSettings()
 	b.Store.Address = "192.0.2.1:80"
-	b.Retry.Ratio = 0.1
+	b.Log.Requests = LogAll
 	if got := a.restartNeeded(&b); !slices.Equal(got, []string{"store"}) {
 		t.Errorf("got %v", got)
 	}
@@ -82,7 +82,7 @@
 
 func TestMessagesSurviveTheWire(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := message{From: dispatch.Peer(rapid.Uint64().Draw(t, "from")), Revision: platform.Revision(rapid.Uint64().Draw(t, "revision")), Leaving: rapid.Bool().Draw(t, "leaving")}
+		m := message{From: dispatch.Peer(rapid.Uint64().Draw(t, "from")), Revision: platform.Revision(rapid.Uint64().Draw(t, "revision")), Leaving: rapid.Bool().Draw(t, "leaving"), Seasoned: rapid.Bool().Draw(t, "seasoned")}
 		for range rapid.IntRange(0, maxEvents).Draw(t, "events") {
 			m.Events = append(m.Events, dispatch.Event{
 				Endpoint: dispatch.EndpointID(rapid.Uint32().Draw(t, "endpoint")),
@@ -96,7 +96,7 @@
 			t.Fatalf("%d bytes, %v", len(data), err)
 		}
 		got, err := decodeMessage(data)
-		if err != nil || got.From != m.From || got.Revision != m.Revision || got.Leaving != m.Leaving || !slices.Equal(got.Events, m.Events) {
+		if err != nil || got.From != m.From || got.Revision != m.Revision || got.Leaving != m.Leaving || got.Seasoned != m.Seasoned || !slices.Equal(got.Events, m.Events) {
 			t.Fatalf("got %+v, %v; want %+v", got, err, m)
 		}
 	})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -19,6 +19,7 @@
 	From     dispatch.Peer
 	Revision platform.Revision // Of the store, as far as the sender has followed it.
 	Leaving  bool
+	Seasoned bool // The sender has counted repeats for a whole window.
 	Events   []dispatch.Event
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -157,6 +157,7 @@
 		"instance": {s.Instance, next.Instance},
 		"listen":   {s.Listen, next.Listen},
 		"store":    {s.Store, next.Store},
+		"retry":    {s.Retry, next.Retry},
 	} {
 		if !reflect.DeepEqual(pair[0], pair[1]) {
 			tables = append(tables, name)
