A cut shrinks the retry budget at once, and for a window after

An instance counted the silent ones as heard for 6 s, so both sides spent the whole budget, and a cut one came back with counts that lacked the others' repeats. Its share is now counted from who was heard within 1.6 s, and one that heard less than half leaves repeats to those that know for a window after.

--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -12,7 +12,7 @@
 type Machine struct {
 	cfg       Config
 	random    rand.Source
-	started   time.Time
+	blind     time.Time // Until when repeats of others may have gone uncounted: the start, or the end of a cut.
 	services  map[string]*service
 	endpoints map[EndpointID]*tracked
 	heard     map[Peer]heard
@@ -31,7 +31,7 @@
 	return &Machine{
 		cfg:       cfg,
 		random:    random,
-		started:   now,
+		blind:     now,
 		services:  make(map[string]*service),
 		endpoints: make(map[EndpointID]*tracked),
 		heard:     make(map[Peer]heard),
@@ -72,7 +72,7 @@
 func (m *Machine) service(name string) *service {
 	s := m.services[name]
 	if s == nil {
-		s = &service{name: name, budget: retrybudget.New(m.cfg.Retry, m.started)}
+		s = &service{name: name, budget: retrybudget.New(m.cfg.Retry, m.blind)}
 		m.services[name] = s
 	}
 	return s
@@ -99,7 +99,7 @@
 
 // Seasoned tells whether this instance has counted for a whole retry window.
 func (m *Machine) Seasoned(now time.Time) bool {
-	return now.Sub(m.started) >= m.cfg.Retry.Window
+	return now.Sub(m.blind) >= m.cfg.Retry.Window
 }
 
 // deferred tells whether repeats are left to others: they know what was spent before this
@@ -109,7 +109,7 @@
 		return false
 	}
 	for _, h := range m.heard {
-		if h.seasoned && now.Sub(h.at) < m.cfg.PeerTimeout {
+		if h.seasoned && now.Sub(h.at) < heardTimeout {
 			return true
 		}
 	}
@@ -118,16 +118,21 @@
 
 // budgetShare returns the part of the shared budget that this instance may spend.
 func (m *Machine) budgetShare(now time.Time) float64 {
-	if m.peers == 0 {
-		return 1
-	}
-	heard := 0
+	return float64(min(m.heardNow(now), m.peers)+1) / float64(m.peers+1)
+}
+
+// heardTimeout is a few intervals of heartbeats, after which a peer's repeats go uncounted.
+const heardTimeout = 1600 * time.Millisecond
+
+// heardNow returns the number of peers whose repeats are counted.
+func (m *Machine) heardNow(now time.Time) int {
+	n := 0
 	for _, h := range m.heard {
-		if now.Sub(h.at) < m.cfg.PeerTimeout {
-			heard++
+		if now.Sub(h.at) < heardTimeout {
+			n++
 		}
 	}
-	return float64(min(heard, m.peers)+1) / float64(m.peers+1)
+	return n
 }
 
 func (m *Machine) start(now time.Time, s *service, c choice, repeat bool) Grant {
@@ -221,6 +226,9 @@
 
 // Forget drops what peers that have been silent for long, or are gone, had in flight.
 func (m *Machine) Forget(now time.Time) {
+	if 2*m.heardNow(now) < m.peers {
+		m.blind = now
+	}
 	for p, h := range m.heard {
 		if now.Sub(h.at) < m.cfg.PeerTimeout {
 			continue
--- a/coord/dispatch/machine_test.go
+++ b/coord/dispatch/machine_test.go
@@ -209,6 +209,45 @@
 	}
 }
 
+// The load that it answers: a third of the instances are cut off while a service fails. On
+// both sides the budget is spent, and a side knows nothing of the other's.
+func TestACutShrinksTheBudgetAtOnceAndForAWindowAfter(t *testing.T) {
+	repeat := ask(start)
+	repeat.Repeat = true
+	m := newMachine(endpoints(40))
+	m.SetPeers(30)
+	hearAll := func(at time.Time) {
+		for p := range Peer(30) {
+			m.Report(at, p, true, nil)
+		}
+	}
+	hearAll(start)
+	cut := start.Add(2 * time.Second)
+	m.Forget(cut)
+	granted := 0
+	for range 60 {
+		if _, r := m.Ask(cut, repeat); r == nil {
+			granted++
+		}
+	}
+	if most := testConfig.Retry.Extra/30 + 1; granted > most {
+		t.Errorf("%d repeats while 30 others are silent for 2 s, its own share is %d", granted, most)
+	}
+	back := cut.Add(time.Second)
+	hearAll(back)
+	m.Forget(back)
+	if _, r := m.Ask(back, repeat); r == nil {
+		t.Error("it repeats just after the cut, beside others that know what was spent")
+	}
+	later := cut.Add(testConfig.Retry.Window)
+	hearAll(later)
+	repeat = ask(later)
+	repeat.Repeat = true
+	if _, r := m.Ask(later, repeat); r != nil {
+		t.Errorf("a window later: %+v", r)
+	}
+}
+
 // The load that it answers: few endpoints would do for the traffic, but when instances are
 // lost their requests count as unserved, and most sound endpoints must have been in use.
 func TestSoundEndpointsStayInUse(t *testing.T) {
