--- a/coord/dispatch/endpoint.go
+++ b/coord/dispatch/endpoint.go
@@ -39,6 +39,12 @@
 	r.until = now.Add(hold)
 }
 
+// release counts out one of this instance's requests.
+func (t *tracked) release() {
+	t.own = max(t.own-1, 0)
+	t.inFlight = max(t.inFlight-1, 0)
+}
+
 func (t *tracked) setPeer(p Peer, inFlight int) {
 	t.inFlight += inFlight - t.peers[p]
 	if inFlight == 0 {
--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -72,7 +72,7 @@
 func (m *Machine) service(name string) *service {
 	s := m.services[name]
 	if s == nil {
-		s = &service{name: name, budget: retrybudget.New(m.cfg.Retry, m.blind)}
+		s = &service{budget: retrybudget.New(m.cfg.Retry, m.blind)}
 		m.services[name] = s
 	}
 	return s
@@ -159,8 +159,7 @@
 	if e == nil {
 		return
 	}
-	e.own = max(e.own-1, 0)
-	e.inFlight = max(e.inFlight-1, 0)
+	e.release()
 	e.reach.failures = 0
 	m.learn(now, e, kind, took)
 	m.report(e, kind, took)
@@ -172,8 +171,7 @@
 	if e == nil {
 		return
 	}
-	e.own = max(e.own-1, 0)
-	e.inFlight = max(e.inFlight-1, 0)
+	e.release()
 	e.reach.fail(now)
 	m.report(e, EndedUnknown, 0)
 }
--- a/coord/dispatch/service.go
+++ b/coord/dispatch/service.go
@@ -8,7 +8,6 @@
 
 // service is what an instance knows of one service.
 type service struct {
-	name      string
 	endpoints []*tracked
 	budget    *retrybudget.Budget
 	took      average
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -41,7 +41,6 @@
 	reused  bool // An idle connection was used.
 	err     error
 	resp    *fasthttp.Response // Set where an answer came.
-	answer  platform.Answer
 }
 
 // maxStrays bounds the answers of other requests that are skipped on a connection.
@@ -96,6 +95,7 @@
 	// An endpoint may refuse a long request before it has read it all: its answer counts.
 	a.resp = fasthttp.AcquireResponse()
 	a.resp.SkipBody = req.Header.IsHead()
+	var answer platform.Answer
 	for strays := 0; ; strays++ {
 		if recvErr := conn.Receive(a.resp, maxAnswerBytes); recvErr != nil {
 			a.ending, a.err = endedBroken, errors.Join(err, recvErr)
@@ -104,8 +104,8 @@
 			}
 			return
 		}
-		a.answer = platform.ReadAnswer(&a.resp.Header)
-		if a.answer.RequestID == r.ID || a.answer.RequestID == "" && !a.reused && strays == 0 {
+		answer = platform.ReadAnswer(&a.resp.Header)
+		if answer.RequestID == r.ID || answer.RequestID == "" && !a.reused && strays == 0 {
 			break
 		}
 		f.metrics.strays.Add(1)
@@ -117,7 +117,7 @@
 	if err != nil {
 		a.resp.SetConnectionClose()
 	}
-	a.ending, a.err = classify(a.resp.StatusCode(), a.answer)
+	a.ending, a.err = classify(a.resp.StatusCode(), answer)
 }
 
 var (
