One sliding window counts repeats and outcomes

coord/retrybudget and coord/dispatch each moved a ring of slices by the clock. coord/internal/window does it for both. The tests keep their assertions and read the counts through it; no behaviour changes.

--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/damaskcove/damaskcove/coord/internal/window"
 	"github.com/damaskcove/damaskcove/coord/outlook"
 	"github.com/damaskcove/damaskcove/coord/retrybudget"
 )
@@ -72,7 +73,7 @@
 func (m *Machine) service(name string) *service {
 	s := m.services[name]
 	if s == nil {
-		s = &service{budget: retrybudget.New(m.cfg.Retry, m.blind)}
+		s = &service{budget: retrybudget.New(m.cfg.Retry, m.blind), recent: window.New(recentSlices, recentSlice)}
 		m.services[name] = s
 	}
 	return s
@@ -194,11 +195,11 @@
 	s := m.service(e.Service)
 	switch kind {
 	case EndedServed:
-		s.recent.add(now, true)
+		s.recent.Add(now, false)
 		e.took.add(took)
 		s.took.add(took)
 	case EndedFailed, EndedBroken:
-		s.recent.add(now, false)
+		s.recent.Add(now, true)
 		e.failed = now
 	}
 }
--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -105,7 +105,7 @@
 
 // spreads tells whether so many requests go unserved that every sound endpoint is to be used.
 func (s *service) spreads(now time.Time) bool {
-	share, n := s.recent.unservedShare(now)
+	share, n := s.unservedShare(now)
 	return n >= spreadMin && share > spreadFrom
 }
 
--- a/coord/dispatch/service.go
+++ b/coord/dispatch/service.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/damaskcove/damaskcove/coord/internal/window"
 	"github.com/damaskcove/damaskcove/coord/retrybudget"
 )
 
@@ -11,13 +12,7 @@
 	endpoints []*tracked
 	budget    *retrybudget.Budget
 	took      average
-	recent    recent
-}
-
-// recent counts how requests of all instances ended over the last two seconds.
-type recent struct {
-	served, unserved [recentSlices]int
-	current          int64
+	recent    window.Pair // Served and unserved requests of all instances.
 }
 
 const (
@@ -26,35 +21,9 @@
 	recentSlice  = 250 * time.Millisecond
 )
 
-func (r *recent) advance(now time.Time) {
-	n := now.UnixNano() / int64(recentSlice)
-	if n-r.current >= recentSlices {
-		*r = recent{current: n}
-		return
-	}
-	for r.current < n {
-		r.current++
-		r.served[r.current%recentSlices], r.unserved[r.current%recentSlices] = 0, 0
-	}
-}
-
-func (r *recent) add(now time.Time, ok bool) {
-	r.advance(now)
-	if ok {
-		r.served[r.current%recentSlices]++
-	} else {
-		r.unserved[r.current%recentSlices]++
-	}
-}
-
-// unservedShare returns the share of requests that were not served, and their number.
-func (r *recent) unservedShare(now time.Time) (float64, int) {
-	r.advance(now)
-	var served, unserved int
-	for i := range r.served {
-		served += r.served[i]
-		unserved += r.unserved[i]
-	}
+// unservedShare returns the recent share of requests that were not served, and their number.
+func (s *service) unservedShare(now time.Time) (float64, int) {
+	served, unserved := s.recent.Sums(now)
 	if served+unserved == 0 {
 		return 0, 0
 	}
--- /dev/null
+++ b/coord/internal/window/window.go
@@ -0,0 +1,52 @@
+// Package window counts two kinds of events over a sliding span of time.
+package window
+
+import "time"
+
+// Pair counts events over the last slices. A count leaves it at most one slice late. It is
+// not safe for concurrent use.
+type Pair struct {
+	slice   time.Duration
+	counts  [][2]int
+	sum     [2]int
+	current int64 // Number of the newest slice.
+}
+
+// New returns a window of a number of slices, each of a length.
+func New(slices int, slice time.Duration) Pair {
+	return Pair{slice: slice, counts: make([][2]int, slices)}
+}
+
+// advance moves the window to now.
+func (p *Pair) advance(now time.Time) {
+	n := now.UnixNano() / int64(p.slice)
+	if n-p.current >= int64(len(p.counts)) {
+		clear(p.counts)
+		p.sum, p.current = [2]int{}, n
+		return
+	}
+	for p.current < n {
+		p.current++
+		old := &p.counts[p.current%int64(len(p.counts))]
+		p.sum[0] -= old[0]
+		p.sum[1] -= old[1]
+		*old = [2]int{}
+	}
+}
+
+// Add counts one event of the first kind, or of the second.
+func (p *Pair) Add(now time.Time, second bool) {
+	p.advance(now)
+	kind := 0
+	if second {
+		kind = 1
+	}
+	p.counts[p.current%int64(len(p.counts))][kind]++
+	p.sum[kind]++
+}
+
+// Sums returns the events of each kind within the window.
+func (p *Pair) Sums(now time.Time) (first, second int) {
+	p.advance(now)
+	return p.sum[0], p.sum[1]
+}
--- a/coord/retrybudget/retrybudget.go
+++ b/coord/retrybudget/retrybudget.go
@@ -11,7 +11,11 @@
 // repeat every request, and the repeats would make up the outage.
 package retrybudget
 
-import "time"
+import (
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/internal/window"
+)
 
 // Bound is what may be repeated in any window: Ratio of the requests, and Extra besides.
 type Bound struct {
@@ -30,56 +34,28 @@
 
 // Budget counts one service. It is not safe for concurrent use.
 type Budget struct {
-	bound    Bound
-	started  time.Time
-	first    [slices]int
-	repeats  [slices]int
-	current  int64 // Number of the newest slice.
-	requests int   // Sum of first.
-	repeated int   // Sum of repeats.
+	bound   Bound
+	started time.Time
+	sent    window.Pair // First sendings and repeats.
 }
 
 // New returns a budget without counts of an instance that started at a moment.
 func New(bound Bound, started time.Time) *Budget {
-	return &Budget{bound: bound, started: started}
-}
-
-// advance moves the window to now.
-func (b *Budget) advance(now time.Time) {
-	n := now.UnixNano() / int64(b.bound.Window/slices)
-	if n-b.current >= slices {
-		*b = Budget{bound: b.bound, started: b.started, current: n}
-		return
-	}
-	for b.current < n {
-		b.current++
-		i := b.current % slices
-		b.requests -= b.first[i]
-		b.repeated -= b.repeats[i]
-		b.first[i], b.repeats[i] = 0, 0
-	}
+	return &Budget{bound: bound, started: started, sent: window.New(slices, bound.Window/slices)}
 }
 
 // Sent counts a sending by any instance.
 func (b *Budget) Sent(now time.Time, repeat bool) {
-	b.advance(now)
-	i := b.current % slices
-	if repeat {
-		b.repeats[i]++
-		b.repeated++
-		return
-	}
-	b.first[i]++
-	b.requests++
+	b.sent.Add(now, repeat)
 }
 
 // Allows tells whether one more repeat is within the bound. share is the part of Extra that
 // this instance may count on: 1 while it hears the others, its own part while it does not.
 func (b *Budget) Allows(now time.Time, share float64) bool {
-	b.advance(now)
+	requests, repeated := b.sent.Sums(now)
 	if now.Sub(b.started) < b.bound.Window {
 		share = 0
 	}
-	bound := margin * (b.bound.Ratio*float64(b.requests) + share*float64(b.bound.Extra))
-	return float64(b.repeated+1) <= bound
+	bound := margin * (b.bound.Ratio*float64(requests) + share*float64(b.bound.Extra))
+	return float64(repeated+1) <= bound
 }
--- a/coord/retrybudget/retrybudget_test.go
+++ b/coord/retrybudget/retrybudget_test.go
@@ -85,13 +85,12 @@
 		for range rapid.IntRange(0, 300).Draw(t, "sent") {
 			now = now.Add(time.Duration(rapid.Int64Range(0, 2e9).Draw(t, "gap")))
 			b.Sent(now, rapid.Bool().Draw(t, "repeat"))
-			if b.requests < 0 || b.repeated < 0 {
-				t.Fatalf("counts %d and %d", b.requests, b.repeated)
+			if requests, repeated := b.sent.Sums(now); requests < 0 || repeated < 0 {
+				t.Fatalf("counts %d and %d", requests, repeated)
 			}
 		}
-		b.advance(now.Add(2 * bound.Window))
-		if b.requests != 0 || b.repeated != 0 {
-			t.Fatalf("two windows later %d and %d are left", b.requests, b.repeated)
+		if requests, repeated := b.sent.Sums(now.Add(2 * bound.Window)); requests != 0 || repeated != 0 {
+			t.Fatalf("two windows later %d and %d are left", requests, repeated)
 		}
 	})
 }
