The red test waited for a cut to heal that it never healed

TestOrdersGoOnWhileOneDirectionBetweenTheirInstancesIsDead cut one direction for good and then waited until every instance saw every other alive. Two seconds after the cut the instance at its end votes the other silent, which makes a suspect of it, rightly and for as long as the cut lasts: so the test passed only where its 300 orders and the last look took less than those two seconds. That is the state that never healed: a vote that stands, one end of a link that says linked, and all of it as designed.

Shown by: with the vote awaited and no heal the test fails alone too, on a quiet machine ("never: all instances see each other alive").

The test now demands more: it waits until every instance holds the unheard one suspect, has orders answered in that state, heals the cut, has orders answered again, and only then wants everybody alive.

--- a/internal/local/failure_test.go
+++ b/internal/local/failure_test.go
@@ -320,21 +320,37 @@
 	return true
 }
 
+// TestOrdersGoOnWhileOneDirectionBetweenTheirInstancesIsDead keeps the direction dead until the
+// instance at its end has said so: one silent vote makes a suspect, which goes on working.
 func TestOrdersGoOnWhileOneDirectionBetweenTheirInstancesIsDead(t *testing.T) {
 	f := startFleet(t, 4)
 	instances := f.Instances()
-	for _, to := range instances[1:] {
-		f.Cut(instances[0].ID, to.ID)
-		break
-	}
+	unheard := instances[0]
+	f.Cut(unheard.ID, instances[1].ID)
 	r := startTraffic(t, f, 6)
 	r.await(t, 300)
+	eventually(t, "every instance holds the unheard one suspect", func() bool {
+		return !slices.ContainsFunc(instances, func(in *Instance) bool { return statusAt(in, unheard.ID) != "suspect" })
+	})
+	r.await(t, 300)
+	f.Heal()
+	r.await(t, 300)
 	r.end(t)
 	eventually(t, "all instances see each other alive", func() bool {
 		return f.behind(1) == ""
 	})
 }
 
+// statusAt returns what an instance holds another's status to be; empty when it is no member there.
+func statusAt(in *Instance, of fleet.InstanceID) string {
+	for _, m := range in.Node().Status().Members {
+		if m.Instance.Ref.ID == of {
+			return m.Status
+		}
+	}
+	return ""
+}
+
 func TestSilentAndCutOffAnswersAreNeverPassedOnAsWhole(t *testing.T) {
 	ctx := testContext(t)
 	f := startFleet(t, 2)
