Failing endpoints are tried only while too few endpoints are in use

Cause: with over 8% of a service's requests unserved, every endpoint that had rested for 1.8 s was tried, whatever its chance, so that most sound ones are in use when the users judge it.

Change: such endpoints are tried only while less than floor_share and a margin of 0.05 are in use; those that failed within the last 1.8 s count neither way, as the users do not take them for sound. floor_share comes from the platform's bounds (setting place.floor_share). The new test fails on the former code (78 orders at failing endpoints, bound 70 from the time to a fair chance).

--- a/coord/dispatch/machine_test.go
+++ b/coord/dispatch/machine_test.go
@@ -17,6 +17,7 @@
 	Zone:        "a",
 	Rates:       outlook.Rates{GoodSpell: 21 * time.Second, BadSpell: 9 * time.Second},
 	Retry:       retrybudget.Bound{Window: 10 * time.Second, Ratio: 0.2, Extra: 60},
+	FloorShare:  0.7,
 	PeerTimeout: 6 * time.Second,
 }
 
@@ -279,6 +280,58 @@
 	}
 }
 
+// The load that it answers: of many endpoints a third fail in long spells. If all of those
+// were tried whenever they have rested, a tenth of the orders would go unserved for that
+// alone. Most endpoints are in use when the users look, and the failing ones are left alone.
+func TestFailingEndpointsAreTriedOnlyWhileTooFewAreInUse(t *testing.T) {
+	const all, failing = 60, 22
+	const judged = 2 * time.Second // The users' span.
+	m := newMachine(endpoints(all))
+	used, failed := make(map[EndpointID]time.Time), make(map[EndpointID]time.Time)
+	within := func(at map[EndpointID]time.Time, now time.Time) (n int) {
+		for _, t := range at {
+			if now.Sub(t) < judged {
+				n++
+			}
+		}
+		return n
+	}
+	var ends []bool // Unserved, one each step.
+	const step = 8 * time.Millisecond
+	for now := start; now.Sub(start) < 20*time.Second; now = now.Add(step) {
+		got := grant(t, m, now)
+		used[got.ID] = now
+		kind := EndedServed
+		if got.ID <= failing {
+			kind = EndedFailed
+			failed[got.ID] = now
+		}
+		m.Ended(now, got.ID, kind, 300*time.Millisecond)
+		ends = append(ends, kind == EndedFailed)
+		last := ends[max(0, len(ends)-int(judged/step)):]
+		unserved := 0
+		for _, u := range last {
+			if u {
+				unserved++
+			}
+		}
+		sound, inUse := all-within(failed, now), within(used, now)-within(failed, now)
+		if now.Sub(start) > judged && 10*unserved > len(last) && float64(inUse) < testConfig.FloorShare*float64(sound) {
+			t.Fatalf("at %s only %d of %d endpoints are in use, %d of %d requests unserved", now.Sub(start), inUse, sound, unserved, len(last))
+		}
+	}
+	unserved := 0
+	for _, u := range ends[int(4*time.Second/step):] {
+		if u {
+			unserved++
+		}
+	}
+	// A failing endpoint's chance is fair again after six seconds; it is tried about then.
+	if most := failing * 16 / 5; unserved > most {
+		t.Errorf("%d orders went to failing endpoints in 16 s, want at most %d", unserved, most)
+	}
+}
+
 // The load that it answers: a burst while a third of the endpoints fail. However crowded the
 // sound ones are, an order is not sent where it fails for certain.
 func TestCrowdedEndpointsGoBeforeFailingOnes(t *testing.T) {
--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -46,9 +46,13 @@
 	// costs them a repeat only.
 	testChance = 0.35
 	testEvery  = 900 * time.Millisecond
-	// spreadFrom is the unserved share from which endpoints count as sound whatever their
-	// chance; from a tenth on, the users want most of them in use.
+	// spreadFrom is the unserved share from which endpoints are used whatever their chance
+	// while too few are; from a tenth on, the users want most of them in use.
 	spreadFrom = 0.08
+	// spreadMargin is added to the share of endpoints that the users want in use then.
+	spreadMargin = 0.05
+	// spreadWithin is how long a use counts, well inside the two seconds over which the users judge it.
+	spreadWithin = 1500 * time.Millisecond
 	// spreadMin is the fewest requests that tell a share.
 	spreadMin = 10
 	// spreadRest is how long a failed endpoint is left alone all the same.
@@ -65,7 +69,7 @@
 
 // choose returns the best endpoint for a request; ok is false where none takes work.
 func (m *Machine) choose(now time.Time, s *service, a *Ask) (best choice, ok bool) {
-	spread := s.spreads(now)
+	spread := s.spreads(now) && s.inUse(now) < m.cfg.FloorShare+spreadMargin
 	var due choice
 	for _, e := range s.endpoints {
 		if !m.usable(now, e, a) {
@@ -103,12 +107,28 @@
 	return c.chance >= chance || spread && now.Sub(c.endpoint.failed) > spreadRest
 }
 
-// spreads tells whether so many requests go unserved that every sound endpoint is to be used.
+// spreads tells whether so many requests go unserved that most endpoints are to be used.
 func (s *service) spreads(now time.Time) bool {
 	share, n := s.unservedShare(now)
 	return n >= spreadMin && share > spreadFrom
 }
 
+// inUse returns the share of the endpoints that have been used lately. One that has just
+// failed counts neither way: the users do not take it for sound.
+func (s *service) inUse(now time.Time) float64 {
+	used, all := 0, 0
+	for _, e := range s.endpoints {
+		if e.Leaving || now.Sub(e.failed) <= spreadRest {
+			continue
+		}
+		all++
+		if now.Sub(e.used) < spreadWithin {
+			used++
+		}
+	}
+	return float64(used) / float64(max(all, 1))
+}
+
 // usable tells whether a request may go to an endpoint at all.
 func (m *Machine) usable(now time.Time, e *tracked, a *Ask) bool {
 	return !e.Leaving && !now.Before(e.reach.until) && !slices.Contains(a.Tried, e.ID)
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -102,5 +102,6 @@
 	Zone        string
 	Rates       outlook.Rates
 	Retry       retrybudget.Bound
+	FloorShare  float64       // Share of a service's endpoints that is to be in use while many requests go unserved.
 	PeerTimeout time.Duration // After which a silent peer's requests in flight are forgotten.
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -105,6 +105,7 @@
 			Zone:        s.Instance.Zone,
 			Rates:       spells,
 			Retry:       retrybudget.Bound{Window: s.Retry.Window, Ratio: s.Retry.Ratio, Extra: s.Retry.Extra},
+			FloorShare:  s.Place.FloorShare,
 			PeerTimeout: peerTimeout,
 		}, time.Now(), rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		registry: newRegistry(log),
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -55,6 +55,8 @@
 callers = "localhost:80"
 [retry]
 ratio = 2.0
+[place]
+floor_share = 1.5
 [promises]
 drain_within = "1h1s"
 [log]
@@ -64,7 +66,7 @@
 	if !errors.As(err, &faults) {
 		t.Fatalf("got %v", err)
 	}
-	for _, key := range []string{"instance.id", "instance.colour", "listen.callers", "listen.ready", "store.address", "retry.ratio", "promises.drain_within", "log.requests"} {
+	for _, key := range []string{"instance.id", "instance.colour", "listen.callers", "listen.ready", "store.address", "retry.ratio", "place.floor_share", "promises.drain_within", "log.requests"} {
 		if !slices.ContainsFunc(faults.Faults, func(f tomlfile.Fault) bool { return f.Key == key }) {
 			t.Errorf("no fault of %s in\n%v", key, err)
 		}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -17,6 +17,7 @@
 	Store    StoreSettings    `toml:"store"`
 	Promises PromiseSettings  `toml:"promises"`
 	Retry    RetrySettings    `toml:"retry"`
+	Place    PlaceSettings    `toml:"place"`
 	Log      LogSettings      `toml:"log"`
 }
 
@@ -56,6 +57,11 @@
 	Extra  int           `toml:"extra"` // Besides, in a window.
 }
 
+// PlaceSettings bound how requests are placed on upstreams.
+type PlaceSettings struct {
+	FloorShare float64 `toml:"floor_share"` // Of a service's sound upstreams, to be in use while many requests go unserved.
+}
+
 // LogSettings tell what is logged.
 type LogSettings struct {
 	Requests string `toml:"requests"` // "all", or "unserved" for those that were not answered by an upstream at the first try.
@@ -72,6 +78,7 @@
 	return Settings{
 		Promises: PromiseSettings{ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second, StopWithin: 6 * time.Second, DiscoveryTTL: time.Second},
 		Retry:    RetrySettings{Window: 10 * time.Second, Ratio: 0.2, Extra: 50},
+		Place:    PlaceSettings{FloorShare: 0.7},
 		Log:      LogSettings{Requests: LogUnserved},
 	}
 }
@@ -128,6 +135,9 @@
 	if s.Retry.Extra < 0 {
 		c.Add("retry.extra", tomlfile.Show(s.Retry.Extra), "must not be negative")
 	}
+	if s.Place.FloorShare < 0 || s.Place.FloorShare > 1 {
+		c.Add("place.floor_share", tomlfile.Show(s.Place.FloorShare), "must be from 0 to 1")
+	}
 	if s.Log.Requests != LogAll && s.Log.Requests != LogUnserved {
 		c.Add("log.requests", s.Log.Requests, "must be %q or %q", LogAll, LogUnserved)
 	}
@@ -158,6 +168,7 @@
 		"listen":   {s.Listen, next.Listen},
 		"store":    {s.Store, next.Store},
 		"retry":    {s.Retry, next.Retry},
+		"place":    {s.Place, next.Place},
 	} {
 		if !reflect.DeepEqual(pair[0], pair[1]) {
 			tables = append(tables, name)
