Relays gather what many instances tell each other

Cause: each instance told each other of every start and end of a request, one datagram each, so that what one receives grows with the fleet's requests: at 124 instances about 2,500 a second.

Change: a zone of more than 20 is told through one of three relays, as other zones are (there by any instance before). A relay sends a lone message at once and gathers those that come within 10 ms; failures and trials do not wait. Members are found by life without a walk over the list.

Ruled out by a trial: gathering all for 15 ms.

First sites' zones of 8 to 16 are told as before.

--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -19,6 +19,7 @@
 	heard     map[Peer]heard
 	peers     int     // Other instances that are known.
 	reports   []Event // Not yet taken.
+	urgent    bool    // One of them tells of a failure, or of a trial.
 }
 
 // heard is when a peer was heard last.
@@ -39,11 +40,12 @@
 	}
 }
 
-// TakeReports returns what is to be told to all other instances since the last call.
-func (m *Machine) TakeReports() []Event {
-	events := m.reports
-	m.reports = nil
-	return events
+// TakeReports returns what is to be told to all other instances since the last call. It is
+// urgent where each request that is placed without knowing it may fail for that.
+func (m *Machine) TakeReports() (events []Event, urgent bool) {
+	events, urgent = m.reports, m.urgent
+	m.reports, m.urgent = nil, false
+	return events, urgent
 }
 
 // SetPeers tells how many other instances there are.
@@ -147,11 +149,13 @@
 		kind = Repeated
 	}
 	m.report(e, kind, 0)
+	m.urgent = m.urgent || c.chance < unprovenChance
 	return Grant{Endpoint: e.Endpoint, Chance: c.chance, InFlight: e.inFlight, Usual: e.took.or(s.usual())}
 }
 
 func (m *Machine) report(e *tracked, kind EventKind, took time.Duration) {
 	m.reports = append(m.reports, Event{Endpoint: e.ID, InFlight: e.own, Kind: kind, Took: int(took.Milliseconds())})
+	m.urgent = m.urgent || kind == EndedFailed || kind == EndedBroken || kind == RunsLong
 }
 
 // Ended takes in the end of a granted request.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -42,7 +43,7 @@
 	router  *router // Nil before the first configuration.
 	limits  callers.Limits
 	alive   []*member // Members as of the snapshot; their records alone may be read.
-	routes  routes
+	routes  *routes
 }
 
 // firstLimits hold until the first configuration.
@@ -53,7 +54,9 @@
 	settings *Settings
 	log      *slog.Logger
 	peer     dispatch.Peer
+	self     memberRecord // What this instance registers.
 	socket   *peerSocket
+	relay    *relay
 	commands chan func()
 	snapshot atomic.Pointer[Snapshot]
 	kick     chan bool // Asks for a look at the store; true: at all of it.
@@ -79,6 +82,7 @@
 	following bool // This instance follows the store.
 	leaving   bool
 	reports   []dispatch.Event
+	urgent    bool      // The reports are.
 	told      time.Time // Last message to the others.
 }
 
@@ -111,7 +115,8 @@
 		registry: newRegistry(log),
 		members:  newMembers(s.Instance.ID, s.Instance.Zone, log),
 	}
-	c.snapshot.Store(&Snapshot{limits: firstLimits})
+	c.snapshot.Store(&Snapshot{limits: firstLimits, routes: &routes{}})
+	c.relay = newRelay(socket.send, func() []netip.AddrPort { return c.snapshot.Load().routes.zone })
 	c.duty = following.New(c.members.self)
 	c.onDuty.Store(true)
 	c.inLine.Store(true)
@@ -138,7 +143,8 @@
 
 // settle tells the others what has happened, once no more commands wait.
 func (c *control) settle() {
-	c.reports = append(c.reports, c.machine.TakeReports()...)
+	events, urgent := c.machine.TakeReports()
+	c.reports, c.urgent = append(c.reports, events...), c.urgent || urgent
 	if len(c.reports) > 0 && (len(c.commands) == 0 || len(c.reports) >= maxEvents) {
 		c.tell()
 	}
@@ -152,14 +158,19 @@
 		if err != nil {
 			c.log.Error("message not sent", "error", err.Error())
 		} else {
-			c.socket.spread(data, c.snapshot.Load().routes)
+			c.spread(data)
 		}
 		c.reports = c.reports[n:]
 	}
-	c.reports = nil
+	c.reports, c.urgent = nil, false
 	c.told = time.Now()
 }
 
+// spread sends a message to all other instances.
+func (c *control) spread(data []byte) {
+	spread(data, c.urgent, c.snapshot.Load().routes, c.socket.send, c.relay)
+}
+
 // message returns what the others are told of this instance, with some events.
 func (c *control) message(now time.Time, events []dispatch.Event) message {
 	return message{
@@ -214,7 +225,7 @@
 // publish makes a new snapshot.
 func (c *control) publish(now time.Time) {
 	alive := c.members.alive(now)
-	next := &Snapshot{limits: firstLimits, alive: alive, routes: newRoutes(alive, c.settings.Instance.Zone)}
+	next := &Snapshot{limits: firstLimits, alive: alive, routes: newRoutes(alive, c.self)}
 	if c.config != nil && c.synced {
 		next.Version = c.config.Version
 		next.limits = limitsOf(c.config.Limits)
@@ -233,11 +244,11 @@
 }
 
 // hear takes in another instance's message.
-func (c *control) hear(now time.Time, m message) {
+func (c *control) hear(now time.Time, m *message) {
 	if m.From == c.peer {
 		return
 	}
-	if c.members.hear(now, &m) {
+	if c.members.hear(now, m) {
 		c.assign(now)
 	}
 	c.machine.Report(now, m.From, m.Seasoned, m.Events)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,7 @@
 		return fmt.Errorf("address for peers %q: %w", s.Listen.Peers, err)
 	}
 	g.record = memberRecord{Peer: g.control.peer, Zone: s.Instance.Zone, Callers: s.Listen.Callers, Peers: peers}
+	g.control.self = g.record
 	return g.listenSides(s)
 }
 
@@ -186,16 +187,20 @@
 		g.hearFeed(data)
 		return
 	}
-	m, err := decodeMessage(data)
+	list, err := decodeMessages(data)
 	if err != nil {
 		g.log.Warn("datagram ignored", "error", err.Error())
 		return
 	}
-	if data[0] == forZone {
-		data[0] = forReceiver
-		g.socket.send(data, g.control.snapshot.Load().routes.zone)
+	if data[0] != forReceiver {
+		g.control.relay.pass(data[1:], data[0] == forZoneNow)
 	}
-	g.control.post(func() { g.control.hear(time.Now(), m) })
+	g.control.post(func() {
+		now := time.Now()
+		for i := range list {
+			g.control.hear(now, &list[i])
+		}
+	})
 }
 
 // hearFeed takes in changes of the store.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -39,10 +39,11 @@
 
 // members holds the other instances.
 type members struct {
-	self string // Key of this instance.
-	zone string
-	log  *slog.Logger
-	list map[string]*member // By key.
+	self  string // Key of this instance.
+	zone  string
+	log   *slog.Logger
+	list  map[string]*member        // By key.
+	lives map[dispatch.Peer]*member // The same by life.
 }
 
 const (
@@ -53,7 +54,7 @@
 )
 
 func newMembers(id, zone string, log *slog.Logger) *members {
-	return &members{self: memberPrefix + id, zone: zone, log: log, list: make(map[string]*member)}
+	return &members{self: memberPrefix + id, zone: zone, log: log, list: make(map[string]*member), lives: make(map[dispatch.Peer]*member)}
 }
 
 // put takes in an instance's registration.
@@ -70,7 +71,9 @@
 		old.memberRecord, old.lapsed = r, false
 		return
 	}
+	m.drop(key)
 	m.list[key] = &member{memberRecord: r, joined: now}
+	m.lives[r.Peer] = m.list[key]
 	m.log.Info("instance joined", "peer", strings.TrimPrefix(key, memberPrefix), "zone", r.Zone, "callers", r.Callers)
 }
 
@@ -85,21 +88,28 @@
 		e.lapsed = true
 		return
 	}
-	delete(m.list, key)
+	m.drop(key)
 	m.log.Info("instance left", "peer", strings.TrimPrefix(key, memberPrefix))
 }
 
 // hear notes a message of an instance, and tells whether it follows the store since, or no more.
 func (m *members) hear(now time.Time, msg *message) (turned bool) {
-	for _, e := range m.list {
-		if e.Peer == msg.From {
-			turned = e.follows != msg.Following
-			e.heard, e.follows = now, msg.Following
-			e.leaving = e.leaving || msg.Leaving
-			return turned
-		}
+	e := m.lives[msg.From]
+	if e == nil {
+		return false
+	}
+	turned = e.follows != msg.Following
+	e.heard, e.follows = now, msg.Following
+	e.leaving = e.leaving || msg.Leaving
+	return turned
+}
+
+// drop forgets an instance.
+func (m *members) drop(key string) {
+	if e := m.list[key]; e != nil {
+		delete(m.lives, e.Peer)
+		delete(m.list, key)
 	}
-	return false
 }
 
 // zonePeers returns the other instances of this zone that are heard and stay.
@@ -117,7 +127,7 @@
 func (m *members) expire(now time.Time) {
 	for key, e := range m.list {
 		if e.lapsed && now.Sub(e.heard) > silenceTimeout {
-			delete(m.list, key)
+			m.drop(key)
 			m.log.Info("instance lapsed and silent", "peer", strings.TrimPrefix(key, memberPrefix))
 		}
 	}
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -97,14 +97,18 @@
 		if err != nil || len(data) > maxDatagramBytes {
 			t.Fatalf("%d bytes, %v", len(data), err)
 		}
-		got, err := decodeMessage(data)
-		if err != nil || got.From != m.From || got.Revision != m.Revision || got.Leaving != m.Leaving || got.Seasoned != m.Seasoned || !slices.Equal(got.Events, m.Events) {
-			t.Fatalf("got %+v, %v; want %+v", got, err, m)
+		list, err := decodeMessages(data)
+		if err != nil || len(list) != 1 {
+			t.Fatalf("got %d messages, %v", len(list), err)
+		}
+		got := list[0]
+		if got.From != m.From || got.Revision != m.Revision || got.Leaving != m.Leaving || got.Seasoned != m.Seasoned || !slices.Equal(got.Events, m.Events) {
+			t.Fatalf("got %+v; want %+v", got, m)
 		}
 	})
 }
 
-func FuzzDecodeMessage(f *testing.F) {
+func FuzzDecodeMessages(f *testing.F) {
 	data, err := encodeMessage(message{From: 1, Events: []dispatch.Event{{Endpoint: 1, InFlight: 2, Kind: dispatch.Started}}})
 	if err != nil {
 		f.Fatal(err)
@@ -113,7 +117,7 @@
 	f.Add([]byte{})
 	f.Add([]byte{9})
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		_, _ = decodeMessage(data)
+		_, _ = decodeMessages(data)
 	})
 }
 
@@ -168,7 +172,7 @@
 			now := time.Unix(1000, 0)
 			c.replace(now, []platform.Item{{Key: "servers/i-1", Value: entry, Revision: 5}}, 5)
 			if tc.othersAhead {
-				c.hear(now.Add(time.Second), message{From: c.peer + 1, Revision: 9})
+				c.hear(now.Add(time.Second), &message{From: c.peer + 1, Revision: 9})
 			}
 			back := now.Add(12 * time.Second)
 			c.trouble = back
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -27,9 +28,10 @@
 
 // The first byte of a datagram tells what it holds, and whether the receiver passes it on.
 const (
-	forReceiver byte = iota
-	forZone          // To be passed on to all instances of the receiver's zone.
-	storeFeed        // A feed; it is not passed on.
+	forReceiver byte = iota // Messages, one after the other.
+	forZone                 // A message to be passed on to all instances of the receiver's zone.
+	forZoneNow              // The same, at once.
+	storeFeed               // A feed; it is not passed on.
 )
 
 const (
@@ -49,15 +51,21 @@
 	return append([]byte{forReceiver}, body...), nil
 }
 
-func decodeMessage(data []byte) (message, error) {
-	var m message
-	if len(data) == 0 || data[0] > forZone {
-		return m, fmt.Errorf("%w of %d bytes", errDatagram, len(data))
+// decodeMessages returns the messages of a datagram.
+func decodeMessages(data []byte) ([]message, error) {
+	if len(data) == 0 || data[0] > forZoneNow {
+		return nil, fmt.Errorf("%w of %d bytes", errDatagram, len(data))
 	}
-	if err := cbor.Unmarshal(data[1:], &m); err != nil {
-		return m, fmt.Errorf("%w of %d bytes: %w", errDatagram, len(data), err)
+	var list []message
+	for rest := data[1:]; len(rest) > 0; {
+		var m message
+		var err error
+		if rest, err = cbor.UnmarshalFirst(rest, &m); err != nil {
+			return nil, fmt.Errorf("%w of %d bytes: %w", errDatagram, len(data), err)
+		}
+		list = append(list, m)
 	}
-	return m, nil
+	return list, nil
 }
 
 // peerSocket sends and receives datagrams between instances.
@@ -98,30 +106,65 @@
 	}
 }
 
-// spread sends a datagram to the instances of this zone, and to one of each other zone, which passes it on.
-func (p *peerSocket) spread(data []byte, r routes) {
-	data[0] = forReceiver
-	p.send(data, r.zone)
+// spread sends a message to all instances: within this zone, and to a relay of each other zone.
+func spread(data []byte, urgent bool, r *routes, send func(data []byte, to []netip.AddrPort), own *relay) {
 	data[0] = forZone
-	for _, others := range r.others {
-		p.send(data, others[rand.IntN(len(others)):][:1])
+	if urgent {
+		data[0] = forZoneNow
+	}
+	for _, relays := range r.others {
+		send(data, pickOne(relays))
+	}
+	switch {
+	case r.itself:
+		own.pass(data[1:], urgent)
+	case len(r.relays) > 0:
+		send(data, pickOne(r.relays))
+	default:
+		data[0] = forReceiver
+		send(data, r.zone)
 	}
 }
 
+func pickOne(list []netip.AddrPort) []netip.AddrPort {
+	return list[rand.IntN(len(list)):][:1]
+}
+
+const (
+	// zoneRelays is the number of instances of a zone that pass on what others send: the death
+	// of one loses a third of the messages until it is missed.
+	zoneRelays = 3
+	// directMost is the most instances of a zone that are told of each event one by one; above,
+	// what each has to receive grows with all others' requests.
+	directMost = 20
+)
+
 // routes are the ways to the other instances. It is immutable.
 type routes struct {
 	zone   []netip.AddrPort            // In this zone.
-	others map[string][]netip.AddrPort // By zone; none is empty.
+	relays []netip.AddrPort            // Of this zone; none while it is small.
+	itself bool                        // This instance is one of them.
+	others map[string][]netip.AddrPort // Relays by other zone; none is empty.
 }
 
-func newRoutes(alive []*member, zone string) routes {
-	r := routes{others: make(map[string][]netip.AddrPort)}
+func newRoutes(alive []*member, self memberRecord) *routes {
+	zones := make(map[string][]netip.AddrPort)
 	for _, e := range alive {
-		if e.Zone == zone {
-			r.zone = append(r.zone, e.Peers)
-		} else {
-			r.others[e.Zone] = append(r.others[e.Zone], e.Peers)
+		zones[e.Zone] = append(zones[e.Zone], e.Peers)
+	}
+	r := &routes{zone: zones[self.Zone], others: make(map[string][]netip.AddrPort)}
+	for zone, list := range zones {
+		if zone != self.Zone {
+			slices.SortFunc(list, netip.AddrPort.Compare)
+			r.others[zone] = list[:min(len(list), zoneRelays)]
 		}
 	}
+	if len(r.zone) < directMost {
+		return r
+	}
+	all := append(slices.Clone(r.zone), self.Peers)
+	slices.SortFunc(all, netip.AddrPort.Compare)
+	r.relays = all[:zoneRelays]
+	r.itself = slices.Contains(r.relays, self.Peers)
 	return r
 }
--- /dev/null
+++ b/internal/gateway/relay_test.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/dispatch"
+)
+
+// zones is the instances of some zones, whose datagrams arrive at once.
+type zones struct {
+	t      *testing.T
+	routes map[netip.AddrPort]*routes
+	relays map[netip.AddrPort]*relay
+	heard  map[netip.AddrPort]map[dispatch.Peer]int // Messages by receiver and sender.
+	sent   map[netip.AddrPort]int                   // Datagrams.
+}
+
+func newZones(t *testing.T, sizes map[string]int) (*zones, []*member) {
+	t.Helper()
+	z := &zones{t: t, routes: map[netip.AddrPort]*routes{}, relays: map[netip.AddrPort]*relay{}, heard: map[netip.AddrPort]map[dispatch.Peer]int{}, sent: map[netip.AddrPort]int{}}
+	var all []*member
+	for zone, n := range sizes {
+		for i := range n {
+			at := netip.MustParseAddrPort(fmt.Sprintf("10.%d.0.%d:7540", zone[0], i+1))
+			all = append(all, &member{memberRecord: memberRecord{Peer: dispatch.Peer(len(all) + 1), Zone: zone, Peers: at}})
+		}
+	}
+	for k, e := range all {
+		others := append(append([]*member{}, all[:k]...), all[k+1:]...)
+		z.routes[e.Peers] = newRoutes(others, e.memberRecord)
+		z.heard[e.Peers] = map[dispatch.Peer]int{}
+		z.relays[e.Peers] = &relay{
+			send: func(data []byte, to []netip.AddrPort) { z.send(e.Peers, data, to) },
+			to:   func() []netip.AddrPort { return z.routes[e.Peers].zone },
+			call: func(time.Duration, func()) {}, // tell ends every wait.
+		}
+	}
+	return z, all
+}
+
+func (z *zones) send(from netip.AddrPort, data []byte, to []netip.AddrPort) {
+	if len(data) > maxDatagramBytes {
+		z.t.Fatalf("%d bytes", len(data))
+	}
+	for _, at := range to {
+		z.sent[from]++
+		list, err := decodeMessages(data)
+		if err != nil {
+			z.t.Fatal(err)
+		}
+		for _, m := range list {
+			z.heard[at][m.From]++
+		}
+		if data[0] != forReceiver {
+			z.relays[at].pass(data[1:], data[0] == forZoneNow)
+		}
+	}
+}
+
+// tell has every instance send a number of messages.
+func (z *zones) tell(all []*member, messages int) {
+	for range messages {
+		for _, e := range all {
+			data, err := encodeMessage(message{From: e.Peer, Events: []dispatch.Event{{Endpoint: 1, Kind: dispatch.Started}}})
+			if err != nil {
+				z.t.Fatal(err)
+			}
+			spread(data, false, z.routes[e.Peers], func(data []byte, to []netip.AddrPort) { z.send(e.Peers, data, to) }, z.relays[e.Peers])
+		}
+	}
+	for _, r := range z.relays {
+		r.due()
+	}
+}
+
+func TestEveryInstanceHearsEachMessageOnce(t *testing.T) {
+	for _, sizes := range []map[string]int{{"a": 1}, {"a": 12, "b": 3}, {"a": 40, "b": 12, "c": 1}, {"a": 33, "b": 33, "c": 33}} {
+		z, all := newZones(t, sizes)
+		z.tell(all, 3)
+		for _, to := range all {
+			for _, from := range all {
+				if got := z.heard[to.Peers][from.Peer]; to != from && got != 3 {
+					t.Fatalf("zones %v: %s heard %d of 3 messages of %s", sizes, to.Peers, got, from.Peers)
+				}
+			}
+		}
+	}
+}
+
+// The load that it answers: in a fleet of a hundred instances every one tells all others of
+// each request, thousands of times a second.
+func TestMessagesThatComeTogetherAreSentTogether(t *testing.T) {
+	z, all := newZones(t, map[string]int{"a": 40})
+	for _, r := range z.relays {
+		r.sent = time.Now().Add(time.Hour) // Nothing is due until the test says so.
+	}
+	z.tell(all, 4)
+	total := 0
+	for _, n := range z.sent {
+		total += n
+	}
+	if direct := 40 * 39 * 4; total > direct/10 {
+		t.Errorf("%d datagrams for 160 messages to 39 others, one by one it is %d", total, direct)
+	}
+}
+
+// The load that it answers: a quiet fleet, in which evidence is worth most while it is fresh.
+func TestALoneMessageIsPassedOnAtOnce(t *testing.T) {
+	passed := 0
+	r := &relay{send: func([]byte, []netip.AddrPort) { passed++ }, to: func() []netip.AddrPort { return nil }, call: func(time.Duration, func()) {}}
+	r.pass([]byte{1}, false)
+	if passed != 1 {
+		t.Error("the message waits though none came before it")
+	}
+	r.pass([]byte{2}, false)
+	if passed != 1 {
+		t.Error("a second message that can wait does not")
+	}
+	r.pass([]byte{3}, true)
+	if passed != 2 {
+		t.Error("an urgent message waits")
+	}
+	r.pass([]byte{4}, false)
+	r.due()
+	if passed != 3 || len(r.pending) != 0 {
+		t.Errorf("%d datagrams, %d bytes wait", passed, len(r.pending))
+	}
+}
