The template leaves floor_share out where the platform has no such bound

The test of the template failed since place.floor_share came in: it fills in the placeholders that it knows. It now knows this one, as a section, so that a platform without the bound still gets settings that can be read.

--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -225,12 +225,13 @@
 		"{{listeners_map.directory_service|json}}", `"10.1.0.34:8546"`, "{{ip}}", "10.1.0.34", "{{port_range.0}}", "7540",
 		"{{platform.address|json}}", `"10.200.1.7:8541"`, "{{bounds.config_apply|json}}", `"2000ms"`, "{{bounds.drain|json}}", `"2000ms"`,
 		"{{bounds.grace|json}}", `"6s"`, "{{bounds.retry_window|json}}", `"10s"`, "{{bounds.retry_budget_ratio|json}}", "0.2", "{{bounds.retry_extra|json}}", "62",
+		"{{#bounds.floor_share}}", "", "{{bounds.floor_share|json}}", "0.6", "{{/bounds.floor_share}}", "",
 	).Replace(string(text))
 	s, err := ParseSettings("settings.toml", []byte(filled))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Retry.Extra != 62 || s.Promises.StopWithin != 6*time.Second || s.Listen.Peers != "10.1.0.34:7540" {
+	if s.Retry.Extra != 62 || s.Promises.StopWithin != 6*time.Second || s.Listen.Peers != "10.1.0.34:7540" || s.Place.FloorShare != 0.6 {
 		t.Errorf("got %+v", s)
 	}
 }
