A restart leaves a spent retry budget spent

Cause: for the first window of its life an instance counted on the ratio of the requests it had seen, though those before the restart may have spent the whole bound of the window, of which a tenth only is kept back.

Change: in its first window an instance counts on the part of the ratio that the margin leaves.

Ruled out: lost reports (the repeats before the kill were within the margin).

--- a/coord/retrybudget/retrybudget.go
+++ b/coord/retrybudget/retrybudget.go
@@ -4,8 +4,8 @@
 // counts both for the whole fleet. An instance that hears of no other falls back to its
 // own share of the bound.
 //
-// What was spent before an instance started is not known to it, and may have been all: for
-// the first window of its life it counts on the share of requests that it has seen alone.
+// What was spent before an instance started is not known to it, and may have been all that
+// may be spent: for the first window of its life it counts on what those before it have left.
 //
 // The load pattern that it answers: a service fails at once, every instance wants to
 // repeat every request, and the repeats would make up the outage.
@@ -53,9 +53,9 @@
 // this instance may count on: 1 while it hears the others, its own part while it does not.
 func (b *Budget) Allows(now time.Time, share float64) bool {
 	requests, repeated := b.sent.Sums(now)
+	bound := margin * (b.bound.Ratio*float64(requests) + share*float64(b.bound.Extra))
 	if now.Sub(b.started) < b.bound.Window {
-		share = 0
+		bound = (1 - margin) * b.bound.Ratio * float64(requests)
 	}
-	bound := margin * (b.bound.Ratio*float64(requests) + share*float64(b.bound.Extra))
 	return float64(repeated+1) <= bound
 }
--- a/coord/retrybudget/retrybudget_test.go
+++ b/coord/retrybudget/retrybudget_test.go
@@ -78,6 +78,36 @@
 	}
 }
 
+// The load that it answers: a service that was well for long fails; its budget is spent, all
+// instances are killed at some moment of the window, and the service goes on failing.
+func TestARestartLeavesASpentBudgetSpent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const step = 10 * time.Millisecond
+		start := time.Unix(100, 0)
+		fails := start.Add(bound.Window)
+		killed := fails.Add(time.Duration(rapid.IntRange(1, int(bound.Window/step)-1).Draw(t, "steps")) * step)
+		b := New(bound, start.Add(-bound.Window))
+		repeats, requests := 0, 0
+		for now := start; now.Before(fails.Add(bound.Window)); now = now.Add(step) {
+			if now.Equal(killed) {
+				b = New(bound, now)
+			}
+			b.Sent(now, false)
+			if now.Before(fails) {
+				continue
+			}
+			requests++
+			for b.Allows(now, 1) {
+				b.Sent(now, true)
+				repeats++
+			}
+		}
+		if most := int(bound.Ratio*float64(requests)) + bound.Extra; repeats > most {
+			t.Fatalf("%d repeats in a window with a restart at %s, bound %d", repeats, killed.Sub(fails), most)
+		}
+	})
+}
+
 func TestCountsLeaveTheWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(100, 0)
