The fastest links of a zone relay; repeats are told at once

When a service failed at once the fleet sent 525 repeats in 3 s where the budget ends at 502 with its margin, so repeats went uncounted: relays were the lowest addresses, most on links of 10 Mbit/s, while each sends about a megabyte a second to its zone at 99 instances; what overfills a link is lost. Repeats also waited 10 ms.

Change: an instance registers the speed of its link (limits.link_mbps), and the two or three fastest of a zone relay to it. A message with a repeat is urgent.

The tests fail to compile on the former code.

--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -19,7 +19,7 @@
 	heard     map[Peer]heard
 	peers     int     // Other instances that are known.
 	reports   []Event // Not yet taken.
-	urgent    bool    // One of them tells of a failure, or of a trial.
+	urgent    bool    // One of them tells of a failure, a repeat or a trial.
 }
 
 // heard is when a peer was heard last.
@@ -41,7 +41,7 @@
 }
 
 // TakeReports returns what is to be told to all other instances since the last call. It is
-// urgent where each request that is placed without knowing it may fail for that.
+// urgent where a request that is placed without knowing it may fail, or overspend the budget.
 func (m *Machine) TakeReports() (events []Event, urgent bool) {
 	events, urgent = m.reports, m.urgent
 	m.reports, m.urgent = nil, false
@@ -149,7 +149,7 @@
 		kind = Repeated
 	}
 	m.report(e, kind, 0)
-	m.urgent = m.urgent || c.chance < unprovenChance
+	m.urgent = m.urgent || repeat || c.chance < unprovenChance
 	return Grant{Endpoint: e.Endpoint, Chance: c.chance, InFlight: e.inFlight, Usual: e.took.or(s.usual())}
 }
 
--- a/coord/dispatch/machine_test.go
+++ b/coord/dispatch/machine_test.go
@@ -388,6 +388,35 @@
 	}
 }
 
+// What the others must know at once does not wait to be told together with other events.
+func TestFailuresTrialsAndRepeatsAreUrgent(t *testing.T) {
+	m := newMachine(endpoints(2))
+	urgent := func() bool { _, urgent := m.TakeReports(); return urgent }
+	trial := grant(t, m, start)
+	if !urgent() {
+		t.Error("a trial of an endpoint of which nothing is known can wait")
+	}
+	m.Ended(start, trial.ID, EndedFailed, 0)
+	if !urgent() {
+		t.Error("a failure can wait")
+	}
+	for id := EndpointID(1); id <= 2; id++ {
+		for range 3 {
+			m.Report(start, 7, true, []Event{{Endpoint: id, Kind: EndedServed, Took: 300}})
+		}
+	}
+	usual := grant(t, m, start)
+	m.Ended(start, usual.ID, EndedServed, 300*time.Millisecond)
+	if urgent() {
+		t.Error("a request that is served as usual cannot wait")
+	}
+	repeat := ask(start)
+	repeat.Repeat = true
+	if _, r := m.Ask(start, repeat); r != nil || !urgent() {
+		t.Errorf("a repeat can wait, or is turned away: %+v", r)
+	}
+}
+
 // Whatever comes, no request goes where it must not, and what is in flight adds up.
 func TestGrantsAndCountsHoldWhateverComes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return fmt.Errorf("address for peers %q: %w", s.Listen.Peers, err)
 	}
-	g.record = memberRecord{Peer: g.control.peer, Zone: s.Instance.Zone, Callers: s.Listen.Callers, Peers: peers}
+	g.record = memberRecord{Peer: g.control.peer, Zone: s.Instance.Zone, Callers: s.Listen.Callers, Peers: peers, Link: s.Instance.Link}
 	g.control.self = g.record
 	return g.listenSides(s)
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -23,8 +23,9 @@
 type memberRecord struct {
 	Peer    dispatch.Peer  `cbor:"1,keyasint"` // New at each start.
 	Zone    string         `cbor:"2,keyasint"`
-	Callers string         `cbor:"3,keyasint"` // Where callers connect.
-	Peers   netip.AddrPort `cbor:"4,keyasint"` // Where datagrams go.
+	Callers string         `cbor:"3,keyasint"`           // Where callers connect.
+	Peers   netip.AddrPort `cbor:"4,keyasint"`           // Where datagrams go.
+	Link    float64        `cbor:"5,keyasint,omitempty"` // Mbit/s; 0 where it is not known.
 }
 
 // member is another instance.
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -50,6 +50,7 @@
 	_, err := ParseSettings("f.toml", []byte(`[instance]
 id = ""
 zone = "a"
+link_mbps = -1
 colour = "red"
 [listen]
 callers = "localhost:80"
@@ -66,7 +67,7 @@
 	if !errors.As(err, &faults) {
 		t.Fatalf("got %v", err)
 	}
-	for _, key := range []string{"instance.id", "instance.colour", "listen.callers", "listen.ready", "store.address", "retry.ratio", "place.floor_share", "promises.drain_within", "log.requests"} {
+	for _, key := range []string{"instance.id", "instance.link_mbps", "instance.colour", "listen.callers", "listen.ready", "store.address", "retry.ratio", "place.floor_share", "promises.drain_within", "log.requests"} {
 		if !slices.ContainsFunc(faults.Faults, func(f tomlfile.Fault) bool { return f.Key == key }) {
 			t.Errorf("no fault of %s in\n%v", key, err)
 		}
@@ -221,6 +222,7 @@
 	}
 	filled := strings.NewReplacer(
 		"{{node_name|json}}", `"edge-1"`, "{{zone|json}}", `"a"`, "{{region|json}}", `"r"`,
+		"{{#limits.link_mbps}}", "", "{{limits.link_mbps|json}}", "200.0", "{{/limits.link_mbps}}", "",
 		"{{listeners_map.frontend|json}}", `"10.1.0.34:8548"`, "{{listeners_map.ready|json}}", `"10.1.0.34:8542"`,
 		"{{listeners_map.directory_service|json}}", `"10.1.0.34:8546"`, "{{ip}}", "10.1.0.34", "{{port_range.0}}", "7540",
 		"{{platform.address|json}}", `"10.200.1.7:8541"`, "{{bounds.config_apply|json}}", `"2000ms"`, "{{bounds.drain|json}}", `"2000ms"`,
@@ -231,7 +233,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Retry.Extra != 62 || s.Promises.StopWithin != 6*time.Second || s.Listen.Peers != "10.1.0.34:7540" || s.Place.FloorShare != 0.6 {
+	if s.Retry.Extra != 62 || s.Promises.StopWithin != 6*time.Second || s.Listen.Peers != "10.1.0.34:7540" || s.Place.FloorShare != 0.6 || s.Instance.Link != 200 {
 		t.Errorf("got %+v", s)
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -131,14 +132,30 @@
 }
 
 const (
-	// zoneRelays is the number of instances of a zone that pass on what others send: the death
-	// of one loses a third of the messages until it is missed.
+	// zoneRelays is the most instances of a zone that pass on what others send.
 	zoneRelays = 3
+	// relaysLeast is the fewest, so that the death of one leaves another.
+	relaysLeast = 2
 	// directMost is the most instances of a zone that are told of each event one by one; above,
 	// what each has to receive grows with all others' requests.
 	directMost = 20
 )
 
+// relaysOf returns the relays of a zone: its instances with the fastest links, since a relay
+// sends what the whole fleet tells to each of its zone.
+func relaysOf(zone []*member) []netip.AddrPort {
+	slices.SortFunc(zone, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(b.Link, a.Link), a.Peers.Compare(b.Peers))
+	})
+	var relays []netip.AddrPort
+	for k, e := range zone[:min(len(zone), zoneRelays)] {
+		if k < relaysLeast || e.Link == zone[0].Link {
+			relays = append(relays, e.Peers)
+		}
+	}
+	return relays
+}
+
 // routes are the ways to the other instances. It is immutable.
 type routes struct {
 	zone   []netip.AddrPort            // In this zone.
@@ -148,23 +165,24 @@
 }
 
 func newRoutes(alive []*member, self memberRecord) *routes {
-	zones := make(map[string][]netip.AddrPort)
+	zones := make(map[string][]*member)
 	for _, e := range alive {
-		zones[e.Zone] = append(zones[e.Zone], e.Peers)
+		zones[e.Zone] = append(zones[e.Zone], e)
 	}
-	r := &routes{zone: zones[self.Zone], others: make(map[string][]netip.AddrPort)}
+	r := &routes{others: make(map[string][]netip.AddrPort)}
 	for zone, list := range zones {
 		if zone != self.Zone {
-			slices.SortFunc(list, netip.AddrPort.Compare)
-			r.others[zone] = list[:min(len(list), zoneRelays)]
+			r.others[zone] = relaysOf(list)
 		}
 	}
-	if len(r.zone) < directMost {
+	own := zones[self.Zone]
+	for _, e := range own {
+		r.zone = append(r.zone, e.Peers)
+	}
+	if len(own) < directMost {
 		return r
 	}
-	all := append(slices.Clone(r.zone), self.Peers)
-	slices.SortFunc(all, netip.AddrPort.Compare)
-	r.relays = all[:zoneRelays]
+	r.relays = relaysOf(append(own, &member{memberRecord: self}))
 	r.itself = slices.Contains(r.relays, self.Peers)
 	return r
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,6 +91,37 @@
 	}
 }
 
+// The load that it answers: of forty instances of a zone two have links of 200 Mbit/s, the others
+// of 10, which a relay fills: what it drops are repeats that nobody counts.
+func TestTheFastestLinksRelay(t *testing.T) {
+	var zone []*member
+	for i := range 40 {
+		e := &member{memberRecord: memberRecord{Zone: "a", Link: 10, Peers: netip.MustParseAddrPort(fmt.Sprintf("10.1.0.%d:7540", i+1))}}
+		if i%20 == 7 {
+			e.Link = 200
+		}
+		zone = append(zone, e)
+	}
+	var want []netip.AddrPort
+	for _, e := range zone {
+		if e.Link == 200 {
+			want = append(want, e.Peers)
+		}
+	}
+	if got := relaysOf(slices.Clone(zone)); !slices.Equal(got, want) {
+		t.Errorf("relays %v, want %v", got, want)
+	}
+	for _, e := range zone {
+		e.Link = 10
+	}
+	if got := relaysOf(zone); len(got) != zoneRelays {
+		t.Errorf("%d relays among equals, want %d", len(got), zoneRelays)
+	}
+	if got := relaysOf(zone[:1]); len(got) != 1 {
+		t.Errorf("%d relays of a zone of one", len(got))
+	}
+}
+
 // The load that it answers: in a fleet of a hundred instances every one tells all others of
 // each request, thousands of times a second.
 func TestMessagesThatComeTogetherAreSentTogether(t *testing.T) {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,9 +23,10 @@
 
 // InstanceSettings tell which instance the process is.
 type InstanceSettings struct {
-	ID     string `toml:"id"`
-	Zone   string `toml:"zone"`
-	Region string `toml:"region"`
+	ID     string  `toml:"id"`
+	Zone   string  `toml:"zone"`
+	Region string  `toml:"region"`
+	Link   float64 `toml:"link_mbps"` // Of the machine's own link, in Mbit/s; 0 where it is not known.
 }
 
 // ListenSettings are the addresses that the process listens on.
@@ -135,6 +136,9 @@
 	if s.Retry.Extra < 0 {
 		c.Add("retry.extra", tomlfile.Show(s.Retry.Extra), "must not be negative")
 	}
+	if s.Instance.Link < 0 {
+		c.Add("instance.link_mbps", tomlfile.Show(s.Instance.Link), "must not be negative")
+	}
 	if s.Place.FloorShare < 0 || s.Place.FloorShare > 1 {
 		c.Add("place.floor_share", tomlfile.Show(s.Place.FloorShare), "must be from 0 to 1")
 	}
