A configuration that is understood in part serves what is understood

Settings had the same fault: retry.extra as a fraction ended the process, and a bound left out made the template's line empty.

Ruled out: a list of kinds alone; the next kind or shape would do the same again.

Now each route, service and limit is decoded by itself. What is not known gets its strictest reading (not repeatable, one attempt, no service: 503 rather than 404 or a neighbour's route) and one log line.

--- a/coord/retrybudget/retrybudget.go
+++ b/coord/retrybudget/retrybudget.go
@@ -21,7 +21,7 @@
 type Bound struct {
 	Window time.Duration
 	Ratio  float64
-	Extra  int
+	Extra  float64
 }
 
 const (
@@ -57,5 +57,5 @@
 	if now.Sub(b.started) < b.bound.Window {
 		part = 1 - margin
 	}
-	return float64(repeated+1) <= part*(b.bound.Ratio*float64(requests)+share*float64(b.bound.Extra))
+	return float64(repeated+1) <= part*(b.bound.Ratio*float64(requests)+share*b.bound.Extra)
 }
--- a/internal/gateway/contents.go
+++ b/internal/gateway/contents.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -118,10 +119,21 @@
 		return false
 	}
 	c.config = next
+	c.noteOnce(next.Notes)
 	c.log.Info("configuration in force", "version", next.Version.String(), "routes", len(next.Routes), "services", len(next.Services))
 	return true
 }
 
+// noteOnce logs what of the configuration is not understood, once while it stays so.
+func (c *control) noteOnce(notes []string) {
+	for _, note := range notes {
+		if !slices.Contains(c.notes, note) {
+			c.log.Warn("configuration understood in part", "note", note)
+		}
+	}
+	c.notes = notes
+}
+
 func (c *control) applyUpstreams(now time.Time) {
 	if c.config != nil {
 		c.machine.SetEndpoints(now, c.registry.endpoints(c.config))
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -46,9 +46,6 @@
 	routes  *routes
 }
 
-// firstLimits hold until the first configuration.
-var firstLimits = callers.Limits{HeadBytes: 16 << 10, BodyBytes: 1 << 20, HeadTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
-
 // control is the control loop and the state that it owns.
 type control struct {
 	settings *Settings
@@ -71,6 +68,7 @@
 	// Owned by the loop.
 	machine   *dispatch.Machine
 	config    *platform.Config
+	notes     []string // On the configuration, as logged.
 	registry  *registry
 	members   *members
 	synced    bool // The store was read once.
@@ -115,7 +113,7 @@
 		registry: newRegistry(log),
 		members:  newMembers(s.Instance.ID, s.Instance.Zone, log),
 	}
-	c.snapshot.Store(&Snapshot{limits: firstLimits, routes: &routes{}})
+	c.snapshot.Store(&Snapshot{limits: limitsOf(platform.DefaultLimits), routes: &routes{}})
 	c.relay = newRelay(socket.send, func() []netip.AddrPort { return c.snapshot.Load().routes.zone })
 	c.duty = following.New(c.members.self)
 	c.onDuty.Store(true)
@@ -225,7 +223,7 @@
 // publish makes a new snapshot.
 func (c *control) publish(now time.Time) {
 	alive := c.members.alive(now)
-	next := &Snapshot{limits: firstLimits, alive: alive, routes: newRoutes(alive, c.self)}
+	next := &Snapshot{limits: limitsOf(platform.DefaultLimits), alive: alive, routes: newRoutes(alive, c.self)}
 	if c.config != nil && c.synced {
 		next.Version = c.config.Version
 		next.limits = limitsOf(c.config.Limits)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -301,6 +301,32 @@
 	}
 }
 
+// A configuration of which one route is not understood serves the others, and what is not
+// understood is logged once.
+func TestRouteThatIsNotUnderstoodStopsNoOther(t *testing.T) {
+	w := newWorld(t)
+	in := w.startInstance("one", "a")
+	w.startUpstream("i-1", "orders")
+	for version := 1; version <= 2; version++ {
+		w.store.Put("op/config", fmt.Appendf(nil, `{"version":"%08x","services":{"orders":{}},"limits":{},"routes":{
+			"plain":{"host":"h.example","path_prefix":"/","route_kind":"unsafe","timeout":"5s","target_latency":"1s","service":"orders"},
+			"kind":{"host":"h.example","path_prefix":"/kind/","route_kind":"teleport","timeout":"5s","target_latency":"1s","service":"orders"},
+			"odd":{"host":"h.example","path_prefix":"/odd/","route_kind":"unsafe","timeout":"5s","target_latency":"1s","service":{"name":"orders"}}}}`, version))
+	}
+	eventually(t, "both are in force", func() bool { return in.gateway.control.snapshot.Load().Version == 2 })
+	eventually(t, "served", func() bool { status, _, _ := in.ask(t, "h.example", "/x"); return status == 200 })
+	if status, _, _ := in.ask(t, "h.example", "/kind/x"); status != http.StatusOK {
+		t.Errorf("a kind that is not known: status %d", status)
+	}
+	if status, _, _ := in.ask(t, "h.example", "/odd/x"); status != http.StatusServiceUnavailable {
+		t.Errorf("a service that is not understood: status %d", status)
+	}
+	eventually(t, "it is logged", func() bool { return strings.Contains(in.logs.String(), "route odd: service") })
+	if got := strings.Count(in.logs.String(), "route kind: route_kind"); got != 1 {
+		t.Errorf("%d lines of one thing that is not understood", got)
+	}
+}
+
 func TestOneInstancesFailureIsEveryonesEvidence(t *testing.T) {
 	w := newWorld(t)
 	a, b := w.startInstance("one", "a"), w.startInstance("two", "b")
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -16,6 +16,10 @@
 // startingRetryAfter is when a caller may come back to an instance that has no configuration yet.
 const startingRetryAfter = 200 * time.Millisecond
 
+// unknownRetryAfter is when a caller may come back to a route that is not understood: only a
+// change of the configuration helps.
+const unknownRetryAfter = 2 * time.Second
+
 // handler serves callers' requests.
 type handler struct {
 	control   *control
@@ -52,6 +56,10 @@
 		h.refuse(r, id, resp, result.CodeNoRoute, "host "+host+", version "+s.Version.String(), 0)
 		return
 	}
+	if len(route.Parts) == 0 {
+		h.refuse(r, id, resp, result.CodeNoEndpoint, "route "+route.Name+" is not understood", unknownRetryAfter)
+		return
+	}
 	in := forward.Request{
 		ID: id, Route: route, Service: pick(route.Parts), HTTP: r.HTTP, Arrived: r.Arrived,
 		Deadline: r.Arrived.Add(route.Timeout),
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -55,7 +55,7 @@
 type RetrySettings struct {
 	Window time.Duration `toml:"window"`
 	Ratio  float64       `toml:"ratio"` // Of the requests in a window.
-	Extra  int           `toml:"extra"` // Besides, in a window.
+	Extra  float64       `toml:"extra"` // Besides, in a window; a part of a whole one counts as such.
 }
 
 // PlaceSettings bound how requests are placed on upstreams.
