Large answers stay in their zone

Two thirds are downloads of 90 kB, which were placed like lookups: a flat bonus for the own zone, and each zone's instances tried every endpoint that had rested, so that most downloads crossed to look at an endpoint.

Now an answer's expected size, learned by route, costs part of the credit where it comes from another zone, and another zone's endpoints are left to its instances while there are some.

--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -17,9 +17,12 @@
 	services  map[string]*service
 	endpoints map[EndpointID]*tracked
 	heard     map[Peer]heard
-	peers     int     // Other instances that are known.
-	reports   []Event // Not yet taken.
-	urgent    bool    // One of them tells of a failure, a repeat or a trial.
+	sizes     map[string]*size // Of answers, by class.
+	reports   []Event          // Not yet taken.
+	urgent    bool             // One of them tells of a failure, a repeat or a trial.
+
+	peers       int // Other instances that are known.
+	peersByZone map[string]int
 }
 
 // heard is when a peer was heard last.
@@ -37,6 +40,7 @@
 		services:  make(map[string]*service),
 		endpoints: make(map[EndpointID]*tracked),
 		heard:     make(map[Peer]heard),
+		sizes:     make(map[string]*size),
 	}
 }
 
@@ -48,9 +52,12 @@
 	return events, urgent
 }
 
-// SetPeers tells how many other instances there are.
-func (m *Machine) SetPeers(n int) {
-	m.peers = n
+// SetPeers tells how many other instances there are in each availability zone.
+func (m *Machine) SetPeers(byZone map[string]int) {
+	m.peersByZone, m.peers = byZone, 0
+	for _, n := range byZone {
+		m.peers += n
+	}
 }
 
 // SetEndpoints replaces the list of endpoints. What is known of those that stay is kept.
@@ -89,6 +96,7 @@
 	if a.Repeat && !mayRepeat {
 		return Grant{}, &Rejection{Reason: BudgetSpent, Left: left}
 	}
+	a.crossing = m.crossingCost(&a)
 	a.repeatable = a.Idempotent && !a.Repeat && mayRepeat
 	c, ok := m.choose(now, s, &a)
 	switch {
--- a/coord/dispatch/machine_test.go
+++ b/coord/dispatch/machine_test.go
@@ -216,7 +216,7 @@
 	repeat := ask(start)
 	repeat.Repeat = true
 	m := newMachine(endpoints(40))
-	m.SetPeers(30)
+	m.SetPeers(map[string]int{"a": 10, "b": 20})
 	hearAll := func(at time.Time) {
 		for p := range Peer(30) {
 			m.Report(at, p, true, nil)
@@ -503,3 +503,78 @@
 		}
 	})
 }
+
+// The load that it answers: three zones ask for lookups, orders and, one request in ten,
+// downloads of 90 kB. Downloads cross to another zone only where the own one has no sound
+// endpoint with a slot; lookups go where they need not wait.
+func TestLargeAnswersStayInTheirZone(t *testing.T) {
+	const own = EndpointID(1) // Of zone a; 2 is of b, 3 of c.
+	download := ask(start)
+	download.Class, download.Idempotent = "proofs", true
+	lookup := ask(start)
+	lookup.Class, lookup.Idempotent = "prices", true
+	var served []Event
+	for id := own; id <= 3; id++ {
+		served = append(served, Event{Endpoint: id, Kind: Started, InFlight: 1}, Event{Endpoint: id, Kind: EndedServed, Took: 300})
+	}
+	for name, tc := range map[string]struct {
+		ask    Ask
+		answer int // Bytes of the answers seen; 0 for none.
+		large  bool
+		events []Event // Besides a success of each endpoint.
+		local  bool
+	}{
+		"free":                             {download, 90 << 10, false, nil, true},
+		"half full":                        {download, 90 << 10, false, []Event{{Endpoint: own, InFlight: 3, Kind: Started}}, true},
+		"large by its kind alone":          {download, 0, true, []Event{{Endpoint: own, InFlight: 3, Kind: Started}}, true},
+		"a short queue":                    {download, 90 << 10, false, []Event{{Endpoint: own, InFlight: 5, Kind: Started}}, true},
+		"too late in the own queue":        {download, 90 << 10, false, []Event{{Endpoint: own, InFlight: 16, Kind: Started}}, false},
+		"failing here":                     {download, 90 << 10, false, []Event{{Endpoint: own, Kind: EndedFailed}, {Endpoint: own, Kind: EndedFailed}}, false},
+		"a lookup waits for no zone":       {lookup, 400, false, []Event{{Endpoint: own, InFlight: 5, Kind: Started}}, false},
+		"a lookup, free":                   {lookup, 400, false, nil, true},
+		"a large class with small answers": {download, 400, true, []Event{{Endpoint: own, InFlight: 5, Kind: Started}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMachine(endpoints(3))
+			m.SetPeers(map[string]int{"a": 5, "b": 5, "c": 5})
+			m.Report(start, 7, true, served)
+			m.Report(start, 7, true, tc.events)
+			if tc.answer > 0 {
+				for range 3 {
+					m.Answered(tc.ask.Class, tc.answer)
+				}
+			}
+			tc.ask.Large = tc.large
+			g, rejection := m.Ask(start, tc.ask)
+			if rejection != nil {
+				t.Fatalf("turned away: %+v", rejection)
+			}
+			if local := g.Endpoint.ID == own; local != tc.local {
+				t.Errorf("goes to endpoint %d", g.Endpoint.ID)
+			}
+		})
+	}
+}
+
+// The load that it answers: each zone's instances look at every endpoint that was not used
+// for long, so that most downloads crossed between zones for nothing else. The zone's own
+// instances look; where there are none, others do.
+func TestEndpointsOfAnotherZoneAreLeftToItsInstances(t *testing.T) {
+	for name, peers := range map[string]map[string]int{"instances everywhere": {"b": 4, "c": 4}, "nobody in c": {"b": 4}} {
+		m := newMachine(endpoints(3))
+		m.SetPeers(peers)
+		at := start.Add(testEvery)
+		m.Report(at, 7, true, []Event{{Endpoint: 1, Kind: EndedServed, Took: 300}, {Endpoint: 1, Kind: Started, InFlight: 1}})
+		m.Report(at, 7, true, []Event{{Endpoint: 2, Kind: EndedServed, Took: 300}, {Endpoint: 2, Kind: Started, InFlight: 1}})
+		m.Report(start, 7, true, []Event{{Endpoint: 3, Kind: EndedServed, Took: 300}, {Endpoint: 3, Kind: Started}})
+		a := ask(at)
+		a.Idempotent = true
+		g, rejection := m.Ask(at, a)
+		if rejection != nil {
+			t.Fatalf("%s: turned away: %+v", name, rejection)
+		}
+		if looks := g.Endpoint.ID == 3; looks != (peers["c"] == 0) {
+			t.Errorf("%s: goes to endpoint %d", name, g.Endpoint.ID)
+		}
+	}
+}
--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -10,8 +10,6 @@
 const (
 	// lateCredit is what an answer after the objective is worth to a caller.
 	lateCredit = 0.5
-	// zoneBonus prefers the instance's own availability zone, also to a short wait: bytes between zones are priced.
-	zoneBonus = 0.030
 	// crowdCost prefers the emptier among equals; endpoints slow down when nearly full.
 	crowdCost = 0.015
 	// waitCost is taken off for each usual time that a request would wait for a slot.
@@ -46,6 +44,8 @@
 	// costs them a repeat only.
 	testChance = 0.35
 	testEvery  = 900 * time.Millisecond
+	// awayFactor is how many times longer an endpoint of another zone is left to the instances there.
+	awayFactor = 3
 	// spreadFrom is the unserved share from which endpoints are used whatever their chance
 	// while too few are; from a tenth on, the users want most of them in use.
 	spreadFrom = 0.08
@@ -79,7 +79,7 @@
 		if !ok || c.worth > best.worth {
 			best, ok = c, true
 		}
-		if c.due(now, spread, a.Idempotent) && (due.endpoint == nil || c.worth > due.worth) {
+		if c.due(now, spread, a.Idempotent, m.away(e)) && (due.endpoint == nil || c.worth > due.worth) {
 			due = c
 		}
 	}
@@ -96,17 +96,25 @@
 }
 
 // due tells whether an endpoint is to be used because it has not been for long.
-func (c choice) due(now time.Time, spread, idempotent bool) bool {
+func (c choice) due(now time.Time, spread, idempotent, away bool) bool {
 	chance, every := coverChance, coverEvery
 	if idempotent {
 		chance, every = testChance, testEvery
 	}
+	if away && !spread {
+		every *= awayFactor
+	}
 	if now.Sub(c.endpoint.used) < every {
 		return false
 	}
 	return c.chance >= chance || spread && now.Sub(c.endpoint.failed) > spreadRest
 }
 
+// away tells whether an endpoint is another zone's, whose instances use it.
+func (m *Machine) away(e *tracked) bool {
+	return e.Zone != m.cfg.Zone && m.peersByZone[e.Zone] > 0
+}
+
 // spreads tells whether so many requests go unserved that most endpoints are to be used.
 func (s *service) spreads(now time.Time) bool {
 	share, n := s.unservedShare(now)
@@ -148,10 +156,8 @@
 	if c.chance < unprovenChance && !a.Idempotent {
 		preference -= unprovenCost * float64(e.inFlight)
 	}
-	if e.Zone == m.cfg.Zone {
-		preference += zoneBonus
-	}
 	c.worth = m.servedChance(c.chance, a) * credit(a, now, c.finish) * max(preference, leastPreference)
+	c.worth -= a.crossing * m.crosses(e, c.chance, a)
 	if e.used.IsZero() && now.After(e.WarmUntil) && now.Sub(e.joined) > time.Second {
 		c.worth += unusedBonus
 	}
@@ -168,6 +174,18 @@
 	return chance + (1-chance)*secondChance
 }
 
+// crosses returns the chance that a request's answer comes from another zone: of an endpoint
+// there, or of a second try, which may go anywhere.
+func (m *Machine) crosses(e *tracked, chance float64, a *Ask) float64 {
+	if e.Zone != m.cfg.Zone {
+		return chance
+	}
+	if !a.repeatable {
+		return 0
+	}
+	return (1 - chance) * secondChance
+}
+
 // queueing returns how long a request waits for a slot.
 func queueing(e *tracked, work time.Duration) time.Duration {
 	ahead := e.inFlight - e.Slots + 1
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -29,6 +29,8 @@
 // Ask is a request that wants an endpoint.
 type Ask struct {
 	Service    string
+	Class      string // Requests whose answers are of about one size, such as a route's.
+	Large      bool   // Answers of the class are large.
 	Idempotent bool
 	Repeat     bool // It was sent before and draws on the retry budget.
 	Hedge      bool // It is under way elsewhere; it gets a free slot at a sound endpoint or none.
@@ -36,7 +38,8 @@
 	Deadline   time.Time
 	Tried      []EndpointID
 
-	repeatable bool // The budget lets it be sent again if it fails.
+	repeatable bool    // The budget lets it be sent again if it fails.
+	crossing   float64 // Part of its credit that an answer from another zone costs.
 }
 
 // Reason tells why an Ask is rejected.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -21,6 +21,8 @@
 	Ended(id dispatch.EndpointID, kind dispatch.EventKind, took time.Duration)
 	// Unreachable tells that a granted request could not be sent.
 	Unreachable(id dispatch.EndpointID)
+	// Answered tells the size of the body of an answer to a request of a class.
+	Answered(class string, bytes int)
 	// RunsLong tells that a granted request has no answer for many times the usual time.
 	RunsLong(id dispatch.EndpointID)
 }
@@ -154,6 +156,8 @@
 	}
 	return f.dispatcher.Acquire(dispatch.Ask{
 		Service:    r.Service,
+		Class:      r.Route.Name,
+		Large:      r.Route.Large,
 		Idempotent: r.Route.Idempotent,
 		Repeat:     r.sent > 0,
 		Hedge:      r.open > 0,
@@ -188,6 +192,9 @@
 	} else {
 		f.dispatcher.Ended(grant.Endpoint.ID, a.eventOf(), a.took)
 	}
+	if a.ending == endedServed {
+		f.dispatcher.Answered(r.Route.Name, len(a.resp.Body()))
+	}
 	return a
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -128,6 +128,8 @@
 
 func (d *inTurn) RunsLong(dispatch.EndpointID) {}
 
+func (d *inTurn) Answered(string, int) {}
+
 // closed returns an address on which nobody listens.
 func closed(t *testing.T) string {
 	t.Helper()
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -233,7 +233,11 @@
 			next.router = newRouter(c.config)
 		}
 	}
-	c.machine.SetPeers(len(alive))
+	peers := make(map[string]int)
+	for _, e := range alive {
+		peers[e.Zone]++
+	}
+	c.machine.SetPeers(peers)
 	c.snapshot.Store(next)
 }
 
@@ -294,6 +298,11 @@
 	c.post(func() { c.machine.Unreachable(time.Now(), id) })
 }
 
+// Answered implements forward.Dispatcher.
+func (c *control) Answered(class string, bytes int) {
+	c.post(func() { c.machine.Answered(class, bytes) })
+}
+
 // RunsLong implements forward.Dispatcher.
 func (c *control) RunsLong(id dispatch.EndpointID) {
 	c.post(func() { c.machine.RunsLong(time.Now(), id) })
