Large answers are passed on while they come; bytes without end are bounded

Cause: every answer was gathered whole, up to 64 MB of an instance's 184 MB, and then copied; an endpoint that sent a chunk's extension or interim answers without end kept a goroutine reading until the request's deadline.

Now an answer of up to 256 KB (less while many are in service: 24 MB in all) is gathered, so that one that breaks off can be repeated. A larger one is passed on while it comes; when it breaks off the caller's connection is closed before its announced end. What comes besides a body is bounded by bytes, whatever it is.

Found by the tests: the library takes the end of a connection between two chunks for the end of a streamed body.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -41,14 +41,13 @@
 	reused  bool // An idle connection was used.
 	err     error
 	resp    *fasthttp.Response // Set where an answer came.
+	stream  *stream            // The answer's body where it is still coming.
+	release func(whole bool)   // Gives the connection back once the stream has ended.
 }
 
 // maxStrays bounds the answers of other requests that are skipped on a connection.
 const maxStrays = 4
 
-// maxAnswerBytes bounds an answer's body, like the largest request of the users.
-const maxAnswerBytes = 64 << 20
-
 // send sends a request to the granted endpoint and reads its answer. ctx ends the attempt.
 func (f *Forwarder) send(ctx context.Context, r *request, req *fasthttp.Request, a *attempt) {
 	to := target{id: a.grant.Endpoint.ID, addr: a.grant.Endpoint.Address}
@@ -63,24 +62,31 @@
 		f.metrics.dials.Add(1)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
 	if ctx.Err() != nil {
+		stop()
 		_ = conn.Close()
 		a.ending, a.err = endedNotSent, ctx.Err()
 		return
 	}
 	f.exchange(r, req, a, conn)
+	a.release = func(whole bool) {
+		stop()
+		if !whole {
+			_ = conn.Close()
+			return
+		}
+		f.pool.put(to, conn, a.resp, time.Now())
+	}
+	if a.stream != nil {
+		return
+	}
 	if ctx.Err() != nil && a.ending == endedBroken {
 		a.ending = endedLeft
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			a.ending = endedTimedOut
 		}
 	}
-	if a.ending == endedBroken || a.ending == endedTimedOut || a.ending == endedLeft || a.ending == endedNotSent {
-		_ = conn.Close()
-		return
-	}
-	f.pool.put(to, conn, a.resp, time.Now())
+	a.release(a.ending == endedServed || a.ending == endedFailed || a.ending == endedNotRun)
 }
 
 // exchange sends the request on a connection and sorts out what comes back.
@@ -96,8 +102,10 @@
 	a.resp = fasthttp.AcquireResponse()
 	a.resp.SkipBody = req.Header.IsHead()
 	var answer platform.Answer
+	var rest *httpconn.Body
 	for strays := 0; ; strays++ {
-		if recvErr := conn.Receive(a.resp, maxAnswerBytes); recvErr != nil {
+		var recvErr error
+		if rest, recvErr = conn.ReceiveHead(a.resp, f.gatherBytes()); recvErr != nil {
 			a.ending, a.err = endedBroken, errors.Join(err, recvErr)
 			if errors.Is(recvErr, httpconn.ErrTimedOut) {
 				a.ending = endedTimedOut
@@ -109,7 +117,7 @@
 			break
 		}
 		f.metrics.strays.Add(1)
-		if strays >= maxStrays || a.resp.ConnectionClose() {
+		if strays >= maxStrays || rest != nil || a.resp.ConnectionClose() {
 			a.ending, a.err = endedBroken, errStray
 			return
 		}
@@ -118,6 +126,19 @@
 		a.resp.SetConnectionClose()
 	}
 	a.ending, a.err = classify(a.resp.StatusCode(), answer)
+	if rest == nil {
+		return
+	}
+	if a.ending == endedServed || a.ending == endedFailed {
+		a.err = r.passOn(a, rest)
+	}
+	if a.stream == nil {
+		// What is left of it is not worth reading.
+		a.resp.SetConnectionClose()
+	}
+	if a.err != nil {
+		a.ending = endedBroken
+	}
 }
 
 var (
@@ -173,6 +194,14 @@
 	}
 }
 
+// size returns the size of the answer's body, or what is known to be its least.
+func (a *attempt) size() int {
+	if a.stream != nil {
+		return max(a.stream.body.Size(), gatherMost)
+	}
+	return len(a.resp.Body())
+}
+
 // report returns the attempt as the log shows it.
 func (a *attempt) report() Attempt {
 	out := Attempt{
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -70,10 +70,11 @@
 	dispatcher Dispatcher
 	pool       *pool
 	metrics    metrics
+	inService  func() int64 // Nil where it is not known.
 }
 
 type metrics struct {
-	dials, strays atomic.Int64
+	dials, strays, brokenStreams atomic.Int64
 }
 
 // New returns a Forwarder.
@@ -81,9 +82,16 @@
 	return &Forwarder{dispatcher: d, pool: newPool()}
 }
 
-// Counts returns the connections opened to upstreams and the stray answers skipped.
-func (f *Forwarder) Counts() (dials, strays int64) {
-	return f.metrics.dials.Load(), f.metrics.strays.Load()
+// Counts are the Forwarder's counters since its start.
+type Counts struct {
+	Dials         int64 // Connections opened to upstreams.
+	Strays        int64 // Answers to other requests, skipped.
+	BrokenStreams int64 // Answers that broke off while they were passed on.
+}
+
+// Counts returns the counters.
+func (f *Forwarder) Counts() Counts {
+	return Counts{Dials: f.metrics.dials.Load(), Strays: f.metrics.strays.Load(), BrokenStreams: f.metrics.brokenStreams.Load()}
 }
 
 // Sweep closes upstream connections that have been idle for too long.
@@ -111,13 +119,21 @@
 	endings  chan *attempt
 	report   Report
 	failure  *attempt // The last one that an endpoint answered with a failure.
+
+	cancel    context.CancelFunc
+	streaming bool // The answer is passed on while it comes; the request ends with it.
 }
 
 // Serve carries a request through and fills in its answer.
 func (f *Forwarder) Serve(ctx context.Context, in Request, resp *fasthttp.Response) Report {
 	r := &request{Request: in, deadline: in.Deadline.Add(-answerMargin), endings: make(chan *attempt, maxOpen)}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
-	defer cancel()
+	r.cancel = cancel
+	defer func() {
+		if !r.streaming {
+			cancel()
+		}
+	}()
 	refusal := f.run(ctx, r, resp)
 	if refusal != nil {
 		r.report.Code, r.report.Detail = refusal.code, refusal.detail
@@ -176,7 +192,11 @@
 	r.HTTP.CopyTo(req)
 	go func() {
 		defer fasthttp.ReleaseRequest(req)
-		r.endings <- f.attempt(ctx, r, req, grant)
+		a := f.attempt(ctx, r, req, grant)
+		r.endings <- a
+		if a.stream != nil {
+			f.finish(ctx, a)
+		}
 	}()
 }
 
@@ -187,14 +207,17 @@
 	f.send(f.sendContext(ctx, r), r, req, a)
 	overdue.Stop()
 	a.took = time.Since(a.started)
+	if a.ending == endedServed {
+		f.dispatcher.Answered(r.Route.Name, a.size())
+	}
+	if a.stream != nil {
+		return a
+	}
 	if a.ending == endedNotSent && ctx.Err() == nil {
 		f.dispatcher.Unreachable(grant.Endpoint.ID)
 	} else {
 		f.dispatcher.Ended(grant.Endpoint.ID, a.eventOf(), a.took)
 	}
-	if a.ending == endedServed {
-		f.dispatcher.Answered(r.Route.Name, len(a.resp.Body()))
-	}
 	return a
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -146,6 +146,7 @@
 	maxAttempts int
 	timeout     time.Duration
 	method      string
+	http10      bool
 }
 
 func (c call) serve(t *testing.T, f *Forwarder, id string) (*fasthttp.Response, Report) {
@@ -157,6 +158,9 @@
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Connection", "keep-alive, X-Hop")
 	req.SetBodyString("body")
+	if c.http10 {
+		req.Header.SetProtocol("HTTP/1.0")
+	}
 	now := time.Now()
 	timeout := c.timeout
 	if timeout == 0 {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -89,7 +89,7 @@
 
 // keepFailure keeps an endpoint's own failure; the caller gets it when nothing better comes.
 func (r *request) keepFailure(a *attempt) {
-	if r.failure != nil {
+	if r.failure != nil && r.failure.stream == nil {
 		fasthttp.ReleaseResponse(r.failure.resp)
 	}
 	r.failure = a
@@ -97,8 +97,12 @@
 
 // deliver copies an endpoint's answer, without what concerns its connection.
 func (r *request) deliver(a *attempt, resp *fasthttp.Response) {
-	a.resp.CopyTo(resp)
-	fasthttp.ReleaseResponse(a.resp)
+	if a.stream != nil {
+		r.deliverStream(a, resp)
+	} else {
+		a.resp.CopyTo(resp)
+		fasthttp.ReleaseResponse(a.resp)
+	}
 	for _, name := range hopByHop {
 		resp.Header.Del(name)
 	}
--- a/internal/gateway/side.go
+++ b/internal/gateway/side.go
@@ -89,11 +89,12 @@
 
 // serveMetrics writes the counters.
 func (g *Gateway) serveMetrics(ctx *fasthttp.RequestCtx) {
-	dials, strays := g.forwarder.Counts()
+	counts := g.forwarder.Counts()
 	ctx.SetContentType("text/plain; charset=utf-8")
 	ctx.SetBodyString(g.metrics.text(map[string]int64{
-		"upstream_dials":     dials,
-		"upstream_strays":    strays,
+		"upstream_dials":     counts.Dials,
+		"upstream_strays":    counts.Strays,
+		"streams_broken":     counts.BrokenStreams,
 		"store_calls":        g.store.Calls(),
 		"log_lines_dropped":  g.logs.dropped.Load(),
 		"caller_connections": int64(g.server.Connections()),
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -42,9 +42,10 @@
 // Conn is a connection on which one request is exchanged at a time. It is not safe for
 // concurrent use, but for Close.
 type Conn struct {
-	conn net.Conn
-	br   *bufio.Reader
-	bw   *bufio.Writer
+	conn  net.Conn
+	meter *meter
+	br    *bufio.Reader
+	bw    *bufio.Writer
 }
 
 // Dial connects to an IP number and port.
@@ -69,10 +70,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
+	m := &meter{Conn: conn}
 	return &Conn{
-		conn: conn,
-		br:   bufio.NewReaderSize(conn, readBufferBytes),
-		bw:   bufio.NewWriterSize(conn, writeBufferBytes),
+		conn:  conn,
+		meter: m,
+		br:    bufio.NewReaderSize(m, readBufferBytes),
+		bw:    bufio.NewWriterSize(conn, writeBufferBytes),
 	}, nil
 }
 
@@ -106,20 +109,6 @@
 	return true, nil
 }
 
-// Receive reads one answer, whole. An answer whose end is not marked is whole only when
-// the other side closed the connection in order.
-func (c *Conn) Receive(resp *fasthttp.Response, maxBody int) error {
-	err := resp.ReadLimitBody(c.br, maxBody)
-	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, fasthttp.ErrTimeout) {
-		return fmt.Errorf("%w: %w", ErrTimedOut, err)
-	}
-	if err != nil {
-		return fmt.Errorf("read an answer: %w", err)
-	}
-	return nil
-}
-
 // Clean tells whether nothing is left to read after an answer.
 func (c *Conn) Clean() bool {
 	return c.br.Buffered() == 0
