A planned stop answers those that wait to be accepted, and resets nobody

Cause: Shutdown closed the listener first, which resets the connections in its queue, whose requests had been sent; and a connection was closed with bytes unread, which is a reset too and may destroy an answer on its way (operators of similar systems have seen both).

Now Run empties the queue before the listener is closed, a caller that has just connected may send its first request, bytes that are there are read, and each connection that this side ends is ended in order, then read until the caller closes.

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -280,3 +282,91 @@
 		}
 	})
 }
+
+// Callers that connected just before a stop have sent their requests already; they wait in the
+// listener's queue. All are answered.
+func TestShutdownAnswersThoseThatWaitToBeAccepted(t *testing.T) {
+	s := serve(t, newEcho())
+	s.mu.Lock() // The accepting goroutine is held up with the first connection.
+	var readers []*bufio.Reader
+	for range 12 {
+		c, br := dial(t, s)
+		write(t, c, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+		readers = append(readers, br)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(t.Context()) }()
+	for !s.closing.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	s.mu.Unlock()
+	for i, br := range readers {
+		var resp fasthttp.Response
+		if err := resp.Read(br); err != nil || resp.StatusCode() != 200 || !resp.ConnectionClose() {
+			t.Errorf("caller %d: status %d, %v", i, resp.StatusCode(), err)
+		}
+	}
+	if err := wait(t, "stopped", stopped); err != nil {
+		t.Error(err)
+	}
+}
+
+// A request on a kept connection may cross its close. Its caller gets a whole answer, or sees
+// the connection end in order with nothing on it: never a reset, which may destroy an answer.
+func TestRequestsThatCrossTheCloseAreAnsweredOrNotRead(t *testing.T) {
+	for round := range 10 {
+		e := newEcho()
+		e.started = make(chan string, 1000)
+		s := serve(t, e)
+		const callers = 40
+		var ready, done sync.WaitGroup
+		ready.Add(callers)
+		for i := range callers {
+			done.Add(1)
+			go func() {
+				defer done.Done()
+				c, err := net.Dial("tcp", s.Addr())
+				if err != nil {
+					t.Error(err)
+					ready.Done()
+					return
+				}
+				defer func() { _ = c.Close() }()
+				_ = c.SetDeadline(time.Now().Add(patience))
+				br := bufio.NewReader(c)
+				first := true
+				for {
+					if _, err := io.WriteString(c, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+						t.Errorf("round %d, caller %d: %v", round, i, err)
+						return
+					}
+					if _, err := br.Peek(1); err != nil {
+						if !errors.Is(err, io.EOF) {
+							t.Errorf("round %d, caller %d: %v", round, i, err)
+						}
+						return
+					}
+					var resp fasthttp.Response
+					if err := resp.Read(br); err != nil {
+						t.Errorf("round %d, caller %d: half an answer: %v", round, i, err)
+						return
+					}
+					if first {
+						ready.Done()
+						first = false
+					}
+					if resp.ConnectionClose() {
+						return
+					}
+					time.Sleep(time.Millisecond)
+				}
+			}()
+		}
+		ready.Wait()
+		if err := s.Shutdown(t.Context()); err != nil {
+			t.Error(err)
+		}
+		done.Wait()
+	}
+}
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/sockpeek"
 )
 
 const (
@@ -23,8 +24,11 @@
 	bodyTimeout = 10 * time.Second
 	// writeTimeout bounds the writing of an answer to a caller that does not read.
 	writeTimeout = 10 * time.Second
-	// lingerTimeout bounds the reading of what a refused caller still sends, so that closing
-	// does not reset the connection before the caller has read the answer.
+	// firstRequestWait is how long a caller that connected before a stop may take to begin its
+	// request: a few times the way there and back.
+	firstRequestWait = 300 * time.Millisecond
+	// lingerTimeout bounds the reading of what a caller still sends, so that closing does not
+	// reset the connection before the caller has read its answer.
 	lingerTimeout = 500 * time.Millisecond
 	// lingerBytes bounds it in bytes.
 	lingerBytes = 256 << 10
@@ -37,17 +41,26 @@
 	br     *bufio.Reader
 	bw     *bufio.Writer
 
+	accepted time.Time
+	idle     time.Duration // Longest idle time that the caller may count on.
+	served   bool          // A request was answered.
+	ends     bool          // This side ends the connection.
+
 	mu      sync.Mutex
 	reading bool // A request has begun to arrive.
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	return &conn{server: s, nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), bw: bufio.NewWriterSize(nc, readBufferBytes)}
+	return &conn{server: s, nc: nc, accepted: time.Now(), br: bufio.NewReaderSize(nc, readBufferBytes), bw: bufio.NewWriterSize(nc, readBufferBytes)}
 }
 
 func (c *conn) run() {
 	defer func() { _ = c.nc.Close() }()
 	for c.next() {
+		c.served = true
+	}
+	if c.ends {
+		c.linger()
 	}
 }
 
@@ -83,18 +96,7 @@
 // awaitRequest waits for the first byte of a request and tells whether it came.
 func (c *conn) awaitRequest() bool {
 	since := time.Now()
-	idle := c.server.handler.Limits().IdleTimeout
-	for {
-		c.mu.Lock()
-		c.reading = false
-		closing := c.server.closing.Load()
-		if !closing {
-			_ = c.nc.SetReadDeadline(since.Add(idle))
-		}
-		c.mu.Unlock()
-		if closing && c.br.Buffered() == 0 {
-			return false
-		}
+	for c.mayWait(since) {
 		_, err := c.br.Peek(1)
 		c.mu.Lock()
 		c.reading = err == nil
@@ -102,12 +104,39 @@
 		if err == nil {
 			return true
 		}
-		// The bound may have grown meanwhile; a caller may count on the newest.
-		idle = max(idle, c.server.handler.Limits().IdleTimeout)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.server.closing.Load() || time.Since(since) >= idle {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
+		}
+	}
+	c.ends = true
+	return false
+}
+
+// mayWait sets how long a request may take to begin, and tells whether it may still begin.
+// One whose first bytes are there already may, whatever the time.
+func (c *conn) mayWait(since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	limits := c.server.handler.Limits()
+	c.idle = max(c.idle, limits.IdleTimeout) // It may have grown meanwhile; a caller may count on the newest.
+	now := time.Now()
+	until := since.Add(c.idle)
+	switch {
+	case !c.server.closing.Load():
+	case c.served:
+		until = now
+	default:
+		until = c.accepted.Add(firstRequestWait)
+	}
+	if !now.Before(until) {
+		if c.br.Buffered() == 0 && sockpeek.Look(c.nc) != sockpeek.Data {
 			return false
 		}
+		until = now.Add(limits.HeadTimeout)
 	}
+	_ = c.nc.SetReadDeadline(until)
+	return true
 }
 
 // wake ends the wait of an idle connection.
@@ -189,7 +218,9 @@
 		return false
 	}
 	resp.SkipBody = head
-	return c.write(resp, last)
+	ok := c.write(resp, last)
+	c.ends = !ok
+	return ok
 }
 
 // write writes an answer and tells whether the connection goes on.
@@ -214,10 +245,10 @@
 	defer fasthttp.ReleaseResponse(resp)
 	c.server.handler.Refuse(code, detail, resp)
 	c.write(resp, true)
-	c.linger()
+	c.ends = true
 }
 
-// linger reads on until the caller has closed its side.
+// linger ends this side and reads on until the caller has closed its own.
 func (c *conn) linger() {
 	if tcp, ok := c.nc.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -41,7 +41,8 @@
 // Server serves the callers of one address.
 type Server struct {
 	handler  Handler
-	listener net.Listener
+	listener *net.TCPListener
+	accepted chan struct{} // Closed when Run takes no more connections.
 	draining atomic.Bool
 	closing  atomic.Bool
 	inFlight atomic.Int64
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers on %s: %w", addr, err)
 	}
-	return &Server{handler: handler, listener: listener, conns: make(map[*conn]struct{})}, nil
+	return &Server{handler: handler, listener: listener.(*net.TCPListener), accepted: make(chan struct{}), conns: make(map[*conn]struct{})}, nil
 }
 
 // Addr returns the address that the server listens on.
@@ -65,33 +66,50 @@
 	return s.listener.Addr().String()
 }
 
-// acceptPause is how long accepting rests when descriptors have run out.
-const acceptPause = 20 * time.Millisecond
+const (
+	// acceptPause is how long accepting rests when descriptors have run out.
+	acceptPause = 20 * time.Millisecond
+	// queueWait is how long the queue of new connections must be empty before it is closed, and
+	// queueMost how long it is emptied at most: closing it resets what waits in it.
+	queueWait = 20 * time.Millisecond
+	queueMost = 300 * time.Millisecond
+)
 
-// Run takes connections until Shutdown.
+// Run takes connections until Shutdown, and then those that wait to be taken.
 func (s *Server) Run() error {
+	defer close(s.accepted)
+	var until time.Time // Set once Shutdown was called.
 	for {
+		asked := time.Now()
 		c, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case err == nil:
+			s.serve(c)
+		case errors.Is(err, net.ErrClosed):
 			return nil
-		}
-		if err != nil {
+		case !s.closing.Load():
 			// Out of descriptors or a caller that left at once: both pass.
 			time.Sleep(acceptPause)
 			continue
+		case !until.IsZero() && time.Since(asked) >= queueWait:
+			return nil // The queue was empty for that long.
+		}
+		if !s.closing.Load() {
+			continue
+		}
+		if until.IsZero() {
+			until = time.Now().Add(queueMost)
 		}
-		s.serve(c)
+		if time.Now().After(until) {
+			return nil
+		}
+		_ = s.listener.SetDeadline(time.Now().Add(queueWait))
 	}
 }
 
 func (s *Server) serve(nc net.Conn) {
 	c := newConn(s, nc)
 	s.mu.Lock()
-	if s.closing.Load() {
-		s.mu.Unlock()
-		_ = nc.Close()
-		return
-	}
 	s.conns[c] = struct{}{}
 	s.wg.Add(1)
 	s.mu.Unlock()
@@ -121,12 +139,12 @@
 	s.draining.Store(true)
 }
 
-// Shutdown stops listening, closes idle connections, and waits until requests that were
-// read are answered or ctx ends.
+// Shutdown answers the requests of all connections that were made, takes no further ones, and
+// closes idle connections. It returns when all are answered or ctx ends. Run must have been called.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
 	s.closing.Store(true)
-	err := s.listener.Close()
+	_ = s.listener.SetDeadline(time.Unix(1, 0)) // Run looks at closing.
 	s.mu.Lock()
 	for c := range s.conns {
 		c.wake()
@@ -134,13 +152,15 @@
 	s.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
+		<-s.accepted
+		_ = s.listener.Close()
 		s.wg.Wait()
 		close(done)
 	}()
 	select {
 	case <-done:
-		return err
+		return nil
 	case <-ctx.Done():
-		return errors.Join(err, fmt.Errorf("%d requests in flight: %w", s.InFlight(), ctx.Err()))
+		return errors.Join(s.listener.Close(), fmt.Errorf("%d requests in flight: %w", s.InFlight(), ctx.Err()))
 	}
 }
