A request under way outlasts a cut of the network

Cause: connections to upstreams ended when the other side was silent for 2 s (keep-alive probes) or had acknowledged nothing for 3 s, though an order may have 10 s. Its caller got a 502, the answer that came when the cut had healed was lost: running work of an upstream that was only silent was given up.

Now probes run while a connection is idle, and a request under way ends with its own deadline. Ruled out: longer probes for all, since an idle connection that is silent for good must be found before an order goes out on it.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -55,12 +55,17 @@
 	a.reused = conn != nil
 	if conn == nil {
 		var err error
-		if conn, err = httpconn.Dial(to.addr, min(dialTimeout, time.Until(r.deadline))); err != nil {
+		if conn, err = httpconn.Dial(to.addr, min(dialTimeout, time.Until(r.deadline)), unackedTimeout); err != nil {
 			a.ending, a.err = endedNotSent, err
 			return
 		}
 		f.metrics.dials.Add(1)
 	}
+	if err := conn.Probe(false); err != nil {
+		_ = conn.Close()
+		a.ending, a.err = endedNotSent, err
+		return
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if ctx.Err() != nil {
 		stop()
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -17,6 +17,9 @@
 	// dialTimeout is a hundred times the way between zones; a longer wait means a dark
 	// endpoint or a lost packet, and nothing was sent yet.
 	dialTimeout = 300 * time.Millisecond
+	// unackedTimeout is over the longest deadline of callers: a request under way ends with its
+	// own deadline, not with a cut of the network that may heal before.
+	unackedTimeout = 30 * time.Second
 	// idleMargin is kept to the idle time that an endpoint announces.
 	idleMargin = time.Second
 	// idleDefault is the idle time of an endpoint that announces none.
@@ -68,7 +71,7 @@
 
 // put keeps a connection after an answer, where both sides will go on with it.
 func (p *pool) put(t target, conn *httpconn.Conn, resp *fasthttp.Response, now time.Time) {
-	if resp.ConnectionClose() || !conn.Clean() {
+	if resp.ConnectionClose() || !conn.Clean() || conn.Probe(true) != nil {
 		_ = conn.Close()
 		return
 	}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -25,8 +25,6 @@
 	keepAliveCount    = 2
 	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which the syscall package does not name.
 	tcpUserTimeout = 0x12
-	// unackedTimeout bounds the time that sent bytes stay without an acknowledgement.
-	unackedTimeout = 3 * time.Second
 )
 
 // Errors of an exchange.
@@ -48,8 +46,9 @@
 	bw    *bufio.Writer
 }
 
-// Dial connects to an IP number and port.
-func Dial(addr string, timeout time.Duration) (*Conn, error) {
+// Dial connects to an IP number and port. unacked bounds the time that sent bytes may stay
+// without an acknowledgement before the connection ends.
+func Dial(addr string, timeout, unacked time.Duration) (*Conn, error) {
 	dialer := net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -61,7 +60,7 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var err error
 			controlErr := raw.Control(func(fd uintptr) {
-				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout/time.Millisecond))
+				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacked/time.Millisecond))
 			})
 			return errors.Join(controlErr, err)
 		},
@@ -95,6 +94,19 @@
 	}
 }
 
+// Probe sets whether the connection ends when its other side is silent, as is right while
+// it is idle or watched. A request under way may outlast a cut of the network.
+func (c *Conn) Probe(on bool) error {
+	tcp, ok := c.conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if err := tcp.SetKeepAlive(on); err != nil {
+		return fmt.Errorf("set keep-alive: %w", err)
+	}
+	return nil
+}
+
 // Send writes a request. sent tells whether any byte of it may have left.
 func (c *Conn) Send(req *fasthttp.Request, deadline time.Time) (sent bool, err error) {
 	if err := c.conn.SetDeadline(deadline); err != nil {
