What an instance knew before a pause is not acted on after it

Cause: a process that had stood still for seconds went on with the configuration, the endpoints and the idle connections that it had, and sent what was granted before. Its watch may hear nothing of what has changed meanwhile.

coord/pause tells of a pause by beats that do not come, on whichever clock has gone on further.

--- /dev/null
+++ b/coord/pause/pause_test.go
@@ -0,0 +1,58 @@
+package pause
+
+import (
+	"testing"
+	"time"
+)
+
+func TestPauses(t *testing.T) {
+	start := time.Now()
+	const interval = 500 * time.Millisecond
+	for name, tc := range map[string]struct {
+		last, now time.Time
+		paused    bool
+	}{
+		"first beat":                  {time.Time{}, start, false},
+		"regular":                     {start, start.Add(interval), false},
+		"late":                        {start, start.Add(Least - time.Millisecond), false},
+		"stopped":                     {start, start.Add(Least), true},
+		"suspended: time of day":      {start.Round(0), start.Round(0).Add(4 * time.Second), true},
+		"time of day set back":        {start.Round(0).Add(4 * time.Second), start.Round(0), false},
+		"set back while it is paused": {start, start.Add(Least), true},
+	} {
+		var d Detector
+		if !tc.last.IsZero() {
+			d.Beat(tc.last)
+		}
+		if got := d.Doubtful(tc.now); got != tc.paused {
+			t.Errorf("%s: doubtful before the beat: %v", name, got)
+		}
+		if got := d.Beat(tc.now); got != tc.paused {
+			t.Errorf("%s: paused %v", name, got)
+		}
+		if got := d.Doubtful(tc.now); got != tc.paused {
+			t.Errorf("%s: doubtful after the beat: %v", name, got)
+		}
+	}
+}
+
+func TestDoubtEndsWithNewsOrWithTheGrace(t *testing.T) {
+	start := time.Now()
+	woken := start.Add(4 * time.Second)
+	var d Detector
+	d.Beat(start)
+	d.Beat(woken)
+	if !d.Doubtful(woken.Add(Grace - time.Millisecond)) {
+		t.Error("no doubt before any news")
+	}
+	if d.Beat(woken.Add(Grace)); d.Doubtful(woken.Add(Grace)) {
+		t.Error("doubt goes on after the grace")
+	}
+	d.Beat(woken.Add(8 * time.Second))
+	if d.Renewed(woken); !d.Doubtful(woken.Add(8 * time.Second)) {
+		t.Error("doubt ends with news that was asked for before the pause")
+	}
+	if d.Renewed(woken.Add(8 * time.Second)); d.Doubtful(woken.Add(8 * time.Second)) {
+		t.Error("doubt goes on after news")
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskcove/damaskcove/coord/dispatch"
+	"github.com/damaskcove/damaskcove/coord/pause"
 	"github.com/damaskcove/damaskcove/internal/httpconn"
 	"github.com/damaskcove/damaskcove/platform"
 )
@@ -73,6 +74,12 @@
 		a.ending, a.err = endedNotSent, ctx.Err()
 		return
 	}
+	if pause.Between(a.started, time.Now()) >= pause.Least {
+		stop()
+		_ = conn.Close()
+		a.ending, a.err = endedNotSent, errPaused
+		return
+	}
 	f.exchange(r, req, a, conn)
 	a.release = func(whole bool) {
 		stop()
@@ -147,6 +154,7 @@
 }
 
 var (
+	errPaused   = errors.New("the process has stood still since the upstream was chosen")
 	errStray    = errors.New("the answer belongs to another request")
 	errUnsigned = errors.New("the answer bears no upstream's signature")
 	errEncoded  = errors.New("the answer's body is encoded")
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -99,6 +99,11 @@
 	f.pool.sweep(now)
 }
 
+// DropIdle closes the idle connections to upstreams, whose other sides may have given them up.
+func (f *Forwarder) DropIdle() {
+	f.pool.clear()
+}
+
 // answerMargin is kept to a deadline, so that the answer is there before the caller gives up.
 const answerMargin = 15 * time.Millisecond
 
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -106,6 +106,18 @@
 	}
 }
 
+// clear closes all connections.
+func (p *pool) clear() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, c := range list {
+			_ = c.conn.Close()
+		}
+	}
+	clear(p.idle)
+}
+
 // idleTime returns how long a connection may stay idle, from a Keep-Alive header.
 func idleTime(header string) time.Duration {
 	for part := range strings.SplitSeq(header, ",") {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -12,6 +12,7 @@
 	"github.com/damaskcove/damaskcove/coord/dispatch"
 	"github.com/damaskcove/damaskcove/coord/following"
 	"github.com/damaskcove/damaskcove/coord/outlook"
+	"github.com/damaskcove/damaskcove/coord/pause"
 	"github.com/damaskcove/damaskcove/coord/retrybudget"
 	"github.com/damaskcove/damaskcove/internal/callers"
 	"github.com/damaskcove/damaskcove/internal/forward"
@@ -42,10 +43,17 @@
 	Version platform.ConfigVersion
 	router  *router // Nil before the first configuration.
 	limits  callers.Limits
+	pause   pause.Detector
 	alive   []*member // Members as of the snapshot; their records alone may be read.
 	routes  *routes
 }
 
+// doubtful tells whether what the snapshot says may have run out: the process has stood still
+// since, or stood still before and has no news yet.
+func (s *Snapshot) doubtful(now time.Time) bool {
+	return s.pause.Doubtful(now)
+}
+
 // control is the control loop and the state that it owns.
 type control struct {
 	settings *Settings
@@ -54,6 +62,7 @@
 	self     memberRecord // What this instance registers.
 	socket   *peerSocket
 	relay    *relay
+	dropIdle func() // Closes the idle connections to upstreams.
 	commands chan func()
 	snapshot atomic.Pointer[Snapshot]
 	kick     chan bool // Asks for a look at the store; true: at all of it.
@@ -79,6 +88,7 @@
 	duty      *following.Machine
 	following bool // This instance follows the store.
 	leaving   bool
+	pause     pause.Detector
 	reports   []dispatch.Event
 	urgent    bool      // The reports are.
 	told      time.Time // Last message to the others.
@@ -101,6 +111,7 @@
 		commands: make(chan func(), commandBacklog),
 		kick:     make(chan bool, 1),
 		done:     make(chan struct{}),
+		dropIdle: func() {},
 		turn:     make(chan struct{}, 1),
 		unlisted: make(chan struct{}, 1),
 		machine: dispatch.New(dispatch.Config{
@@ -131,6 +142,7 @@
 		case <-ctx.Done():
 			return
 		case command := <-c.commands:
+			c.look(time.Now())
 			command()
 		case <-tick.C:
 			c.tick(time.Now())
@@ -189,6 +201,7 @@
 
 // tick looks at what has become old.
 func (c *control) tick(now time.Time) {
+	c.look(now)
 	c.machine.Forget(now)
 	c.members.expire(now)
 	if c.registry.expire(now) {
@@ -202,6 +215,17 @@
 	c.catchUp(now)
 }
 
+// look goes on after a pause, in which all that is known may have run out.
+func (c *control) look(now time.Time) {
+	if !c.pause.Beat(now) {
+		return
+	}
+	c.log.Warn("the process has stood still; the store is read anew")
+	c.dropIdle()
+	c.inStep.Store(false)
+	c.askAnew(true)
+}
+
 // catchUp asks for a look at the store when the others have known it further for too long.
 func (c *control) catchUp(now time.Time) {
 	if !c.lagged(now) {
@@ -223,7 +247,7 @@
 // publish makes a new snapshot.
 func (c *control) publish(now time.Time) {
 	alive := c.members.alive(now)
-	next := &Snapshot{limits: limitsOf(platform.DefaultLimits), alive: alive, routes: newRoutes(alive, c.self)}
+	next := &Snapshot{pause: c.pause, limits: limitsOf(platform.DefaultLimits), alive: alive, routes: newRoutes(alive, c.self)}
 	if c.config != nil && c.synced {
 		next.Version = c.config.Version
 		next.limits = limitsOf(c.config.Limits)
@@ -274,7 +298,12 @@
 func (c *control) Acquire(a dispatch.Ask) (dispatch.Grant, error) {
 	reply := make(chan acquired, 1)
 	c.post(func() {
-		grant, rejection := c.machine.Ask(time.Now(), a)
+		now := time.Now()
+		if c.pause.Doubtful(now) {
+			reply <- acquired{rejection: &dispatch.Rejection{Reason: dispatch.NoEndpoint, RetryAfter: startingRetryAfter, Left: a.Deadline.Sub(now)}}
+			return
+		}
+		grant, rejection := c.machine.Ask(now, a)
 		reply <- acquired{grant: grant, rejection: rejection}
 	})
 	select {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -124,11 +124,15 @@
 func (f *follower) readAll(ctx context.Context) (platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	asked := time.Now()
 	items, at, err := f.store.Range(ctx, everything)
 	if err != nil {
 		return 0, err
 	}
-	f.control.post(func() { f.control.replace(time.Now(), items, at) })
+	f.control.post(func() {
+		f.control.pause.Renewed(asked)
+		f.control.replace(time.Now(), items, at)
+	})
 	return at, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	if g.server, err = callers.Listen(s.Listen.Callers, h); err != nil {
 		return err
 	}
+	g.control.dropIdle = g.forwarder.DropIdle
 	g.forwarder.Bound(g.server.InFlight)
 	peers, err := netip.ParseAddrPort(s.Listen.Peers)
 	if err != nil {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -49,6 +49,10 @@
 		h.refuse(r, id, resp, result.CodeNotReady, "", startingRetryAfter)
 		return
 	}
+	if s.doubtful(time.Now()) {
+		h.refuse(r, id, resp, result.CodeNotReady, "the process has stood still", startingRetryAfter)
+		return
+	}
 	uri := string(r.HTTP.Header.RequestURI())
 	host := string(r.HTTP.Header.Host())
 	route, ok := s.router.find(host, uri)
