--- a/internal/gateway/side.go
+++ b/internal/gateway/side.go
@@ -89,13 +89,17 @@
 
 // serveMetrics writes the counters.
 func (g *Gateway) serveMetrics(ctx *fasthttp.RequestCtx) {
-	counts := g.forwarder.Counts()
 	ctx.SetContentType("text/plain; charset=utf-8")
-	ctx.SetBodyString(g.metrics.text(map[string]int64{
+	ctx.SetBodyString(g.metrics.text(g.gauges()))
+}
+
+// gauges returns what is counted or measured besides answers.
+func (g *Gateway) gauges() map[string]int64 {
+	counts := g.forwarder.Counts()
+	gauges := map[string]int64{
 		"upstream_dials":     counts.Dials,
 		"upstream_strays":    counts.Strays,
 		"streams_broken":     counts.BrokenStreams,
-		"store_calls":        g.store.Calls(),
 		"log_lines_dropped":  g.logs.dropped.Load(),
 		"caller_connections": int64(g.server.Connections()),
 		"requests_in_flight": g.server.InFlight(),
@@ -104,7 +108,12 @@
 		"ready":              boolGauge(g.ready()),
 		"control_commands":   int64(len(g.control.commands)),
 		"process_uptime_ms":  time.Since(g.started).Milliseconds(),
-	}))
+		"follows_store":      boolGauge(g.control.onDuty.Load()),
+	}
+	for kind, n := range g.store.Calls() {
+		gauges["store_calls_"+kind.String()] = n
+	}
+	return gauges
 }
 
 func boolGauge(b bool) int64 {
