--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -63,12 +64,12 @@
 	for _, item := range items {
 		f.Items = append(f.Items, feedItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
 	}
-	slices.SortStableFunc(f.Items, func(a, b feedItem) int { return int(a.Revision) - int(b.Revision) })
+	slices.SortStableFunc(f.Items, func(a, b feedItem) int { return cmp.Compare(a.Revision, b.Revision) })
 	return f
 }
 
-// datagrams cuts a feed into datagrams. A change that fits none is left out: those who lack
-// it see by the revision that others know more, and read it themselves.
+// datagrams cuts a feed into datagrams. A change that is too large even for pieces is left
+// out: those who lack it see by the revision that others know more, and read it themselves.
 func (f feed) datagrams() ([][]byte, error) {
 	data, err := encodeFeed(f)
 	if err != nil {
@@ -79,7 +80,7 @@
 	}
 	half := f.cut()
 	if half == 0 {
-		return nil, nil
+		return cutPieces(f, data)
 	}
 	first, second := f, f
 	first.Items, second.Items = f.Items[:half], f.Items[half:]
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -176,11 +176,26 @@
 	eventually(t, "the first follow again", func() bool { return slices.Equal(follows(instances), []bool{true, true, false, false}) })
 }
 
-// A configuration of many routes fits no datagram.
-func TestAChangeThatFitsNoDatagramIsReadFromTheStore(t *testing.T) {
+// The load that it answers: the configuration changes all day, and fits no datagram. It goes
+// in pieces, also to those that the store refuses.
+func TestAConfigurationThatFitsNoDatagramIsToldInPieces(t *testing.T) {
+	w, instances, links := startZone(t, 4)
+	for _, link := range links[2:] {
+		link.refuse(true)
+	}
+	for version := 7; version < 10; version++ {
+		w.configureVersion(version, strings.Repeat("long.", 400*(version-6))+"example", "orders")
+		for _, in := range instances {
+			eventually(t, "the version is in force", func() bool { return int(in.gateway.control.snapshot.Load().Version) == version })
+		}
+	}
+}
+
+// A change that is too large for pieces is read from the store by each.
+func TestAChangeThatIsTooLargeForPiecesIsReadFromTheStore(t *testing.T) {
 	w, instances, _ := startZone(t, 3)
 	w.startUpstream("i-1", "orders")
-	w.configureVersion(7, strings.Repeat("long.", 400)+"example", "orders")
+	w.configureVersion(7, strings.Repeat("long.", piecesMost*pieceBytes/5)+"example", "orders")
 	for _, in := range instances {
 		eventually(t, "the version is in force", func() bool { return in.gateway.control.snapshot.Load().Version == 7 })
 	}
@@ -210,13 +225,16 @@
 		var items []platform.Item
 		after := platform.Revision(rapid.Uint64Range(1, 1e9).Draw(t, "after"))
 		at := after
-		large := 0
+		tooLarge := 0
 		for range rapid.IntRange(0, 60).Draw(t, "items") {
 			at += platform.Revision(rapid.IntRange(1, 3).Draw(t, "step"))
 			size := rapid.IntRange(0, 400).Draw(t, "size")
 			if rapid.IntRange(0, 30).Draw(t, "large") == 0 {
 				size = 2 * maxDatagramBytes
-				large++
+			}
+			if rapid.IntRange(0, 60).Draw(t, "too large") == 0 {
+				size = piecesMost * pieceBytes
+				tooLarge++
 			}
 			items = append(items, platform.Item{Key: "servers/i-1", Value: make([]byte, size), Revision: at, Deleted: size == 0})
 		}
@@ -225,26 +243,66 @@
 			t.Fatal(err)
 		}
 		known, taken := after, 0
+		var pieces joiner
 		for _, data := range datagrams {
 			if len(data) > maxDatagramBytes {
 				t.Fatalf("%d bytes", len(data))
 			}
+			if data[0] == storePiece {
+				p, err := decodePiece(data)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if data = pieces.add(p); data == nil {
+					continue
+				}
+			}
 			f, err := decodeFeed(data)
 			if err != nil || f.After < known {
 				t.Fatalf("%+v, %v after revision %d", f, err, known)
 			}
-			if f.After > known && large == 0 {
+			if f.After > known && tooLarge == 0 {
 				t.Fatalf("a gap between %d and %d", known, f.After)
 			}
 			known = f.At
 			taken += len(f.Items)
 		}
-		if large == 0 && (taken != len(items) || known != at) {
+		if tooLarge == 0 && (taken != len(items) || known != at) {
 			t.Fatalf("%d of %d changes, up to %d of %d", taken, len(items), known, at)
 		}
 	})
 }
 
+// Pieces come out of order, twice, not at all, or of a feed that another has replaced.
+func TestPiecesJoinInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var j joiner
+		want := make(map[platform.Revision]string)
+		var all []piece
+		for at := range platform.Revision(3) {
+			value := strings.Repeat(fmt.Sprint(at), rapid.IntRange(pieceBytes, 5*pieceBytes).Draw(t, "bytes"))
+			want[at] = value
+			datagrams, err := cutPieces(feed{From: 7, At: at}, []byte(value))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, data := range datagrams {
+				p, err := decodePiece(data)
+				if err != nil {
+					t.Fatal(err)
+				}
+				all = append(all, p)
+			}
+		}
+		for range 3 * len(all) {
+			p := rapid.SampledFrom(all).Draw(t, "piece")
+			if got := j.add(p); got != nil && string(got) != want[p.At] {
+				t.Fatalf("%d bytes of feed %d, %d sent", len(got), p.At, len(want[p.At]))
+			}
+		}
+	})
+}
+
 // What was told of before is not taken in again: a slow watch must not bring back what a
 // later change has replaced.
 func TestAnOlderChangeDoesNotReplaceALaterOne(t *testing.T) {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -26,10 +26,11 @@
 	idleRetry = 1600 * time.Millisecond
 	// missedWait is how long a look for missed changes waits: they are there already.
 	missedWait = 20 * time.Millisecond
-	// leaseTTL is how long after its last renewal an instance is taken off the list.
-	leaseTTL = 8 * time.Second
-	// leaseRenewal leaves another try before a lease ends.
-	leaseRenewal = 3 * time.Second
+	// leaseTTL is how long after its last renewal an instance is taken off the list. That it is
+	// silent shows sooner.
+	leaseTTL = 30 * time.Second
+	// leaseRenewal leaves another try before a lease ends. Each renewal is a call.
+	leaseRenewal = 12 * time.Second
 )
 
 // everything is the prefix of all keys: one watch carries all that an instance follows.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	sides     []*side
 	socket    *peerSocket
 	record    memberRecord
+	joiner    joiner // Owned by the goroutine that receives datagrams.
 	leaving   atomic.Bool
 	started   time.Time
 }
@@ -189,6 +190,10 @@
 		g.hearFeed(data)
 		return
 	}
+	if len(data) > 0 && data[0] == storePiece {
+		g.hearPiece(data)
+		return
+	}
 	list, err := decodeMessages(data)
 	if err != nil {
 		g.log.Warn("datagram ignored", "error", err.Error())
@@ -215,6 +220,19 @@
 	g.control.post(func() { g.control.take(time.Now(), f) })
 }
 
+// hearPiece takes in a piece of changes of the store. The goroutine that receives datagrams
+// puts them together.
+func (g *Gateway) hearPiece(data []byte) {
+	p, err := decodePiece(data)
+	if err != nil {
+		g.log.Warn("datagram ignored", "error", err.Error())
+		return
+	}
+	if whole := g.joiner.add(p); whole != nil {
+		g.hearFeed(whole)
+	}
+}
+
 // watchPause returns how long changes of the store are gathered.
 func (g *Gateway) watchPause() time.Duration {
 	p := g.current().Promises
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -33,6 +33,7 @@
 	forZone                 // A message to be passed on to all instances of the receiver's zone.
 	forZoneNow              // The same, at once.
 	storeFeed               // A feed; it is not passed on.
+	storePiece              // A piece of a feed; it is not passed on.
 )
 
 const (
