Orders try endpoints out only while too few are in use

Cause: each endpoint that is likely sound was used every 1.4 s, by an order too. With hundreds of endpoints that clock takes most requests, and each try of one that has rested fails more often than one that has just served.

--- a/coord/dispatch/machine_test.go
+++ b/coord/dispatch/machine_test.go
@@ -578,3 +578,42 @@
 		}
 	}
 }
+
+// The load that it answers: a service of hundreds of endpoints whose every endpoint that had
+// rested was tried by an order, so that most orders tried an endpoint out and a tenth failed.
+// Enough are in use by themselves: only lookups look at those that rest.
+func TestOrdersTryNothingOutWhileEnoughIsInUse(t *testing.T) {
+	const all, unused = 40, 8
+	now := start.Add(2 * coverEvery)
+	for name, tc := range map[string]struct {
+		used       int
+		idempotent bool
+		looks      bool
+	}{
+		"order, enough in use":  {all - unused, false, false},
+		"order, too few in use": {all / 2, false, true},
+		"lookup":                {all - unused, true, true},
+	} {
+		list := endpoints(all)
+		for i := range list {
+			list[i].Zone = "a"
+		}
+		m := newMachine(list)
+		for id := EndpointID(1); id <= all; id++ {
+			at := start
+			if int(id) <= tc.used {
+				at = now
+			}
+			m.Report(at, 7, true, []Event{{Endpoint: id, Kind: Started, InFlight: 1}, {Endpoint: id, Kind: EndedServed, Took: 300}})
+		}
+		a := ask(now)
+		a.Idempotent = tc.idempotent
+		g, rejection := m.Ask(now, a)
+		if rejection != nil {
+			t.Fatalf("%s: turned away: %+v", name, rejection)
+		}
+		if looks := int(g.Endpoint.ID) > tc.used; looks != tc.looks {
+			t.Errorf("%s: goes to endpoint %d", name, g.Endpoint.ID)
+		}
+	}
+}
--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -37,10 +37,10 @@
 	// coverChance is the chance from which an endpoint is taken to be sound. Most of the sound
 	// ones are to be in use at any time: when instances are lost, their requests count as unserved.
 	coverChance = 0.45
-	// coverEvery is how often each such endpoint is used, well inside the two seconds over
-	// which the users judge it.
+	// coverEvery is how often each such endpoint is used by orders while too few are in use,
+	// well inside the two seconds over which the users judge it.
 	coverEvery = 1400 * time.Millisecond
-	// testChance and testEvery hold for idempotent requests: they go first, since a failure
+	// testChance and testEvery hold for idempotent requests, however many are in use: a failure
 	// costs them a repeat only.
 	testChance = 0.35
 	testEvery  = 900 * time.Millisecond
@@ -69,7 +69,8 @@
 
 // choose returns the best endpoint for a request; ok is false where none takes work.
 func (m *Machine) choose(now time.Time, s *service, a *Ask) (best choice, ok bool) {
-	spread := s.spreads(now) && s.inUse(now) < m.cfg.FloorShare+spreadMargin
+	few := s.inUse(now) < m.cfg.FloorShare+spreadMargin
+	spread := few && s.spreads(now)
 	var due choice
 	for _, e := range s.endpoints {
 		if !m.usable(now, e, a) {
@@ -79,7 +80,7 @@
 		if !ok || c.worth > best.worth {
 			best, ok = c, true
 		}
-		if c.due(now, spread, a.Idempotent, m.away(e)) && (due.endpoint == nil || c.worth > due.worth) {
+		if c.due(now, a.Idempotent || few, spread, a.Idempotent, m.away(e)) && (due.endpoint == nil || c.worth > due.worth) {
 			due = c
 		}
 	}
@@ -95,8 +96,9 @@
 	return inTime == 0 || !idempotent && c.chance*inTime < lostChance
 }
 
-// due tells whether an endpoint is to be used because it has not been for long.
-func (c choice) due(now time.Time, spread, idempotent, away bool) bool {
+// due tells whether an endpoint is to be used because it has not been for long: while covers,
+// if it is likely sound, and while the service spreads, whatever it is.
+func (c choice) due(now time.Time, covers, spread, idempotent, away bool) bool {
 	chance, every := coverChance, coverEvery
 	if idempotent {
 		chance, every = testChance, testEvery
@@ -107,7 +109,7 @@
 	if now.Sub(c.endpoint.used) < every {
 		return false
 	}
-	return c.chance >= chance || spread && now.Sub(c.endpoint.failed) > spreadRest
+	return covers && c.chance >= chance || spread && now.Sub(c.endpoint.failed) > spreadRest
 }
 
 // away tells whether an endpoint is another zone's, whose instances use it.
