Brokers place the requests of a large fleet

Cause: every instance took in every event of the fleet.

From 150 instances on, each zone's two or three fastest instances keep its roll and broker its services: one of them, by hash, grants endpoints to the zone's instances, and hears how requests end.

--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -96,7 +96,6 @@
 	if a.Repeat && !mayRepeat {
 		return Grant{}, &Rejection{Reason: BudgetSpent, Left: left}
 	}
-	a.crossing = m.crossingCost(&a)
 	a.repeatable = a.Idempotent && !a.Repeat && mayRepeat
 	c, ok := m.choose(now, s, &a)
 	switch {
@@ -104,6 +103,8 @@
 		return Grant{}, &Rejection{Reason: NoEndpoint, RetryAfter: s.usual(), Left: left}
 	case a.Hedge && (c.chance < coverChance || c.endpoint.inFlight >= c.endpoint.Slots-1):
 		return Grant{}, &Rejection{Reason: NoSpare, Left: left}
+	case a.Least > 0 && c.worth < a.Least:
+		return Grant{}, &Rejection{Reason: Poor, Best: c.worth, Left: left}
 	case c.lost(left, a.Idempotent):
 		return Grant{}, &Rejection{Reason: Overloaded, RetryAfter: s.usual(), Expected: c.finish, Left: left}
 	}
@@ -164,6 +165,9 @@
 }
 
 func (m *Machine) report(e *tracked, kind EventKind, took time.Duration) {
+	if m.cfg.Alone {
+		return
+	}
 	m.reports = append(m.reports, Event{Endpoint: e.ID, InFlight: e.own, Kind: kind, Took: int(took.Milliseconds())})
 	m.urgent = m.urgent || kind == EndedFailed || kind == EndedBroken || kind == RunsLong
 }
@@ -191,6 +195,51 @@
 	m.report(e, EndedUnknown, 0)
 }
 
+// Unreached takes in that an instance to which this one had granted an endpoint could not
+// reach it. Where others can, their answers soon outweigh it.
+func (m *Machine) Unreached(now time.Time, id EndpointID) {
+	if e := m.endpoints[id]; e != nil {
+		e.release()
+		e.estimate.Observe(m.cfg.Rates, now, outlook.Broken)
+	}
+}
+
+// Witnessed takes in how a request ended that a broker had granted.
+func (m *Machine) Witnessed(now time.Time, id EndpointID, kind EventKind, took time.Duration) {
+	if e := m.endpoints[id]; e != nil {
+		m.learn(now, e, kind, took)
+	}
+}
+
+// CutOff takes in that an endpoint could not be reached from this instance, for a request
+// that a broker had granted.
+func (m *Machine) CutOff(now time.Time, id EndpointID) {
+	if e := m.endpoints[id]; e != nil {
+		e.reach.fail(now)
+	}
+}
+
+// OutOfReach returns the endpoints of a service that this instance does not get through to, at
+// most some.
+func (m *Machine) OutOfReach(now time.Time, service string, most int) []EndpointID {
+	var out []EndpointID
+	for _, e := range m.service(service).endpoints {
+		if now.Before(e.reach.until) && len(out) < most {
+			out = append(out, e.ID)
+		}
+	}
+	return out
+}
+
+// Endpoint returns an endpoint that takes work; ok is false where there is none of that ID.
+func (m *Machine) Endpoint(id EndpointID) (_ Endpoint, ok bool) {
+	e := m.endpoints[id]
+	if e == nil || e.Leaving {
+		return Endpoint{}, false
+	}
+	return e.Endpoint, true
+}
+
 // RunsLong takes in that a granted request has had no answer for many times the usual time.
 func (m *Machine) RunsLong(now time.Time, id EndpointID) {
 	if e := m.endpoints[id]; e != nil {
--- a/coord/dispatch/machine_test.go
+++ b/coord/dispatch/machine_test.go
@@ -510,9 +510,9 @@
 func TestLargeAnswersStayInTheirZone(t *testing.T) {
 	const own = EndpointID(1) // Of zone a; 2 is of b, 3 of c.
 	download := ask(start)
-	download.Class, download.Idempotent = "proofs", true
+	download.Idempotent = true
 	lookup := ask(start)
-	lookup.Class, lookup.Idempotent = "prices", true
+	lookup.Idempotent = true
 	var served []Event
 	for id := own; id <= 3; id++ {
 		served = append(served, Event{Endpoint: id, Kind: Started, InFlight: 1}, Event{Endpoint: id, Kind: EndedServed, Took: 300})
@@ -541,10 +541,10 @@
 			m.Report(start, 7, true, tc.events)
 			if tc.answer > 0 {
 				for range 3 {
-					m.Answered(tc.ask.Class, tc.answer)
+					m.Answered("class", tc.answer)
 				}
 			}
-			tc.ask.Large = tc.large
+			tc.ask.Crossing = m.CrossingCost("class", tc.large)
 			g, rejection := m.Ask(start, tc.ask)
 			if rejection != nil {
 				t.Fatalf("turned away: %+v", rejection)
--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -159,7 +159,7 @@
 		preference -= unprovenCost * float64(e.inFlight)
 	}
 	c.worth = m.servedChance(c.chance, a) * credit(a, now, c.finish) * max(preference, leastPreference)
-	c.worth -= a.crossing * m.crosses(e, c.chance, a)
+	c.worth -= a.Crossing * m.crosses(e, c.chance, a)
 	if e.used.IsZero() && now.After(e.WarmUntil) && now.Sub(e.joined) > time.Second {
 		c.worth += unusedBonus
 	}
--- a/coord/dispatch/size.go
+++ b/coord/dispatch/size.go
@@ -36,14 +36,14 @@
 	s.kilobytes += (float64(bytes)/1024 - s.kilobytes) / s.weight
 }
 
-// crossingCost returns the part of a request's credit that its answer costs if it comes from
-// another zone.
-func (m *Machine) crossingCost(a *Ask) float64 {
+// CrossingCost returns the part of a request's credit that its answer costs if it comes from
+// another zone. large tells that answers of the class are large.
+func (m *Machine) CrossingCost(class string, large bool) float64 {
 	kilobytes := usualAnswerKB
-	if a.Large {
+	if large {
 		kilobytes = largeAnswerKB
 	}
-	if s := m.sizes[a.Class]; s != nil {
+	if s := m.sizes[class]; s != nil {
 		kilobytes = s.kilobytes
 	}
 	return min(crossingPerKB*kilobytes, crossingMost)
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -37,9 +37,10 @@
 	Objective  time.Time
 	Deadline   time.Time
 	Tried      []EndpointID
+	Crossing   float64 // Part of its credit that an answer from another zone costs; see Machine.CrossingCost.
+	Least      float64 // It gets an endpoint of at least this worth, or none.
 
-	repeatable bool    // The budget lets it be sent again if it fails.
-	crossing   float64 // Part of its credit that an answer from another zone costs.
+	repeatable bool // The budget lets it be sent again if it fails.
 }
 
 // Reason tells why an Ask is rejected.
@@ -51,11 +52,13 @@
 	Overloaded                    // No endpoint could answer before the deadline.
 	BudgetSpent                   // The retry budget is spent.
 	NoSpare                       // No sound endpoint has a slot to spare for a Hedge.
+	Poor                          // No endpoint has the least worth that is asked for.
 )
 
 // Grant gives a request an endpoint. It counts as in flight until Ended.
 type Grant struct {
 	Endpoint Endpoint
+	Ticket   uint64        // Names the grant at the broker that gave it; 0 for this instance's own.
 	Chance   float64       // Estimated chance that it is served.
 	InFlight int           // Requests of all instances there, this one included.
 	Usual    time.Duration // Time that a request takes there.
@@ -67,6 +70,7 @@
 	RetryAfter time.Duration
 	Expected   time.Duration // Of Overloaded: time to an answer at the best endpoint.
 	Left       time.Duration // Time to the deadline.
+	Best       float64       // Of Poor: worth of the best endpoint.
 }
 
 // Event is what an instance tells the others of one endpoint.
@@ -109,4 +113,5 @@
 	Retry       retrybudget.Bound
 	FloorShare  float64       // Share of a service's endpoints that is to be in use while many requests go unserved.
 	PeerTimeout time.Duration // After which a silent peer's requests in flight are forgotten.
+	Alone       bool          // Nobody else is told of what happens here.
 }
--- a/coord/following/following.go
+++ b/coord/following/following.go
@@ -38,6 +38,11 @@
 	return &Machine{self: self}
 }
 
+// Rename changes the instance's place in the order.
+func (m *Machine) Rename(self string) {
+	m.self = self
+}
+
 // OnDuty tells whether the instance is to follow the store itself.
 func (m *Machine) OnDuty(now time.Time, peers []Peer) bool {
 	follow, wait := 0, 0
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,13 +18,13 @@
 	// Acquire gives a request an endpoint. The error is a *Rejected where it is turned away.
 	Acquire(a dispatch.Ask) (dispatch.Grant, error)
 	// Ended tells how a granted request ended.
-	Ended(id dispatch.EndpointID, kind dispatch.EventKind, took time.Duration)
+	Ended(g dispatch.Grant, kind dispatch.EventKind, took time.Duration)
 	// Unreachable tells that a granted request could not be sent.
-	Unreachable(id dispatch.EndpointID)
+	Unreachable(g dispatch.Grant)
 	// Answered tells the size of the body of an answer to a request of a class.
 	Answered(class string, bytes int)
 	// RunsLong tells that a granted request has no answer for many times the usual time.
-	RunsLong(id dispatch.EndpointID)
+	RunsLong(g dispatch.Grant)
 }
 
 // Rejected is the error of a request that gets no endpoint.
@@ -208,7 +208,7 @@
 // attempt sends a copy of the request to the granted endpoint.
 func (f *Forwarder) attempt(ctx context.Context, r *request, req *fasthttp.Request, grant dispatch.Grant) *attempt {
 	a := &attempt{grant: grant, started: time.Now()}
-	overdue := time.AfterFunc(grant.Usual*overdueFactor, func() { f.dispatcher.RunsLong(grant.Endpoint.ID) })
+	overdue := time.AfterFunc(grant.Usual*overdueFactor, func() { f.dispatcher.RunsLong(grant) })
 	f.send(f.sendContext(ctx, r), r, req, a)
 	overdue.Stop()
 	a.took = time.Since(a.started)
@@ -219,9 +219,9 @@
 		return a
 	}
 	if a.ending == endedNotSent && ctx.Err() == nil {
-		f.dispatcher.Unreachable(grant.Endpoint.ID)
+		f.dispatcher.Unreachable(grant)
 	} else {
-		f.dispatcher.Ended(grant.Endpoint.ID, a.eventOf(), a.took)
+		f.dispatcher.Ended(grant, a.eventOf(), a.took)
 	}
 	return a
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -113,20 +113,20 @@
 	return dispatch.Grant{}, &Rejected{dispatch.Rejection{Reason: dispatch.NoEndpoint, RetryAfter: time.Second}}
 }
 
-func (d *inTurn) Ended(_ dispatch.EndpointID, kind dispatch.EventKind, _ time.Duration) {
+func (d *inTurn) Ended(_ dispatch.Grant, kind dispatch.EventKind, _ time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.open--
 	d.events = append(d.events, kind)
 }
 
-func (d *inTurn) Unreachable(dispatch.EndpointID) {
+func (d *inTurn) Unreachable(dispatch.Grant) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.open--
 }
 
-func (d *inTurn) RunsLong(dispatch.EndpointID) {}
+func (d *inTurn) RunsLong(dispatch.Grant) {}
 
 func (d *inTurn) Answered(string, int) {}
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -89,7 +89,7 @@
 		kind = dispatch.EndedBroken
 		f.metrics.brokenStreams.Add(1)
 	}
-	f.dispatcher.Ended(a.grant.Endpoint.ID, kind, time.Since(a.started))
+	f.dispatcher.Ended(a.grant, kind, time.Since(a.started))
 }
 
 var errNoLength = errors.New("the answer is large, has no length, and its caller cannot be told of its end")
--- /dev/null
+++ b/internal/gateway/broker_test.go
@@ -0,0 +1,211 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/dispatch"
+)
+
+// startBrokered starts a fleet in which brokers place the requests.
+func startBrokered(t *testing.T, zones string) (*world, []*instance) {
+	t.Helper()
+	w := newWorld(t)
+	w.configure("h.example", "orders")
+	var all []*instance
+	for k, zone := range zones {
+		id := fmt.Sprintf("edge-%c-%d", zone, k)
+		path := w.settingsFile(id, string(zone))
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = append(text, fmt.Sprintf("[place]\nbrokers_from = %d\n", len(zones))...)
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, w.startWith(path, id))
+	}
+	for _, in := range all {
+		eventually(t, "brokers are known", func() bool {
+			known := make(chan bool, 1)
+			in.gateway.control.post(func() {
+				known <- in.gateway.control.brokered() && len(in.gateway.control.members.list) == len(zones)-1
+			})
+			return <-known
+		})
+	}
+	return w, all
+}
+
+// inControl runs a function on an instance's control loop.
+func inControl[T any](in *instance, f func(c *control) T) T {
+	got := make(chan T, 1)
+	in.gateway.control.post(func() { got <- f(in.gateway.control) })
+	return <-got
+}
+
+func TestEveryInstanceAsksTheSameBroker(t *testing.T) {
+	w, all := startBrokered(t, "aaaa")
+	u := w.startUpstream("i-1", "orders")
+	for _, in := range all {
+		eventually(t, "served", func() bool { status, _, _ := in.ask(t, "h.example", "/x"); return status == http.StatusOK })
+	}
+	desks, served := 0, u.requests.Load()
+	for _, in := range all {
+		if inControl(in, func(c *control) bool { return c.desk != nil }) {
+			desks++
+		}
+	}
+	if desks != 1 {
+		t.Errorf("%d instances broker one service", desks)
+	}
+	if served < int64(len(all)) {
+		t.Errorf("%d requests", served)
+	}
+	for _, in := range all {
+		eventually(t, "every grant is counted out", func() bool {
+			return inControl(in, func(c *control) bool {
+				return (c.desk == nil || c.desk.ledger.Len() == 0) && len(c.placing.granted) == 0 && len(c.placing.open) == 0
+			})
+		})
+	}
+}
+
+// The load that it answers: hundreds of instances ask the broker that has just died.
+func TestRequestsGoOnWhenTheBrokerDies(t *testing.T) {
+	w, all := startBrokered(t, "aaaa")
+	w.startUpstream("i-1", "orders")
+	for _, in := range all {
+		eventually(t, "served", func() bool { status, _, _ := in.ask(t, "h.example", "/x"); return status == http.StatusOK })
+	}
+	var rest []*instance
+	for _, in := range all {
+		if !inControl(in, func(c *control) bool { return c.desk != nil }) {
+			rest = append(rest, in)
+			continue
+		}
+		held := make(chan struct{})
+		t.Cleanup(func() { close(held) })
+		in.gateway.control.post(func() { <-held }) // It hears and says nothing more.
+	}
+	if len(rest) != len(all)-1 {
+		t.Fatalf("%d brokers", len(all)-len(rest))
+	}
+	for range 5 {
+		for _, in := range rest {
+			if status, _, id := in.ask(t, "h.example", "/x"); status != http.StatusOK {
+				t.Errorf("request %s: status %d", id, status)
+			}
+		}
+	}
+}
+
+// The load that it answers: the endpoints of a zone fail or leave, while other zones have room.
+func TestAZoneWithoutEndpointsIsServedByAnother(t *testing.T) {
+	w, all := startBrokered(t, "aaabbb")
+	u := w.startUpstream("i-1", "orders") // Of zone a.
+	for _, in := range all {
+		eventually(t, "served", func() bool {
+			status, body, _ := in.ask(t, "h.example", "/x")
+			return status == http.StatusOK && body == u.id
+		})
+	}
+	silent := func() (n int64) {
+		for _, in := range all {
+			n += in.gateway.control.brokerSilent.Load()
+		}
+		return n
+	}
+	before := silent()
+	for _, in := range all[3:] {
+		if status, _, id := in.ask(t, "h.example", "/x"); status != http.StatusOK {
+			t.Errorf("request %s of zone b: status %d", id, status)
+		}
+	}
+	if now := silent(); now != before {
+		t.Errorf("%d questions without an answer", now-before)
+	}
+}
+
+// The load that it answers: a broker is asked while every endpoint is full or failing. Each
+// question gets an answer, and no request is sent twice where it must not be.
+func TestEveryQuestionIsAnswered(t *testing.T) {
+	w, all := startBrokered(t, "aaabbb")
+	good, bad := w.startUpstream("i-good", "orders"), w.startUpstream("i-bad", "orders")
+	bad.failing.Store(true)
+	eventually(t, "served", func() bool { status, _, _ := all[0].ask(t, "h.example", "/x"); return status == http.StatusOK })
+	before := good.requests.Load() + bad.requests.Load()
+	const each = 20
+	var done sync.WaitGroup
+	for _, in := range all {
+		for range each {
+			done.Add(1)
+			go func() {
+				defer done.Done()
+				status, _, id := in.ask(t, "h.example", "/x")
+				if !slices.Contains([]int{http.StatusOK, http.StatusInternalServerError, http.StatusServiceUnavailable}, status) {
+					t.Errorf("request %s: status %d", id, status)
+				}
+			}()
+		}
+	}
+	done.Wait()
+	if ran := good.requests.Load() + bad.requests.Load() - before; ran > int64(each*len(all)) {
+		t.Errorf("%d orders ran %d times", each*len(all), ran)
+	}
+}
+
+// The load that it answers: a large zone, in which each instance would have to hear every other.
+func TestKeepersTellWhoIsThere(t *testing.T) {
+	_, all := startBrokered(t, "aaaaab")
+	last := all[4]
+	if inControl(last, func(c *control) bool { return c.keeps() }) {
+		t.Fatal("more than three keep")
+	}
+	eventually(t, "all are alive", func() bool { return len(last.gateway.control.snapshot.Load().alive) == len(all)-1 })
+	gone := all[3]
+	held := make(chan struct{})
+	t.Cleanup(func() { close(held) })
+	gone.gateway.control.post(func() { <-held })
+	eventually(t, "the silent one is left out", func() bool {
+		return !slices.ContainsFunc(last.gateway.control.snapshot.Load().alive, func(e *member) bool { return strings.HasSuffix(e.key, "edge-a-3") })
+	})
+	if got := len(last.gateway.control.snapshot.Load().alive); got != len(all)-2 {
+		t.Errorf("%d are alive", got)
+	}
+}
+
+func TestQuestionsSurviveTheWire(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := dispatch.Ask{
+		Service: "orders", Idempotent: true, Hedge: true, Objective: now.Add(-time.Second), Deadline: now.Add(2 * time.Second),
+		Tried: []dispatch.EndpointID{1, 1 << 31}, Crossing: 0.125,
+	}
+	data, err := encodeKind(brokerQuestion, questionOf(7, 9, now, a))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q, err := decodeKind[question](data[1:])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := q.ask(now); fmt.Sprint(got) != fmt.Sprint(a) || q.From != 7 || q.Seq != 9 {
+		t.Errorf("got %+v, want %+v", got, a)
+	}
+	var many []dispatch.EndpointID
+	for k := range 4 * triedMost {
+		many = append(many, dispatch.EndpointID(1<<31+k))
+	}
+	a.Tried = many
+	a.Service = strings.Repeat("long", 50)
+	if data, err = encodeKind(brokerQuestion, questionOf(1<<63, 1<<63, now, a)); err != nil || len(data) > maxDatagramBytes {
+		t.Errorf("%d bytes, %v", len(data), err)
+	}
+}
--- a/internal/gateway/contents.go
+++ b/internal/gateway/contents.go
@@ -137,6 +137,7 @@
 func (c *control) applyUpstreams(now time.Time) {
 	if c.config != nil {
 		c.machine.SetEndpoints(now, c.registry.endpoints(c.config))
+		c.applyDesk(now)
 	}
 }
 
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/damaskcove/damaskcove/coord/broker"
 	"github.com/damaskcove/damaskcove/coord/dispatch"
 	"github.com/damaskcove/damaskcove/coord/following"
 	"github.com/damaskcove/damaskcove/coord/outlook"
@@ -74,6 +75,8 @@
 	onDuty   atomic.Bool   // This instance is to follow the store itself.
 	inLine   atomic.Bool   // It would, if the store refused nobody.
 
+	brokerSilent atomic.Int64 // Questions that a broker did not answer.
+
 	// Owned by the loop.
 	machine   *dispatch.Machine
 	config    *platform.Config
@@ -87,11 +90,18 @@
 	ahead     time.Time // The same, but since the last change that this instance read.
 	duty      *following.Machine
 	following bool // This instance follows the store.
-	leaving   bool
-	pause     pause.Detector
-	reports   []dispatch.Event
-	urgent    bool      // The reports are.
-	told      time.Time // Last message to the others.
+	placing   placing
+	desk      *desk // Nil until another instance asks this one as a broker.
+
+	keepers     []broker.Instance            // Of this zone; none in a small fleet.
+	foreign     map[string][]broker.Instance // Of other zones.
+	keeperSince time.Time
+
+	leaving bool
+	pause   pause.Detector
+	reports []dispatch.Event
+	urgent  bool      // The reports are.
+	told    time.Time // Last message to the others.
 }
 
 // acquired is the outcome of an Acquire.
@@ -114,16 +124,11 @@
 		dropIdle: func() {},
 		turn:     make(chan struct{}, 1),
 		unlisted: make(chan struct{}, 1),
-		machine: dispatch.New(dispatch.Config{
-			Zone:        s.Instance.Zone,
-			Rates:       spells,
-			Retry:       retrybudget.Bound{Window: s.Retry.Window, Ratio: s.Retry.Ratio, Extra: s.Retry.Extra},
-			FloorShare:  s.Place.FloorShare,
-			PeerTimeout: peerTimeout,
-		}, time.Now(), rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		placing:  newPlacing(),
 		registry: newRegistry(log),
 		members:  newMembers(s.Instance.ID, s.Instance.Zone, log),
 	}
+	c.machine = dispatch.New(c.dispatchConfig(), time.Now(), rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	c.snapshot.Store(&Snapshot{limits: limitsOf(platform.DefaultLimits), routes: &routes{}})
 	c.relay = newRelay(socket.send, func() []netip.AddrPort { return c.snapshot.Load().routes.zone })
 	c.duty = following.New(c.members.self)
@@ -132,6 +137,17 @@
 	return c
 }
 
+func (c *control) dispatchConfig() dispatch.Config {
+	s := c.settings
+	return dispatch.Config{
+		Zone:        s.Instance.Zone,
+		Rates:       spells,
+		Retry:       retrybudget.Bound{Window: s.Retry.Window, Ratio: s.Retry.Ratio, Extra: s.Retry.Extra},
+		FloorShare:  s.Place.FloorShare,
+		PeerTimeout: peerTimeout,
+	}
+}
+
 // run is the control loop.
 func (c *control) run(ctx context.Context) {
 	defer close(c.done)
@@ -154,6 +170,9 @@
 // settle tells the others what has happened, once no more commands wait.
 func (c *control) settle() {
 	events, urgent := c.machine.TakeReports()
+	if c.brokered() {
+		return // The brokers are told, and nobody else.
+	}
 	c.reports, c.urgent = append(c.reports, events...), c.urgent || urgent
 	if len(c.reports) > 0 && (len(c.commands) == 0 || len(c.reports) >= maxEvents) {
 		c.tell()
@@ -162,6 +181,11 @@
 
 // tell sends what has happened to all other instances.
 func (c *control) tell() {
+	if c.brokered() {
+		c.beat(time.Now())
+		c.reports, c.urgent, c.told = nil, false, time.Now()
+		return
+	}
 	for first := true; first || len(c.reports) > 0; first = false {
 		n := min(len(c.reports), maxEvents)
 		data, err := encodeMessage(c.message(time.Now(), c.reports[:n]))
@@ -207,6 +231,7 @@
 	if c.registry.expire(now) {
 		c.applyUpstreams(now)
 	}
+	c.tickDesk(now)
 	c.publish(now)
 	c.assign(now)
 	if now.Sub(c.told) >= tickInterval {
@@ -247,6 +272,7 @@
 // publish makes a new snapshot.
 func (c *control) publish(now time.Time) {
 	alive := c.members.alive(now)
+	c.elect(now, alive)
 	next := &Snapshot{pause: c.pause, limits: limitsOf(platform.DefaultLimits), alive: alive, routes: newRoutes(alive, c.self)}
 	if c.config != nil && c.synced {
 		next.Version = c.config.Version
@@ -277,7 +303,9 @@
 	if c.members.hear(now, m) {
 		c.assign(now)
 	}
-	c.machine.Report(now, m.From, m.Seasoned, m.Events)
+	if !c.brokered() || len(m.Events) > 0 {
+		c.machine.Report(now, m.From, m.Seasoned, m.Events)
+	}
 	if m.Troubled && !c.onDuty.Load() {
 		c.trouble = now
 	}
@@ -303,8 +331,7 @@
 			reply <- acquired{rejection: &dispatch.Rejection{Reason: dispatch.NoEndpoint, RetryAfter: startingRetryAfter, Left: a.Deadline.Sub(now)}}
 			return
 		}
-		grant, rejection := c.machine.Ask(now, a)
-		reply <- acquired{grant: grant, rejection: rejection}
+		c.place(now, a, reply)
 	})
 	select {
 	case got := <-reply:
@@ -318,13 +345,13 @@
 }
 
 // Ended implements forward.Dispatcher.
-func (c *control) Ended(id dispatch.EndpointID, kind dispatch.EventKind, took time.Duration) {
-	c.post(func() { c.machine.Ended(time.Now(), id, kind, took) })
+func (c *control) Ended(g dispatch.Grant, kind dispatch.EventKind, took time.Duration) {
+	c.post(func() { c.ended(time.Now(), g, kind, took) })
 }
 
 // Unreachable implements forward.Dispatcher.
-func (c *control) Unreachable(id dispatch.EndpointID) {
-	c.post(func() { c.machine.Unreachable(time.Now(), id) })
+func (c *control) Unreachable(g dispatch.Grant) {
+	c.post(func() { c.unreachable(time.Now(), g) })
 }
 
 // Answered implements forward.Dispatcher.
@@ -333,6 +360,6 @@
 }
 
 // RunsLong implements forward.Dispatcher.
-func (c *control) RunsLong(id dispatch.EndpointID) {
-	c.post(func() { c.machine.RunsLong(time.Now(), id) })
+func (c *control) RunsLong(g dispatch.Grant) {
+	c.post(func() { c.runsLong(time.Now(), g) })
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,14 +186,39 @@
 
 // hear takes in a datagram.
 func (g *Gateway) hear(data []byte) {
-	if len(data) > 0 && data[0] == storeFeed {
-		g.hearFeed(data)
+	if len(data) == 0 {
 		return
 	}
-	if len(data) > 0 && data[0] == storePiece {
+	switch data[0] {
+	case storeFeed:
+		g.hearFeed(data)
+	case storePiece:
 		g.hearPiece(data)
+	case keeperRoll:
+		hearKind(g, data, g.control.hearRoll)
+	case brokerQuestion:
+		hearKind(g, data, g.control.answer)
+	case brokerReply:
+		hearKind(g, data, g.control.hearReply)
+	case brokerEnding:
+		hearKind(g, data, g.control.hearEnding)
+	default:
+		g.hearMessages(data)
+	}
+}
+
+// hearKind has the control loop take in a datagram of one message.
+func hearKind[T any](g *Gateway, data []byte, take func(now time.Time, m T)) {
+	m, err := decodeKind[T](data[1:])
+	if err != nil {
+		g.log.Warn("datagram ignored", "error", err.Error())
 		return
 	}
+	g.control.post(func() { take(time.Now(), m) })
+}
+
+// hearMessages takes in what instances of a small fleet tell all others.
+func (g *Gateway) hearMessages(data []byte) {
 	list, err := decodeMessages(data)
 	if err != nil {
 		g.log.Warn("datagram ignored", "error", err.Error())
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/damaskcove/damaskcove/coord/broker"
 	"github.com/damaskcove/damaskcove/coord/dispatch"
 	"github.com/damaskcove/damaskcove/coord/following"
 	"github.com/damaskcove/damaskcove/platform"
@@ -31,6 +32,7 @@
 // member is another instance.
 type member struct {
 	memberRecord
+	key     string
 	joined  time.Time
 	heard   time.Time // Zero before its first message.
 	leaving bool
@@ -45,6 +47,7 @@
 	log   *slog.Logger
 	list  map[string]*member        // By key.
 	lives map[dispatch.Peer]*member // The same by life.
+	keep  map[string]bool           // Keepers, by key.
 }
 
 const (
@@ -73,7 +76,7 @@
 		return
 	}
 	m.drop(key)
-	m.list[key] = &member{memberRecord: r, joined: now}
+	m.list[key] = &member{memberRecord: r, key: key, joined: now}
 	m.lives[r.Peer] = m.list[key]
 	m.log.Info("instance joined", "peer", strings.TrimPrefix(key, memberPrefix), "zone", r.Zone, "callers", r.Callers)
 }
@@ -105,6 +108,35 @@
 	return turned
 }
 
+// rank notes who keeps.
+func (m *members) rank(keepers []broker.Instance) {
+	m.keep = make(map[string]bool, len(keepers))
+	for _, i := range keepers {
+		m.keep[i.Key] = true
+	}
+}
+
+// order returns an instance's place among those that may follow the store: keepers go first.
+func (m *members) order(key string) string {
+	if len(m.keep) > 0 && !m.keep[key] {
+		return "~" + key
+	}
+	return key
+}
+
+// silent tells whether an instance is to be told of as silent.
+func (e *member) silent(now time.Time) bool {
+	fresh := now.Sub(e.joined) <= silenceTimeout
+	return e.leaving || !fresh && now.Sub(e.heard) > followerTimeout
+}
+
+// hush takes an instance for silent at once.
+func (e *member) hush(now time.Time) {
+	if over := now.Add(-silenceTimeout - time.Millisecond); e.heard.After(over) {
+		e.heard = over
+	}
+}
+
 // drop forgets an instance.
 func (m *members) drop(key string) {
 	if e := m.list[key]; e != nil {
@@ -118,7 +150,7 @@
 	var peers []following.Peer
 	for key, e := range m.list {
 		if e.Zone == m.zone && !e.leaving && now.Sub(e.heard) <= followerTimeout {
-			peers = append(peers, following.Peer{Key: key, Following: e.follows})
+			peers = append(peers, following.Peer{Key: m.order(key), Following: e.follows})
 		}
 	}
 	return peers
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -11,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/damaskcove/damaskcove/coord/broker"
 	"github.com/damaskcove/damaskcove/coord/dispatch"
 	"github.com/damaskcove/damaskcove/platform"
 )
@@ -29,11 +29,15 @@
 
 // The first byte of a datagram tells what it holds, and whether the receiver passes it on.
 const (
-	forReceiver byte = iota // Messages, one after the other.
-	forZone                 // A message to be passed on to all instances of the receiver's zone.
-	forZoneNow              // The same, at once.
-	storeFeed               // A feed; it is not passed on.
-	storePiece              // A piece of a feed; it is not passed on.
+	forReceiver    byte = iota // Messages, one after the other.
+	forZone                    // A message to be passed on to all instances of the receiver's zone.
+	forZoneNow                 // The same, at once.
+	storeFeed                  // A feed; it is not passed on.
+	storePiece                 // A piece of a feed; it is not passed on.
+	keeperRoll                 // A roll.
+	brokerQuestion             // A question.
+	brokerReply                // A reply.
+	brokerEnding               // An ending.
 )
 
 const (
@@ -132,27 +136,23 @@
 	return list[rand.IntN(len(list)):][:1]
 }
 
-const (
-	// zoneRelays is the most instances of a zone that pass on what others send.
-	zoneRelays = 3
-	// relaysLeast is the fewest, so that the death of one leaves another.
-	relaysLeast = 2
-	// directMost is the most instances of a zone that are told of each event one by one; above,
-	// what each has to receive grows with all others' requests.
-	directMost = 20
-)
+// directMost is the most instances of a zone that are told of each event one by one; above,
+// what each has to receive grows with all others' requests.
+const directMost = 20
 
-// relaysOf returns the relays of a zone: its instances with the fastest links, since a relay
-// sends what the whole fleet tells to each of its zone.
+// relaysOf returns the relays of a zone, its keepers: a relay sends what the whole fleet tells
+// to each of its zone.
 func relaysOf(zone []*member) []netip.AddrPort {
-	slices.SortFunc(zone, func(a, b *member) int {
-		return cmp.Or(cmp.Compare(b.Link, a.Link), a.Peers.Compare(b.Peers))
-	})
+	list := make([]broker.Instance, 0, len(zone))
+	at := make(map[string]netip.AddrPort, len(zone))
+	for _, e := range zone {
+		key, _ := e.Peers.MarshalBinary() // It never fails.
+		list = append(list, broker.Instance{Life: uint64(e.Peer), Key: string(key), Link: e.Link})
+		at[string(key)] = e.Peers
+	}
 	var relays []netip.AddrPort
-	for k, e := range zone[:min(len(zone), zoneRelays)] {
-		if k < relaysLeast || e.Link == zone[0].Link {
-			relays = append(relays, e.Peers)
-		}
+	for _, i := range broker.Keepers(list) {
+		relays = append(relays, at[i.Key])
 	}
 	return relays
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/damaskcove/damaskcove/coord/broker"
 	"github.com/damaskcove/damaskcove/coord/dispatch"
 )
 
@@ -114,8 +115,8 @@
 	for _, e := range zone {
 		e.Link = 10
 	}
-	if got := relaysOf(zone); len(got) != zoneRelays {
-		t.Errorf("%d relays among equals, want %d", len(got), zoneRelays)
+	if got := relaysOf(zone); len(got) != broker.KeepersMost {
+		t.Errorf("%d relays among equals, want %d", len(got), broker.KeepersMost)
 	}
 	if got := relaysOf(zone[:1]); len(got) != 1 {
 		t.Errorf("%d relays of a zone of one", len(got))
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -58,9 +58,10 @@
 	Extra  float64       `toml:"extra"` // Besides, in a window; a part of a whole one counts as such.
 }
 
-// PlaceSettings bound how requests are placed on upstreams.
+// PlaceSettings tell how requests are placed on upstreams.
 type PlaceSettings struct {
-	FloorShare float64 `toml:"floor_share"` // Of a service's sound upstreams, to be in use while many requests go unserved.
+	FloorShare  float64 `toml:"floor_share"`  // Of a service's sound upstreams, to be in use while many requests go unserved.
+	BrokersFrom int     `toml:"brokers_from"` // Instances from which brokers place requests; a smaller fleet's tell each other everything.
 }
 
 // LogSettings tell what is logged.
@@ -79,7 +80,7 @@
 	return Settings{
 		Promises: PromiseSettings{ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second, StopWithin: 6 * time.Second, DiscoveryTTL: time.Second},
 		Retry:    RetrySettings{Window: 10 * time.Second, Ratio: 0.2, Extra: 50},
-		Place:    PlaceSettings{FloorShare: 0.7},
+		Place:    PlaceSettings{FloorShare: 0.7, BrokersFrom: 150},
 		Log:      LogSettings{Requests: LogUnserved},
 	}
 }
@@ -142,6 +143,9 @@
 	if s.Place.FloorShare < 0 || s.Place.FloorShare > 1 {
 		c.Add("place.floor_share", tomlfile.Show(s.Place.FloorShare), "must be from 0 to 1")
 	}
+	if s.Place.BrokersFrom < 1 {
+		c.Add("place.brokers_from", tomlfile.Show(s.Place.BrokersFrom), "must be at least 1")
+	}
 	if s.Log.Requests != LogAll && s.Log.Requests != LogUnserved {
 		c.Add("log.requests", s.Log.Requests, "must be %q or %q", LogAll, LogUnserved)
 	}
--- a/internal/gateway/side.go
+++ b/internal/gateway/side.go
@@ -108,6 +108,7 @@
 		"ready":              boolGauge(g.ready()),
 		"control_commands":   int64(len(g.control.commands)),
 		"process_uptime_ms":  time.Since(g.started).Milliseconds(),
+		"broker_silent":      g.control.brokerSilent.Load(),
 		"follows_store":      boolGauge(g.control.onDuty.Load()),
 	}
 	for kind, n := range g.store.Calls() {
