Missed feeds are told again; one read at the first start; a smaller heap

Memory: the heap doubled before each collection.

When the whole fleet starts for the first time, an instance reads once all have registered. The collector runs when the heap has grown by a quarter. Registrations of the first read are logged as one line.

--- a/cmd/damaskgate/main.go
+++ b/cmd/damaskgate/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -23,7 +24,12 @@
 	exitAddress  = 3
 )
 
+// gcPercent lets the heap grow by a quarter before it is collected: an instance holds little,
+// and its memory is dearer than its processor time.
+const gcPercent = 25
+
 func main() {
+	debug.SetGCPercent(gcPercent)
 	if err := command().Execute(); err != nil {
 		os.Exit(exitStatus(err))
 	}
--- a/internal/gateway/contents.go
+++ b/internal/gateway/contents.go
@@ -13,6 +13,9 @@
 	if c.synced && at < c.revision {
 		return // Others have told of later changes meanwhile.
 	}
+	first := !c.synced
+	c.registry.quiet, c.members.quiet = first, first
+	defer func() { c.registry.quiet, c.members.quiet = false, false }()
 	present := make(map[string]bool, len(items))
 	changed := false
 	for _, item := range items {
@@ -31,6 +34,9 @@
 	}
 	changed = c.registry.expire(now) || changed
 	c.synced = true
+	if first {
+		c.log.Info("store read", "revision", uint64(at), "upstreams", len(c.registry.entries), "peers", len(c.members.list))
+	}
 	c.followed(now, at, changed)
 }
 
@@ -53,7 +59,7 @@
 	c.revision = max(c.revision, at)
 	c.known.Store(uint64(c.revision))
 	c.inStep.Store(true)
-	c.behind, c.ahead = time.Time{}, time.Time{}
+	c.behind, c.ahead, c.asked = time.Time{}, time.Time{}, false
 	if changed {
 		c.applyUpstreams(now)
 	}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -87,6 +87,8 @@
 	revision  platform.Revision
 	trouble   time.Time // Last failed call of the store.
 	behind    time.Time // Since when another instance has followed the store further; zero while none has.
+	asked     bool      // A follower was asked for what is missing here.
+	history   history   // What this instance has told its zone of the store.
 	ahead     time.Time // The same, but since the last change that this instance read.
 	duty      *following.Machine
 	following bool // This instance follows the store.
@@ -256,6 +258,10 @@
 	if !c.lagged(now) {
 		return
 	}
+	if !c.onDuty.Load() && !c.asked && c.askMissed() {
+		c.asked, c.behind = true, now
+		return
+	}
 	c.behind = time.Time{}
 	c.log.Info("behind the store", "revision", uint64(c.revision), "follows_itself", c.following)
 	c.askAnew(c.troubled(now))
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -108,13 +109,26 @@
 
 // pass tells the instances of this zone that do not follow the store what a watch brought.
 func (c *control) pass(items []platform.Item, after, at platform.Revision) {
-	datagrams, err := newFeed(c.peer, items, after, at).datagrams()
+	f := newFeed(c.peer, items, after, at)
+	c.history.add(time.Now(), f)
+	c.sendFeed(f, c.snapshot.Load().alive...)
+}
+
+// sendFeed tells those of some instances that are of this zone what a watch brought.
+func (c *control) sendFeed(f feed, to ...*member) {
+	datagrams, err := f.datagrams()
 	if err != nil {
-		c.log.Error("changes of the store not passed on", "after", uint64(after), "at", uint64(at), "error", err.Error())
+		c.log.Error("changes of the store not passed on", "after", uint64(f.After), "at", uint64(f.At), "error", err.Error())
 		return
 	}
+	var zone []netip.AddrPort
+	for _, e := range to {
+		if e.Zone == c.members.zone {
+			zone = append(zone, e.Peers)
+		}
+	}
 	for _, data := range datagrams {
-		c.socket.send(data, c.snapshot.Load().routes.zone)
+		c.socket.send(data, zone)
 	}
 }
 
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -191,6 +191,51 @@
 	}
 }
 
+// The load that it answers: datagrams get lost all day, and each loss cost a call of the store.
+// What an instance has missed it is told again, also where the store refuses it.
+func TestWhatWasMissedIsToldAgain(t *testing.T) {
+	w, instances, links := startZone(t, 4)
+	last := instances[3]
+	links[3].refuse(true)
+	w.startUpstream("i-1", "orders")
+	eventually(t, "the upstream is known", func() bool { return last.knows("i-1") })
+	inControl(last, func(c *control) bool {
+		c.registry.remove("servers/i-1") // As if the feed had been lost.
+		c.revision--
+		c.applyUpstreams(time.Now())
+		return true
+	})
+	w.startUpstream("i-2", "orders")
+	for _, id := range []string{"i-1", "i-2"} {
+		eventually(t, "the upstream is known", func() bool { return last.knows(id) })
+	}
+}
+
+func TestHistoryLeadsOnWithoutAGap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h history
+		now := time.Unix(1000, 0)
+		at := platform.Revision(10)
+		for range rapid.IntRange(0, 2*historyMost).Draw(t, "feeds") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			after := at + platform.Revision(rapid.SampledFrom([]int{0, 0, 0, 0, 0, 1}).Draw(t, "gap"))
+			at = after + platform.Revision(rapid.IntRange(1, 5).Draw(t, "changes"))
+			h.add(now, feed{After: after, At: at})
+		}
+		if len(h.feeds) > historyMost || len(h.feeds) != len(h.at) {
+			t.Fatalf("%d feeds are kept", len(h.feeds))
+		}
+		known := platform.Revision(rapid.Uint64Range(5, uint64(at)+5).Draw(t, "known"))
+		got := h.after(known)
+		if len(got) > 0 && (got[0].After > known || got[len(got)-1].At != at) {
+			t.Fatalf("from %d: %+v", known, got)
+		}
+		if len(got) == 0 && known < at && len(h.feeds) > 0 && h.feeds[0].After <= known && !slices.ContainsFunc(h.feeds, func(f feed) bool { return f.After > known }) {
+			t.Fatalf("nothing leads on from %d", known)
+		}
+	})
+}
+
 // A change that is too large for pieces is read from the store by each.
 func TestAChangeThatIsTooLargeForPiecesIsReadFromTheStore(t *testing.T) {
 	w, instances, _ := startZone(t, 3)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -26,6 +26,9 @@
 	idleRetry = 1600 * time.Millisecond
 	// missedWait is how long a look for missed changes waits: they are there already.
 	missedWait = 20 * time.Millisecond
+	// firstStartWait is how long an instance waits to read the store when the whole fleet starts
+	// for the first time: all have registered by then, and one read tells of all.
+	firstStartWait = 1200 * time.Millisecond
 	// leaseTTL is how long after its last renewal an instance is taken off the list. That it is
 	// silent shows sooner.
 	leaseTTL = 30 * time.Second
@@ -43,6 +46,7 @@
 	log     *slog.Logger
 	reach   *reach
 	pause   func() time.Duration // After each change, before the next watch.
+	wait    time.Duration        // Before the first read.
 }
 
 // reach tells whether the store answers, by the calls of the follower and the registrar.
@@ -77,6 +81,7 @@
 func (f *follower) run(ctx context.Context) {
 	retry := firstRetry
 	var at platform.Revision
+	sleep(ctx, f.wait)
 	read, proven := false, false // proven: the store has answered since the duty fell to this instance.
 	for ctx.Err() == nil {
 		at = max(at, platform.Revision(f.control.known.Load()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,6 +135,9 @@
 	reach := &reach{log: g.log, control: g.control}
 	tasks.Go(func() {
 		f := &follower{store: g.store, control: g.control, log: g.log, reach: reach, pause: g.watchPause}
+		if s.Instance.FirstStart {
+			f.wait = firstStartWait
+		}
 		f.run(life)
 	})
 	registration := make(chan struct{})
@@ -194,6 +197,8 @@
 		g.hearFeed(data)
 	case storePiece:
 		g.hearPiece(data)
+	case storeMissed:
+		hearKind(g, data, g.control.hearMissed)
 	case keeperRoll:
 		hearKind(g, data, g.control.hearRoll)
 	case brokerQuestion:
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -45,6 +45,7 @@
 	self  string // Key of this instance.
 	zone  string
 	log   *slog.Logger
+	quiet bool                      // Registrations are not logged one by one.
 	list  map[string]*member        // By key.
 	lives map[dispatch.Peer]*member // The same by life.
 	keep  map[string]bool           // Keepers, by key.
@@ -78,6 +79,9 @@
 	m.drop(key)
 	m.list[key] = &member{memberRecord: r, key: key, joined: now}
 	m.lives[r.Peer] = m.list[key]
+	if m.quiet {
+		return
+	}
 	m.log.Info("instance joined", "peer", strings.TrimPrefix(key, memberPrefix), "zone", r.Zone, "callers", r.Callers)
 }
 
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -249,7 +249,7 @@
 		"listeners_map.directory_service": `"10.1.0.34:8546"`, "ip": `"10.1.0.34"`, "port_range.0": "7540", "platform.address": `"10.200.1.7:8541"`,
 	}
 	all := map[string]string{
-		"region": `"r"`, "limits.link_mbps": "200.0", "bounds.config_apply": `"2000ms"`, "bounds.drain": `"2.5s"`, "bounds.grace": `"6s"`,
+		"region": `"r"`, "bootstrap": "true", "limits.link_mbps": "200.0", "bounds.config_apply": `"2000ms"`, "bounds.drain": `"2.5s"`, "bounds.grace": `"6s"`,
 		"bounds.retry_window": `"10s"`, "bounds.retry_budget_ratio": "0.25", "bounds.retry_extra": "62", "bounds.floor_share": "0.6",
 	}
 	maps.Copy(all, least)
@@ -271,7 +271,7 @@
 			t.Errorf("%s: %v", name, err)
 			continue
 		}
-		if s.Listen.Peers != "10.1.0.34:7540" || s.Retry != tc.retry || s.Promises.DrainWithin != tc.drain || s.Place.FloorShare != tc.floor || s.Instance.Link != tc.link {
+		if s.Listen.Peers != "10.1.0.34:7540" || s.Retry != tc.retry || s.Promises.DrainWithin != tc.drain || s.Place.FloorShare != tc.floor || s.Instance.Link != tc.link || s.Instance.FirstStart != (name != "least") {
 			t.Errorf("%s: got %+v", name, s)
 		}
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -34,6 +34,7 @@
 	forZoneNow                 // The same, at once.
 	storeFeed                  // A feed; it is not passed on.
 	storePiece                 // A piece of a feed; it is not passed on.
+	storeMissed                // A missed: asks for feeds again.
 	keeperRoll                 // A roll.
 	brokerQuestion             // A question.
 	brokerReply                // A reply.
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -16,6 +16,7 @@
 // registry holds the upstreams that have registered.
 type registry struct {
 	log     *slog.Logger
+	quiet   bool              // Registrations are not logged one by one.
 	entries map[string]*entry // By key.
 }
 
@@ -48,6 +49,9 @@
 		return false
 	}
 	r.entries[key] = &entry{Upstream: u, warmUntil: now.Add(u.WarmUp)}
+	if r.quiet {
+		return true
+	}
 	r.log.Info("upstream", "upstream", u.ID, "service", u.Service, "address", u.Address, "zone", u.Zone, "slots", u.Slots,
 		"leaving", u.State == platform.UpstreamLeaving, "warm_up_ms", u.WarmUp.Milliseconds())
 	return true
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -27,6 +27,8 @@
 	Zone   string  `toml:"zone"`
 	Region string  `toml:"region"`
 	Link   float64 `toml:"link_mbps"` // Of the machine's own link, in Mbit/s; 0 where it is not known.
+
+	FirstStart bool `toml:"first_start"` // The whole fleet starts for the first time.
 }
 
 // ListenSettings are the addresses that the process listens on.
