An instance whose registration was taken away is still told

The store had taken the registrations of instances away that it refused; their zones dropped them from the list at once, told them of no change any more and did not answer when they asked, and the store refused them too. The fault is older than brokers: the new test fails in both ways of telling.

Ruled out: a shorter lease, since the store refuses the renewal as well.

An instance that is heard and does not leave stays in the list until it is silent.

--- a/internal/gateway/broker_test.go
+++ b/internal/gateway/broker_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -17,20 +16,12 @@
 func startBrokered(t *testing.T, zones string) (*world, []*instance) {
 	t.Helper()
 	w := newWorld(t)
+	w.brokersFrom = len(zones)
 	w.configure("h.example", "orders")
 	var all []*instance
 	for k, zone := range zones {
 		id := fmt.Sprintf("edge-%c-%d", zone, k)
-		path := w.settingsFile(id, string(zone))
-		text, err := os.ReadFile(path)
-		if err != nil {
-			t.Fatal(err)
-		}
-		text = append(text, fmt.Sprintf("[place]\nbrokers_from = %d\n", len(zones))...)
-		if err := os.WriteFile(path, text, 0o600); err != nil {
-			t.Fatal(err)
-		}
-		all = append(all, w.startWith(path, id))
+		all = append(all, w.startInstance(id, string(zone)))
 	}
 	for _, in := range all {
 		eventually(t, "brokers are known", func() bool {
--- a/internal/gateway/contents.go
+++ b/internal/gateway/contents.go
@@ -29,7 +29,7 @@
 	}
 	for key := range c.members.list {
 		if !present[key] {
-			c.members.remove(key, c.troubled(now))
+			c.members.remove(now, key)
 		}
 	}
 	changed = c.registry.expire(now) || changed
@@ -47,7 +47,7 @@
 		switch {
 		case item.Revision <= c.revision: // It was told of before.
 		case item.Deleted:
-			changed = c.drop(item.Key) || changed
+			changed = c.drop(now, item.Key) || changed
 		default:
 			changed = c.put(now, item) || changed
 		}
@@ -94,14 +94,14 @@
 }
 
 // drop takes in that a key was removed and tells whether the endpoints changed.
-func (c *control) drop(key string) bool {
+func (c *control) drop(now time.Time, key string) bool {
 	switch {
 	case strings.HasPrefix(key, platform.UpstreamPrefix):
 		return c.registry.remove(key)
 	case key == c.members.self:
 		notify(c.unlisted)
 	case strings.HasPrefix(key, memberPrefix):
-		c.members.remove(key, false)
+		c.members.remove(now, key)
 	}
 	return false
 }
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -114,8 +114,15 @@
 }
 
 func startZone(t *testing.T, n int) (*world, []*instance, []*storeLink) {
+	t.Helper()
+	return startZoneOf(t, n, DefaultSettings().Place.BrokersFrom)
+}
+
+// startZoneOf starts a zone in which brokers place requests from a number of instances on.
+func startZoneOf(t *testing.T, n, brokersFrom int) (*world, []*instance, []*storeLink) {
 	t.Helper()
 	w := newWorld(t)
+	w.brokersFrom = brokersFrom
 	w.configure("h.example", "orders")
 	var instances []*instance
 	var links []*storeLink
@@ -211,6 +218,31 @@
 	}
 }
 
+// The load that it answers: the store takes away the registrations of some instances and
+// refuses these, while the configuration changes. Their zone tells them all the same.
+func TestAnInstanceWhoseRegistrationWasTakenAwayIsStillTold(t *testing.T) {
+	for name, brokersFrom := range map[string]int{"all tell all": 100, "keepers tell": 4} {
+		t.Run(name, func(t *testing.T) {
+			w, instances, links := startZoneOf(t, 5, brokersFrom)
+			last := instances[4]
+			links[4].refuse(true)
+			w.store.Delete("instances/edge-4")
+			for _, in := range instances[:4] {
+				eventually(t, "the registration is gone", func() bool { return in.gateway.control.known.Load() >= w.store.Revision() })
+			}
+			for version := 7; version < 10; version++ {
+				w.configureVersion(version, strings.Repeat("long.", 500)+"example", "orders")
+				eventually(t, "the version is in force", func() bool { return int(last.gateway.control.snapshot.Load().Version) == version })
+			}
+			for _, in := range instances[:4] {
+				if got := len(in.gateway.control.snapshot.Load().alive); got != 4 {
+					t.Errorf("%d others are alive", got)
+				}
+			}
+		})
+	}
+}
+
 func TestHistoryLeadsOnWithoutAGap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var h history
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -27,6 +28,8 @@
 	store     *standin.Store
 	instances []*instance
 	version   int
+
+	brokersFrom int // Of the instances' settings; 0 for the default.
 }
 
 type instance struct {
@@ -102,9 +105,11 @@
 [promises]
 stop_within = "4s"
 discovery_ttl = "200ms"
+[place]
+brokers_from = %d
 [log]
 requests = "all"
-`, id, zone, freeAddr(w.t, "tcp"), freeAddr(w.t, "tcp"), freeAddr(w.t, "tcp"), freeAddr(w.t, "udp"), freeAddr(w.t, "tcp"), w.store.Addr())
+`, id, zone, freeAddr(w.t, "tcp"), freeAddr(w.t, "tcp"), freeAddr(w.t, "tcp"), freeAddr(w.t, "udp"), freeAddr(w.t, "tcp"), w.store.Addr(), cmp.Or(w.brokersFrom, DefaultSettings().Place.BrokersFrom))
 	path := filepath.Join(w.t.TempDir(), id+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -85,14 +85,15 @@
 	m.log.Info("instance joined", "peer", strings.TrimPrefix(key, memberPrefix), "zone", r.Zone, "callers", r.Callers)
 }
 
-// remove drops an instance whose registration went. While the store is in trouble it stays
-// as long as it is heard.
-func (m *members) remove(key string, trouble bool) {
+// remove drops an instance whose registration went. It stays as long as it is heard and does
+// not leave: a registration lapses with the store, or is taken away from an instance that the
+// store refuses, and which depends on what its zone tells it.
+func (m *members) remove(now time.Time, key string) {
 	e := m.list[key]
 	if e == nil {
 		return
 	}
-	if trouble && !e.leaving {
+	if !e.leaving && now.Sub(e.heard) <= silenceTimeout {
 		e.lapsed = true
 		return
 	}
