What was missed is asked for until it is told; registrations are logged by followers

Cause: a question to a follower that got lost was never asked again while the store refused the instance. The new test fails with the former code each time.

Now the store and a follower are asked by turns.

--- a/internal/gateway/contents.go
+++ b/internal/gateway/contents.go
@@ -14,8 +14,7 @@
 		return // Others have told of later changes meanwhile.
 	}
 	first := !c.synced
-	c.registry.quiet, c.members.quiet = first, first
-	defer func() { c.registry.quiet, c.members.quiet = false, false }()
+	c.quiet(first)
 	present := make(map[string]bool, len(items))
 	changed := false
 	for _, item := range items {
@@ -42,6 +41,7 @@
 
 // change takes in what has changed in the store.
 func (c *control) change(now time.Time, items []platform.Item, at platform.Revision) {
+	c.quiet(!c.onDuty.Load())
 	changed := false
 	for _, item := range items {
 		switch {
@@ -55,6 +55,12 @@
 	c.followed(now, at, changed)
 }
 
+// quiet sets whether registrations are logged one by one: those of the first read are not, and
+// later ones only by the followers of the store, once or twice in a zone.
+func (c *control) quiet(yes bool) {
+	c.registry.quiet, c.members.quiet = yes, yes
+}
+
 func (c *control) followed(now time.Time, at platform.Revision, changed bool) {
 	c.revision = max(c.revision, at)
 	c.known.Store(uint64(c.revision))
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -262,7 +262,7 @@
 		c.asked, c.behind = true, now
 		return
 	}
-	c.behind = time.Time{}
+	c.asked, c.behind = false, time.Time{} // The store next, then a follower again: either may fail this instance.
 	c.log.Info("behind the store", "revision", uint64(c.revision), "follows_itself", c.following)
 	c.askAnew(c.troubled(now))
 }
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -243,6 +243,26 @@
 	}
 }
 
+// The question is a datagram that may get lost too, while the store refuses the instance.
+func TestWhatWasMissedIsAskedForUntilItIsTold(t *testing.T) {
+	w, instances, links := startZone(t, 4)
+	last := instances[3]
+	links[3].refuse(true)
+	w.startUpstream("i-1", "orders")
+	eventually(t, "the upstream is known", func() bool { return last.knows("i-1") })
+	inControl(last, func(c *control) bool {
+		c.registry.remove("servers/i-1")
+		c.revision--
+		c.asked, c.behind = true, time.Now() // As if the question had been lost.
+		c.applyUpstreams(time.Now())
+		return true
+	})
+	w.startUpstream("i-2", "orders")
+	for _, id := range []string{"i-1", "i-2"} {
+		eventually(t, "the upstream is known", func() bool { return last.knows(id) })
+	}
+}
+
 func TestHistoryLeadsOnWithoutAGap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var h history
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -98,6 +98,9 @@
 		return
 	}
 	m.drop(key)
+	if m.quiet {
+		return
+	}
 	m.log.Info("instance left", "peer", strings.TrimPrefix(key, memberPrefix))
 }
 
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -71,7 +71,9 @@
 		return false
 	}
 	delete(r.entries, key)
-	r.log.Info("upstream gone", "upstream", e.ID, "service", e.Service)
+	if !r.quiet {
+		r.log.Info("upstream gone", "upstream", e.ID, "service", e.Service)
+	}
 	return true
 }
 
