A roll names who follows the store

Cause: an instance that is no keeper told only the keepers that it follows the store.

Ruled out: lost feeds; those came, from followers whose revisions differed.

Keepers name the followers of their zone, at once when one turns. The new test fails with the former code: all six that the store serves followed, not two.

--- a/internal/gateway/brokerwire.go
+++ b/internal/gateway/brokerwire.go
@@ -74,6 +74,7 @@
 	Troubled  bool
 	Leaving   bool
 	Silent    []dispatch.Peer // Instances that are silent or leaving.
+	Followers []dispatch.Peer // Other instances of the zone that follow the store.
 	Dark      []string        // Zones of which nobody is heard.
 }
 
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -308,6 +308,9 @@
 	}
 	if c.members.hear(now, m) {
 		c.assign(now)
+		if c.keeps() {
+			c.beat(now) // The zone waits to hear who follows the store.
+		}
 	}
 	if !c.brokered() || len(m.Events) > 0 {
 		c.machine.Report(now, m.From, m.Seasoned, m.Events)
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -183,6 +183,28 @@
 	eventually(t, "the first follow again", func() bool { return slices.Equal(follows(instances), []bool{true, true, false, false}) })
 }
 
+// The load that it answers: the store refuses all keepers of a large zone. Two others follow it,
+// not one after the other until all do.
+func TestTwoFollowWhenTheStoreRefusesTheKeepers(t *testing.T) {
+	w, instances, links := startZoneOf(t, 9, 9)
+	for _, link := range links[:3] {
+		link.refuse(true)
+	}
+	want := []bool{false, false, false, true, true, false, false, false, false}
+	eventually(t, "two others follow", func() bool { return slices.Equal(follows(instances), want) })
+	w.startUpstream("i-1", "orders")
+	for _, in := range instances {
+		eventually(t, "the upstream is known", func() bool { return in.knows("i-1") })
+	}
+	time.Sleep(10 * turnOfAll) // Whoever still waits for its turn would have followed by then.
+	if got := follows(instances); !slices.Equal(got, want) {
+		t.Errorf("these follow: %v", got)
+	}
+}
+
+// turnOfAll is the time in which one instance after the other begins to follow the store.
+const turnOfAll = 200 * time.Millisecond
+
 // The load that it answers: the configuration changes all day, and fits no datagram. It goes
 // in pieces, also to those that the store refuses.
 func TestAConfigurationThatFitsNoDatagramIsToldInPieces(t *testing.T) {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -132,6 +132,16 @@
 	return key
 }
 
+// follow notes which instances of this zone follow the store, as one of its keepers tells. The
+// keepers tell of themselves.
+func (m *members) follow(keeper *member, followers []dispatch.Peer) {
+	for _, e := range m.list {
+		if e != keeper && e.Zone == m.zone && !m.keep[e.key] {
+			e.follows = slices.Contains(followers, e.Peer)
+		}
+	}
+}
+
 // silent tells whether an instance is to be told of as silent.
 func (e *member) silent(now time.Time) bool {
 	fresh := now.Sub(e.joined) <= silenceTimeout
--- a/internal/gateway/roll.go
+++ b/internal/gateway/roll.go
@@ -12,6 +12,8 @@
 const (
 	// keeperGrace is how long a new keeper counts nobody as silent: it has to hear them first.
 	keeperGrace = 1500 * time.Millisecond
+	// followersMost bounds the followers that a roll names; there are two, and more for a moment.
+	followersMost = 8
 	// foreignKeepers is the number of keepers of another zone that are told of one's own.
 	foreignKeepers = 2
 )
@@ -91,6 +93,11 @@
 	r := roll{
 		From: c.peer, Revision: c.revision, Following: c.following, Troubled: c.following && c.troubled(now), Leaving: c.leaving,
 	}
+	for _, e := range c.members.list {
+		if e.follows && e.Zone == c.members.zone && len(r.Followers) < followersMost {
+			r.Followers = append(r.Followers, e.Peer)
+		}
+	}
 	if now.Sub(c.keeperSince) < keeperGrace {
 		return r
 	}
@@ -128,6 +135,10 @@
 	for _, p := range r.Silent {
 		silent[p] = true
 	}
+	if sender.Zone == c.members.zone && !c.keeps() {
+		c.members.follow(sender, r.Followers)
+		c.assign(now)
+	}
 	for _, e := range c.members.list {
 		switch {
 		case e == sender || sender.Zone != c.members.zone && e.Zone != sender.Zone:
