An idle connection is closed at once, so that no request is read and thrown away

Cause: since the planned stop ends connections in order, an idle one was ended by its half and then read until the caller closed. A request that crossed that close was read and thrown away: its caller cannot know that it did not run, and an order is lost.

Only an answer that was just written is followed by reading on.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -44,7 +44,7 @@
 	accepted time.Time
 	idle     time.Duration // Longest idle time that the caller may count on.
 	served   bool          // A request was answered.
-	ends     bool          // This side ends the connection.
+	ends     bool          // This side ends the connection with the answer that it has written.
 
 	mu      sync.Mutex
 	reading bool // A request has begun to arrive.
@@ -108,7 +108,8 @@
 			return false
 		}
 	}
-	c.ends = true
+	// Closed at once: a request that crosses the close is reset, which tells its caller that it
+	// was not read. Read and thrown away, it would be lost.
 	return false
 }
 
@@ -250,8 +251,8 @@
 
 // linger ends this side and reads on until the caller has closed its own.
 func (c *conn) linger() {
-	if tcp, ok := c.nc.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
+	if half, ok := c.nc.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_, _ = io.CopyN(io.Discard, c.nc, lingerBytes)
