A reply names the asker's life; messages are encoded in one place

Cause, found by reading: an instance that restarts counts its questions anew, so that a late reply to its former life could be taken for the answer to another question, with an endpoint of another service. A reply that came twice told the broker that the request had ended.

Now a reply carries the life that it is for, must name an endpoint of the service that was asked for, and counts once.

--- a/internal/gateway/broker_test.go
+++ b/internal/gateway/broker_test.go
@@ -173,6 +173,45 @@
 	}
 }
 
+// A reply may come twice, late, or to an instance that has restarted and counts its questions
+// anew; and it may name an endpoint of another service.
+func TestOnlyItsOwnReplyIsTaken(t *testing.T) {
+	w, all := startBrokered(t, "aaa")
+	w.startUpstream("i-1", "orders")
+	in := all[0]
+	eventually(t, "served", func() bool { status, _, _ := in.ask(t, "h.example", "/x"); return status == http.StatusOK })
+	now := time.Now()
+	for name, tc := range map[string]struct {
+		service string
+		to      func(c *control) dispatch.Peer
+		answers bool // The question gets an endpoint by this reply.
+	}{
+		"its own":         {"orders", func(c *control) dispatch.Peer { return c.peer }, true},
+		"a former life's": {"orders", func(c *control) dispatch.Peer { return c.peer + 1 }, false},
+		"another service": {"others", func(c *control) dispatch.Peer { return c.peer }, false},
+	} {
+		answer := make(chan acquired, 1)
+		granted := inControl(in, func(c *control) int {
+			c.placing.seq++
+			ask := dispatch.Ask{Service: tc.service, Objective: now.Add(time.Second), Deadline: now.Add(time.Second)}
+			c.placing.open[c.placing.seq] = &pending{ask: ask, answer: answer, timer: time.NewTimer(time.Hour)}
+			r := reply{Broker: 99, To: tc.to(c), Seq: c.placing.seq, Endpoint: endpointID("i-1")}
+			c.hearReply(now, r)
+			before := len(c.placing.granted)
+			c.hearReply(now, r) // Once more.
+			if len(c.placing.granted) != before {
+				t.Errorf("%s: the second reply counts", name)
+			}
+			delete(c.placing.granted, c.placing.seq)
+			delete(c.placing.open, c.placing.seq)
+			return before
+		})
+		if (granted > 0) != tc.answers {
+			t.Errorf("%s: %d grants", name, granted)
+		}
+	}
+}
+
 func TestQuestionsSurviveTheWire(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a := dispatch.Ask{
--- a/internal/gateway/brokerwire.go
+++ b/internal/gateway/brokerwire.go
@@ -46,6 +46,7 @@
 type reply struct {
 	_          struct{} `cbor:",toarray"`
 	Broker     dispatch.Peer
+	To         dispatch.Peer // The asker's life: one that has restarted counts its questions anew.
 	Seq        uint64
 	Reason     dispatch.Reason // 0 where there is an endpoint.
 	Endpoint   dispatch.EndpointID
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -95,8 +95,8 @@
 		return
 	}
 	d.ledger.Granted(ticket, grant.Endpoint.ID, a.Deadline.Add(endingMargin))
-	c.sendReply(now, q.From, reply{
-		Broker: c.peer, Seq: q.Seq, Endpoint: grant.Endpoint.ID, Chance: toPerMille(grant.Chance), InFlight: grant.InFlight, Usual: int(grant.Usual.Milliseconds()),
+	c.sendReply(now, reply{
+		Broker: c.peer, To: q.From, Seq: q.Seq, Endpoint: grant.Endpoint.ID, Chance: toPerMille(grant.Chance), InFlight: grant.InFlight, Usual: int(grant.Usual.Milliseconds()),
 	})
 }
 
@@ -125,8 +125,8 @@
 	if reason == dispatch.Poor {
 		reason = dispatch.Overloaded
 	}
-	c.sendReply(now, q.From, reply{
-		Broker: c.peer, Seq: q.Seq, Reason: reason, RetryAfter: int(max(r.RetryAfter, forwardedRetryAfter).Milliseconds()), Expected: int(r.Expected.Milliseconds()),
+	c.sendReply(now, reply{
+		Broker: c.peer, To: q.From, Seq: q.Seq, Reason: reason, RetryAfter: int(max(r.RetryAfter, forwardedRetryAfter).Milliseconds()), Expected: int(r.Expected.Milliseconds()),
 	})
 }
 
@@ -148,12 +148,12 @@
 	return c.placing.suspects.Pick(now, broker.Rank(service, c.foreign[zones[rand.IntN(len(zones))]]))
 }
 
-func (c *control) sendReply(now time.Time, to dispatch.Peer, r reply) {
-	if to == c.peer {
+func (c *control) sendReply(now time.Time, r reply) {
+	if r.To == c.peer {
 		c.hearReply(now, r)
 		return
 	}
-	c.sendTo(to, brokerReply, r)
+	c.sendTo(r.To, brokerReply, r)
 }
 
 // hearEnding takes in what became of a grant.
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -2,13 +2,10 @@
 
 import (
 	"cmp"
-	"fmt"
 	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/damaskcove/damaskcove/coord/dispatch"
 	"github.com/damaskcove/damaskcove/platform"
 )
@@ -40,25 +37,6 @@
 	Deleted  bool
 }
 
-func encodeFeed(f feed) ([]byte, error) {
-	body, err := cbor.Marshal(f)
-	if err != nil {
-		return nil, fmt.Errorf("encode %d changes of the store: %w", len(f.Items), err)
-	}
-	return append([]byte{storeFeed}, body...), nil
-}
-
-func decodeFeed(data []byte) (feed, error) {
-	var f feed
-	if len(data) == 0 || data[0] != storeFeed {
-		return f, fmt.Errorf("%w of %d bytes", errDatagram, len(data))
-	}
-	if err := cbor.Unmarshal(data[1:], &f); err != nil {
-		return f, fmt.Errorf("%w of %d bytes: %w", errDatagram, len(data), err)
-	}
-	return f, nil
-}
-
 // newFeed returns the changes of a watch in the order of their revisions.
 func newFeed(from dispatch.Peer, items []platform.Item, after, at platform.Revision) feed {
 	f := feed{From: from, After: after, At: max(at, after)}
@@ -72,7 +50,7 @@
 // datagrams cuts a feed into datagrams. A change that is too large even for pieces is left
 // out: those who lack it see by the revision that others know more, and read it themselves.
 func (f feed) datagrams() ([][]byte, error) {
-	data, err := encodeFeed(f)
+	data, err := encodeKind(storeFeed, f)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -220,6 +220,20 @@
 	}
 }
 
+// loses undoes the last change that an instance was told of, an upstream's registration, as if
+// the datagram had been lost; and the question for what it missed too.
+func (in *instance) loses(key string, question bool) {
+	inControl(in, func(c *control) bool {
+		c.registry.remove(key)
+		c.revision--
+		if question {
+			c.asked, c.behind = true, time.Now()
+		}
+		c.applyUpstreams(time.Now())
+		return true
+	})
+}
+
 // The load that it answers: datagrams get lost all day, and each loss cost a call of the store.
 // What an instance has missed it is told again, also where the store refuses it.
 func TestWhatWasMissedIsToldAgain(t *testing.T) {
@@ -228,12 +242,7 @@
 	links[3].refuse(true)
 	w.startUpstream("i-1", "orders")
 	eventually(t, "the upstream is known", func() bool { return last.knows("i-1") })
-	inControl(last, func(c *control) bool {
-		c.registry.remove("servers/i-1") // As if the feed had been lost.
-		c.revision--
-		c.applyUpstreams(time.Now())
-		return true
-	})
+	last.loses("servers/i-1", false)
 	w.startUpstream("i-2", "orders")
 	for _, id := range []string{"i-1", "i-2"} {
 		eventually(t, "the upstream is known", func() bool { return last.knows(id) })
@@ -272,13 +281,7 @@
 	links[3].refuse(true)
 	w.startUpstream("i-1", "orders")
 	eventually(t, "the upstream is known", func() bool { return last.knows("i-1") })
-	inControl(last, func(c *control) bool {
-		c.registry.remove("servers/i-1")
-		c.revision--
-		c.asked, c.behind = true, time.Now() // As if the question had been lost.
-		c.applyUpstreams(time.Now())
-		return true
-	})
+	last.loses("servers/i-1", true)
 	w.startUpstream("i-2", "orders")
 	for _, id := range []string{"i-1", "i-2"} {
 		eventually(t, "the upstream is known", func() bool { return last.knows(id) })
@@ -368,7 +371,7 @@
 				t.Fatalf("%d bytes", len(data))
 			}
 			if data[0] == storePiece {
-				p, err := decodePiece(data)
+				p, err := decodeKind[piece](data[1:])
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -376,7 +379,7 @@
 					continue
 				}
 			}
-			f, err := decodeFeed(data)
+			f, err := decodeKind[feed](data[1:])
 			if err != nil || f.After < known {
 				t.Fatalf("%+v, %v after revision %d", f, err, known)
 			}
@@ -406,7 +409,7 @@
 				t.Fatal(err)
 			}
 			for _, data := range datagrams {
-				p, err := decodePiece(data)
+				p, err := decodeKind[piece](data[1:])
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -447,7 +450,7 @@
 }
 
 func FuzzDecodeFeed(f *testing.F) {
-	data, err := encodeFeed(newFeed(1, []platform.Item{{Key: "servers/i-1", Value: []byte("{}"), Revision: 7}}, 6, 7))
+	data, err := encodeKind(storeFeed, newFeed(1, []platform.Item{{Key: "servers/i-1", Value: []byte("{}"), Revision: 7}}, 6, 7))
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -455,6 +458,8 @@
 	f.Add([]byte{})
 	f.Add([]byte{storeFeed, 0x85})
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		_, _ = decodeFeed(data)
+		if len(data) > 0 {
+			_, _ = decodeKind[feed](data[1:])
+		}
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -242,7 +242,7 @@
 
 // hearFeed takes in changes of the store.
 func (g *Gateway) hearFeed(data []byte) {
-	f, err := decodeFeed(data)
+	f, err := decodeKind[feed](data[1:])
 	if err != nil {
 		g.log.Warn("datagram ignored", "error", err.Error())
 		return
@@ -253,7 +253,7 @@
 // hearPiece takes in a piece of changes of the store. The goroutine that receives datagrams
 // puts them together.
 func (g *Gateway) hearPiece(data []byte) {
-	p, err := decodePiece(data)
+	p, err := decodeKind[piece](data[1:])
 	if err != nil {
 		g.log.Warn("datagram ignored", "error", err.Error())
 		return
--- a/internal/gateway/incident_test.go
+++ b/internal/gateway/incident_test.go
@@ -73,7 +73,7 @@
 	eventually(t, "the store is followed", func() bool { return platform.Revision(again.gateway.control.known.Load()) > revision+2 })
 	for back := range platform.Revision(4) {
 		entry.Revision = revision - back
-		data, err := encodeFeed(feed{From: 99, After: 0, At: revision - back, Items: []feedItem{entry}})
+		data, err := encodeKind(storeFeed, feed{From: 99, After: 0, At: revision - back, Items: []feedItem{entry}})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gateway/pieces.go
+++ b/internal/gateway/pieces.go
@@ -1,10 +1,6 @@
 package gateway
 
 import (
-	"fmt"
-
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/damaskcove/damaskcove/coord/dispatch"
 	"github.com/damaskcove/damaskcove/platform"
 )
@@ -38,27 +34,18 @@
 	var datagrams [][]byte
 	for k := range count {
 		part := data[k*pieceBytes : min((k+1)*pieceBytes, len(data))]
-		body, err := cbor.Marshal(piece{From: f.From, At: f.At, Index: k, Count: count, Data: part})
+		datagram, err := encodeKind(storePiece, piece{From: f.From, At: f.At, Index: k, Count: count, Data: part})
 		if err != nil {
-			return nil, fmt.Errorf("encode piece %d of %d of a feed: %w", k, count, err)
+			return nil, err
 		}
-		datagrams = append(datagrams, append([]byte{storePiece}, body...))
+		datagrams = append(datagrams, datagram)
 	}
 	return datagrams, nil
 }
 
-func decodePiece(data []byte) (piece, error) {
-	var p piece
-	if len(data) == 0 || data[0] != storePiece {
-		return p, fmt.Errorf("%w of %d bytes", errDatagram, len(data))
-	}
-	if err := cbor.Unmarshal(data[1:], &p); err != nil {
-		return p, fmt.Errorf("%w of %d bytes: %w", errDatagram, len(data), err)
-	}
-	if p.Count < 1 || p.Count > piecesMost || p.Index < 0 || p.Index >= p.Count {
-		return p, fmt.Errorf("%w: piece %d of %d", errDatagram, p.Index, p.Count)
-	}
-	return p, nil
+// valid tells whether a piece can be one of a feed.
+func (p *piece) valid() bool {
+	return p.Count >= 1 && p.Count <= piecesMost && p.Index >= 0 && p.Index < p.Count
 }
 
 // joiner puts feeds together from their pieces, one feed of each sender at a time: the newest.
@@ -77,6 +64,9 @@
 
 // add takes in a piece and returns the encoded feed once it is whole.
 func (j *joiner) add(p piece) []byte {
+	if !p.valid() {
+		return nil
+	}
 	if j.open == nil || len(j.open) >= sendersMost && j.open[p.From] == nil {
 		j.open = make(map[dispatch.Peer]*joining)
 	}
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -96,10 +96,13 @@
 
 // hearReply takes in a broker's answer.
 func (c *control) hearReply(now time.Time, r reply) {
+	if r.To != c.peer {
+		return // It answers a question of a former life.
+	}
 	p := c.placing.open[r.Seq]
 	from := broker.Instance{Life: uint64(r.Broker)}
 	if p == nil {
-		if r.Reason == 0 {
+		if _, twice := c.placing.granted[r.Seq]; r.Reason == 0 && !twice {
 			c.tellEnding(now, from, r.Seq, dispatch.EndedUnknown, 0) // It came too late.
 		}
 		return
@@ -114,7 +117,7 @@
 		return
 	}
 	endpoint, ok := c.machine.Endpoint(r.Endpoint)
-	if !ok {
+	if !ok || endpoint.Service != p.ask.Service {
 		c.tellEnding(now, from, r.Seq, dispatch.EndedUnknown, 0)
 		c.placeHere(now, p.ask, p.answer)
 		return
