A configuration after a gap is adopted; a gap is asked for at once

Ruled out: the list of instances (it was told all along), the store (it answered).

A configuration is whole, and newer or not: it is adopted whatever was missed before it.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -112,7 +112,11 @@
 
 // take takes in what a follower of the store tells.
 func (c *control) take(now time.Time, f feed) {
-	if !c.synced || f.After > c.revision || f.At <= c.revision {
+	if !c.synced || f.At <= c.revision {
+		return
+	}
+	if f.After > c.revision {
+		c.takeBeyond(now, f)
 		return
 	}
 	items := make([]platform.Item, 0, len(f.Items))
@@ -122,6 +126,21 @@
 	c.change(now, items, f.At)
 }
 
+// takeBeyond takes in a feed after a gap. A configuration is whole and newer or not, whatever
+// was missed before it; the rest waits until the gap is filled.
+func (c *control) takeBeyond(now time.Time, f feed) {
+	for _, item := range f.Items {
+		if item.Key == platform.ConfigKey && !item.Deleted && c.adopt(item.Value) {
+			c.applyUpstreams(now)
+			c.publish(now)
+		}
+	}
+	if c.behind.IsZero() {
+		c.behind = now
+		time.AfterFunc(lagTimeout, func() { c.post(func() { c.catchUp(time.Now()) }) })
+	}
+}
+
 // assign decides whether this instance follows the store itself.
 func (c *control) assign(now time.Time) {
 	peers := c.members.zonePeers(now)
@@ -152,5 +171,5 @@
 	if !c.onDuty.Load() {
 		bound = lagTimeout
 	}
-	return !c.behind.IsZero() && now.Sub(c.behind) > bound
+	return !c.behind.IsZero() && now.Sub(c.behind) >= bound
 }
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -425,6 +426,37 @@
 	})
 }
 
+// The load that it answers: hundreds of changes a second, told in bursts of dozens of datagrams,
+// of which one is lost. A configuration after it is in force at once, and the gap is asked for.
+func TestAConfigurationAfterAGapIsAdopted(t *testing.T) {
+	w := newWorld(t)
+	in := w.startInstance("one", "a")
+	w.configure("h.example", "orders")
+	eventually(t, "ready", func() bool { return in.ready(t) })
+	value := w.store.Value("op/config")
+	next := bytes.Replace(value, []byte("00000001"), []byte("00000009"), 1)
+	older := bytes.Replace(value, []byte("00000001"), []byte("00000004"), 1)
+	type state struct {
+		version  platform.ConfigVersion
+		revision platform.Revision
+		behind   bool
+	}
+	for _, config := range [][]byte{next, older} {
+		before := inControl(in, func(c *control) platform.Revision { return c.revision })
+		got := inControl(in, func(c *control) state {
+			at := c.revision + 9
+			c.take(time.Now(), feed{After: at - 1, At: at, Items: []feedItem{
+				{Key: platform.ConfigKey, Value: config, Revision: at}, {Key: "servers/i-1", Revision: at, Deleted: true},
+			}})
+			return state{c.config.Version, c.revision, !c.behind.IsZero()}
+		})
+		if want := (state{9, before, true}); got != want {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+	eventually(t, "in force", func() bool { return in.gateway.control.snapshot.Load().Version == 9 })
+}
+
 // What was told of before is not taken in again: a slow watch must not bring back what a
 // later change has replaced.
 func TestAnOlderChangeDoesNotReplaceALaterOne(t *testing.T) {
