Slow work is not one pause after the other

Cause, found by reading: on a machine so slow that taking in a whole read takes 1.5 s, each read would look like a pause and be followed by another. For 5 s after a pause no other is told of.

--- a/coord/pause/pause.go
+++ b/coord/pause/pause.go
@@ -15,6 +15,9 @@
 	// Grace is how long after a pause an instance waits at most for news of what has changed.
 	// While there is none to be had, it goes on with what it knew.
 	Grace = time.Second
+	// Rest is how long after a pause no other is told of: on a machine so slow that its own work
+	// looks like one, reading everything anew each time would leave time for nothing else.
+	Rest = 5 * time.Second
 )
 
 // Detector sees pauses by beats that do not come. It is not safe for concurrent use.
@@ -37,7 +40,8 @@
 // Paused tells whether the process was paused since the last beat. The steady clock does not
 // count a suspension, and the time of day may be set: whichever has gone on further counts.
 func (d *Detector) Paused(now time.Time) bool {
-	return !d.beat.IsZero() && Between(d.beat, now) >= Least
+	rests := !d.woken.IsZero() && now.Sub(d.woken) < Rest
+	return !d.beat.IsZero() && !rests && Between(d.beat, now) >= Least
 }
 
 // Between returns the time from one moment to a later one, a suspension included.
--- a/coord/pause/pause_test.go
+++ b/coord/pause/pause_test.go
@@ -36,6 +36,25 @@
 	}
 }
 
+// The load that it answers: a machine five times slower, on which taking in everything that
+// was read takes longer than a pause.
+func TestSlowWorkIsNotOnePauseAfterTheOther(t *testing.T) {
+	now := time.Now()
+	var d Detector
+	d.Beat(now)
+	pauses := 0
+	const work, spent = 2 * time.Second, 20 * time.Second
+	for at := time.Duration(0); at < spent; at += work {
+		if d.Beat(now.Add(at)) {
+			pauses++
+			d.Renewed(now.Add(at))
+		}
+	}
+	if most := int(spent / Rest); pauses == 0 || pauses > most {
+		t.Errorf("%d pauses in %s, at most %d", pauses, spent, most)
+	}
+}
+
 func TestDoubtEndsWithNewsOrWithTheGrace(t *testing.T) {
 	start := time.Now()
 	woken := start.Add(4 * time.Second)
