--- a/internal/gateway/incident_test.go
+++ b/internal/gateway/incident_test.go
@@ -19,8 +19,10 @@
 	in := w.startInstance("one", "a")
 	w.configure("h.example", "orders")
 	old, next := w.startUpstream("i-old", "orders"), w.startUpstream("i-next", "others")
-	w.store.SetFault(standin.Deaf)
 	eventually(t, "served", func() bool { status, _, _ := in.ask(t, "h.example", "/x"); return status == http.StatusOK })
+	watches := w.store.Calls("watch")
+	w.store.SetFault(standin.Deaf) // It cuts the watch; the next hears nothing.
+	eventually(t, "the instance watches again", func() bool { return w.store.Calls("watch") > watches })
 	in.gateway.control.post(func() { time.Sleep(pause.Least + pause.Least/2) })
 	w.configure("h.example", "others")
 	before := old.requests.Load()
