Tests: what is undone is undone from its revision on; ports outside the outgoing range

A run of that test met an address in use: free ports came from the range of outgoing connections, which instances open to the same address. They now come from below it.

--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -221,12 +221,12 @@
 	}
 }
 
-// loses undoes the last change that an instance was told of, an upstream's registration, as if
-// the datagram had been lost; and the question for what it missed too.
-func (in *instance) loses(key string, question bool) {
+// loses undoes what an instance was told from an upstream's registration on, as if the datagrams
+// had been lost; and the question for what it missed too.
+func (in *instance) loses(w *world, key string, question bool) {
 	inControl(in, func(c *control) bool {
 		c.registry.remove(key)
-		c.revision--
+		c.revision = platform.Revision(w.store.RevisionOf(key)) - 1
 		if question {
 			c.asked, c.behind = true, time.Now()
 		}
@@ -243,7 +243,7 @@
 	links[3].refuse(true)
 	w.startUpstream("i-1", "orders")
 	eventually(t, "the upstream is known", func() bool { return last.knows("i-1") })
-	last.loses("servers/i-1", false)
+	last.loses(w, "servers/i-1", false)
 	w.startUpstream("i-2", "orders")
 	for _, id := range []string{"i-1", "i-2"} {
 		eventually(t, "the upstream is known", func() bool { return last.knows(id) })
@@ -282,7 +282,9 @@
 	links[3].refuse(true)
 	w.startUpstream("i-1", "orders")
 	eventually(t, "the upstream is known", func() bool { return last.knows("i-1") })
-	last.loses("servers/i-1", true)
+	w.store.Put("servers/i-foreign", []byte{0}) // Another change follows, as when an instance registers anew.
+	eventually(t, "it is told", func() bool { return last.gateway.control.known.Load() >= w.store.Revision() })
+	last.loses(w, "servers/i-1", true)
 	w.startUpstream("i-2", "orders")
 	for _, id := range []string{"i-1", "i-2"} {
 		eventually(t, "the upstream is known", func() bool { return last.knows(id) })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -68,26 +68,36 @@
 	return &world{t: t, store: store}
 }
 
-// freeAddr returns an address that was free a moment ago, on a loopback address of this
-// process alone, so that no other takes the port meanwhile.
+// nextPort is the next port to hand out, under the range from which outgoing connections take
+// theirs: those to this process's address come from it too, and could take a port meanwhile.
+var nextPort atomic.Int32
+
+const (
+	firstPort = 10_000
+	ports     = 20_000
+)
+
+// freeAddr returns an address that is free, on a loopback address of this process alone.
 func freeAddr(t *testing.T, network string) string {
 	t.Helper()
 	pid := os.Getpid()
-	at := fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&0x3f, pid>>8&0xff, pid&0xff|1)
-	if network == "udp" {
-		c, err := net.ListenPacket("udp4", at)
-		if err != nil {
-			t.Fatal(err)
+	for {
+		port := firstPort + int(nextPort.Add(1))%ports
+		at := fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&0x3f, pid>>8&0xff, pid&0xff|1, port)
+		if network == "udp" {
+			c, err := net.ListenPacket("udp4", at)
+			if err == nil {
+				_ = c.Close()
+				return at
+			}
+			continue
+		}
+		l, err := net.Listen("tcp4", at)
+		if err == nil {
+			_ = l.Close()
+			return at
 		}
-		defer func() { _ = c.Close() }()
-		return c.LocalAddr().String()
-	}
-	l, err := net.Listen("tcp4", at)
-	if err != nil {
-		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 func (w *world) settingsFile(id, zone string) string {
