One weighted mean, one way to take in a datagram

Read again: the mean of answers' sizes stood beside that of times with the same rule and weight; average now serves both. hearFeed repeated hearKind. Behaviour as before.

--- a/coord/dispatch/endpoint.go
+++ b/coord/dispatch/endpoint.go
@@ -14,9 +14,9 @@
 	peers    map[Peer]int // Other instances' requests in flight.
 	inFlight int          // Sum of own and peers.
 	estimate outlook.Estimate
-	took     average   // Time of served requests.
-	used     time.Time // Last start by any instance; zero before the first.
-	failed   time.Time // Last failure seen by any instance.
+	took     average[time.Duration] // Time of served requests.
+	used     time.Time              // Last start by any instance; zero before the first.
+	failed   time.Time              // Last failure seen by any instance.
 	reach    reach
 }
 
@@ -54,26 +54,26 @@
 	t.peers[p] = inFlight
 }
 
-// average is an exponentially weighted mean of durations.
-type average struct {
-	mean   time.Duration
+// average is an exponentially weighted mean.
+type average[T ~int64 | ~float64] struct {
+	mean   T
 	weight float64
 }
 
 const (
-	// averageWeight bounds the weight of the past: the last dozen requests count.
+	// averageWeight bounds the weight of the past: the last dozen values count.
 	averageWeight = 12
 	// usualTime is the mean time of a request until some were served.
 	usualTime = 300 * time.Millisecond
 )
 
-func (a *average) add(d time.Duration) {
+func (a *average[T]) add(v T) {
 	a.weight = min(a.weight+1, averageWeight)
-	a.mean += time.Duration(float64(d-a.mean) / a.weight)
+	a.mean += T(float64(v-a.mean) / a.weight)
 }
 
-// or returns the mean, drawn towards a usual value while few requests count.
-func (a average) or(usual time.Duration) time.Duration {
+// or returns the mean, drawn towards a usual value while few values count.
+func (a average[T]) or(usual T) T {
 	const prior = 3 // Weight of the usual value.
-	return time.Duration((a.weight*float64(a.mean) + prior*float64(usual)) / (a.weight + prior))
+	return T((a.weight*float64(a.mean) + prior*float64(usual)) / (a.weight + prior))
 }
--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -17,9 +17,9 @@
 	services  map[string]*service
 	endpoints map[EndpointID]*tracked
 	heard     map[Peer]heard
-	sizes     map[string]*size // Of answers, by class.
-	reports   []Event          // Not yet taken.
-	urgent    bool             // One of them tells of a failure, a repeat or a trial.
+	sizes     map[string]*average[float64] // Kilobytes of answers, by class.
+	reports   []Event                      // Not yet taken.
+	urgent    bool                         // One of them tells of a failure, a repeat or a trial.
 
 	peers       int // Other instances that are known.
 	peersByZone map[string]int
@@ -40,7 +40,7 @@
 		services:  make(map[string]*service),
 		endpoints: make(map[EndpointID]*tracked),
 		heard:     make(map[Peer]heard),
-		sizes:     make(map[string]*size),
+		sizes:     make(map[string]*average[float64]),
 	}
 }
 
--- a/coord/dispatch/service.go
+++ b/coord/dispatch/service.go
@@ -11,7 +11,7 @@
 type service struct {
 	endpoints []*tracked
 	budget    *retrybudget.Budget
-	took      average
+	took      average[time.Duration]
 	recent    window.Pair // Served and unserved requests of all instances.
 }
 
--- a/coord/dispatch/size.go
+++ b/coord/dispatch/size.go
@@ -15,25 +15,16 @@
 	// largeAnswerKB and usualAnswerKB are taken for a class of which no answer is known.
 	largeAnswerKB = 64
 	usualAnswerKB = 1.5
-	// sizeWeight bounds the weight of the past: the last dozen answers count.
-	sizeWeight = 12
 )
 
-// size is an exponentially weighted mean of answers' sizes.
-type size struct {
-	kilobytes float64
-	weight    float64
-}
-
 // Answered takes in the size of an answer's body to a request of a class.
 func (m *Machine) Answered(class string, bytes int) {
 	s := m.sizes[class]
 	if s == nil {
-		s = &size{}
+		s = &average[float64]{}
 		m.sizes[class] = s
 	}
-	s.weight = min(s.weight+1, sizeWeight)
-	s.kilobytes += (float64(bytes)/1024 - s.kilobytes) / s.weight
+	s.add(float64(bytes) / 1024)
 }
 
 // CrossingCost returns the part of a request's credit that its answer costs if it comes from
@@ -44,7 +35,7 @@
 		kilobytes = largeAnswerKB
 	}
 	if s := m.sizes[class]; s != nil {
-		kilobytes = s.kilobytes
+		kilobytes = s.mean
 	}
 	return min(crossingPerKB*kilobytes, crossingMost)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -194,7 +194,7 @@
 	}
 	switch data[0] {
 	case storeFeed:
-		g.hearFeed(data)
+		hearKind(g, data, g.control.take)
 	case storePiece:
 		g.hearPiece(data)
 	case storeMissed:
@@ -240,16 +240,6 @@
 	})
 }
 
-// hearFeed takes in changes of the store.
-func (g *Gateway) hearFeed(data []byte) {
-	f, err := decodeKind[feed](data[1:])
-	if err != nil {
-		g.log.Warn("datagram ignored", "error", err.Error())
-		return
-	}
-	g.control.post(func() { g.control.take(time.Now(), f) })
-}
-
 // hearPiece takes in a piece of changes of the store. The goroutine that receives datagrams
 // puts them together.
 func (g *Gateway) hearPiece(data []byte) {
@@ -259,7 +249,7 @@
 		return
 	}
 	if whole := g.joiner.add(p); whole != nil {
-		g.hearFeed(whole)
+		hearKind(g, whole, g.control.take)
 	}
 }
 
--- a/internal/gateway/incident_test.go
+++ b/internal/gateway/incident_test.go
@@ -79,7 +79,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		again.gateway.hearFeed(data)
+		again.gateway.hear(data)
 	}
 	before := left.requests.Load()
 	for range 30 {
