A follower tells again also what another was faster to tell

Cause: a follower that is told of a change by another goes on from there, so that its own history lacked it: 6 to 7, then 8 to 9. While the store refuses an instance that missed 7 to 8, nobody could tell it, for as long as the test waited.

An instance keeps what it was told as well as what it has told.

Tests of two processes with neighbouring ids shared one loopback address, since the last bit of the id was not used; each has its own now.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -88,7 +88,7 @@
 	trouble   time.Time // Last failed call of the store.
 	behind    time.Time // Since when another instance has followed the store further; zero while none has.
 	asked     bool      // A follower was asked for what is missing here.
-	history   history   // What this instance has told its zone of the store.
+	history   history   // What this instance has told its zone of the store, or was told.
 	ahead     time.Time // The same, but since the last change that this instance read.
 	duty      *following.Machine
 	following bool // This instance follows the store.
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -123,6 +123,7 @@
 	for _, item := range f.Items {
 		items = append(items, platform.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
 	}
+	c.history.add(now, f)
 	c.change(now, items, f.At)
 }
 
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -291,6 +291,25 @@
 	}
 }
 
+// A follower is told of some changes by another before its own watch brings them, and goes on
+// from there. Whoever missed these must be told of them all the same.
+func TestWhatAFollowerWasToldItTellsAgain(t *testing.T) {
+	w := newWorld(t)
+	in := w.startInstance("one", "a")
+	w.configure("h.example", "orders")
+	eventually(t, "ready", func() bool { return in.ready(t) })
+	leads := inControl(in, func(c *control) bool {
+		before := c.revision
+		c.take(time.Now(), feed{After: before, At: before + 1, Items: []feedItem{{Key: "servers/i-1", Revision: before + 1, Deleted: true}}})
+		c.pass(nil, before+1, before+2)
+		got := c.history.after(before)
+		return len(got) == 2 && got[0].At == before+1 && got[1].At == before+2
+	})
+	if !leads {
+		t.Error("the history has a gap where another follower was faster")
+	}
+}
+
 func TestHistoryLeadsOnWithoutAGap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var h history
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -75,6 +75,7 @@
 const (
 	firstPort = 10_000
 	ports     = 20_000
+	octet     = 250 // Values of an octet that make up a process's own address.
 )
 
 // freeAddr returns an address that is free, on a loopback address of this process alone.
@@ -83,7 +84,7 @@
 	pid := os.Getpid()
 	for {
 		port := firstPort + int(nextPort.Add(1))%ports
-		at := fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&0x3f, pid>>8&0xff, pid&0xff|1, port)
+		at := fmt.Sprintf("127.%d.%d.%d:%d", 64+pid/octet/octet%64, pid/octet%octet, pid%octet+1, port)
 		if network == "udp" {
 			c, err := net.ListenPacket("udp4", at)
 			if err == nil {
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -16,7 +16,8 @@
 	historyMost = 128
 )
 
-// history is what a follower of the store has told its zone lately.
+// history is what an instance has told its zone of the store lately, or was told: a follower
+// goes on from what another was faster to tell, and must not leave a gap there.
 type history struct {
 	feeds []feed
 	at    []time.Time
