--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -37,7 +37,7 @@
 	heard   time.Time // Zero before its first message.
 	leaving bool
 	follows bool // It follows the store itself.
-	lapsed  bool // Its key went while the store was in trouble.
+	lapsed  bool // Its key went while it was heard.
 }
 
 // members holds the other instances.
@@ -93,7 +93,7 @@
 	if e == nil {
 		return
 	}
-	if !e.leaving && now.Sub(e.heard) <= silenceTimeout {
+	if !e.leaving && e.there(now) {
 		e.lapsed = true
 		return
 	}
@@ -142,6 +142,11 @@
 	}
 }
 
+// there tells whether an instance was heard lately, or has joined too lately to be heard.
+func (e *member) there(now time.Time) bool {
+	return now.Sub(e.joined) <= silenceTimeout || now.Sub(e.heard) <= silenceTimeout
+}
+
 // silent tells whether an instance is to be told of as silent.
 func (e *member) silent(now time.Time) bool {
 	fresh := now.Sub(e.joined) <= silenceTimeout
@@ -177,7 +182,7 @@
 // expire drops instances that lapsed and are silent.
 func (m *members) expire(now time.Time) {
 	for key, e := range m.list {
-		if e.lapsed && now.Sub(e.heard) > silenceTimeout {
+		if e.lapsed && !e.there(now) {
 			m.drop(key)
 			m.log.Info("instance lapsed and silent", "peer", strings.TrimPrefix(key, memberPrefix))
 		}
@@ -201,8 +206,7 @@
 	isolated := m.isolated(now)
 	var out []*member
 	for _, e := range m.list {
-		fresh := now.Sub(e.joined) <= silenceTimeout
-		if !e.leaving && (isolated || fresh || now.Sub(e.heard) <= silenceTimeout) {
+		if !e.leaving && (isolated || e.there(now)) {
 			out = append(out, e)
 		}
 	}
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"github.com/damaskcove/damaskcove/coord/dispatch"
@@ -191,6 +192,40 @@
 	}
 }
 
+// The store takes away the registration of an instance that has just joined and was not heard yet.
+func TestAnInstanceStaysWhileItIsHeardOrHasJustJoined(t *testing.T) {
+	now := time.Unix(1000, 0)
+	value, err := cbor.Marshal(memberRecord{Peer: 7, Zone: "a", Peers: netip.MustParseAddrPort("10.1.0.1:7540")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, tc := range map[string]struct {
+		heard, leaving bool
+		after          time.Duration
+		stays          bool
+	}{
+		"just joined":         {false, false, silenceTimeout, true},
+		"joined, never heard": {false, false, silenceTimeout + time.Millisecond, false},
+		"heard":               {true, false, 2 * silenceTimeout, true},
+		"heard, leaving":      {true, true, 0, false},
+	} {
+		m := newMembers("self", "a", slog.New(slog.NewJSONHandler(io.Discard, nil)))
+		m.put(now, memberPrefix+"one", value)
+		at := now.Add(tc.after)
+		if tc.heard {
+			m.hear(at, &message{From: 7, Leaving: tc.leaving})
+		}
+		m.remove(at, memberPrefix+"one")
+		m.expire(at)
+		if got := len(m.list) == 1; got != tc.stays {
+			t.Errorf("%s: stays %v", name, got)
+		}
+		if m.expire(at.Add(silenceTimeout + time.Millisecond)); len(m.list) != 0 {
+			t.Errorf("%s: stays though it is silent", name)
+		}
+	}
+}
+
 func TestLogNeverBlocks(t *testing.T) {
 	r, w := io.Pipe()
 	l := newLogWriter(w)
