--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -69,8 +69,10 @@
 
 // choose returns the best endpoint for a request; ok is false where none takes work.
 func (m *Machine) choose(now time.Time, s *service, a *Ask) (best choice, ok bool) {
-	few := s.inUse(now) < m.cfg.FloorShare+spreadMargin
-	spread := few && s.spreads(now)
+	spreads := s.spreads(now)
+	// A lookup covers whatever is in use, so that the share is counted for it only where it decides.
+	few := (spreads || !a.Idempotent) && s.inUse(now) < m.cfg.FloorShare+spreadMargin
+	spread := few && spreads
 	var due choice
 	for _, e := range s.endpoints {
 		if !m.usable(now, e, a) {
