Gateway: log watches without a response, and how a configuration was learned

A watch that ends without a response is logged with its revision and the time that it waited, and counted (watches_unanswered).

No change of behavior. go test -race ./internal/gateway passes (142 s).

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -8,6 +8,16 @@
 	"github.com/damaskcove/damaskcove/platform"
 )
 
+// changeSource is how an instance learned a change of the store. Logs show it.
+type changeSource string
+
+const (
+	sourceWatch     changeSource = "watch"               // Its own watch.
+	sourceMissed    changeSource = "read of the changes" // Its own read of the changes that it had missed.
+	sourceFullRead  changeSource = "read of all keys"    // Its own read of all keys.
+	sourceForwarded changeSource = "follower"            // A follower of the store.
+)
+
 // applyFullRead applies a read of all keys of the store at a revision.
 func (c *control) applyFullRead(now time.Time, items []platform.Item, at platform.Revision) {
 	if c.synced && at < c.revision {
@@ -19,7 +29,7 @@
 	changed := false
 	for _, item := range items {
 		present[item.Key] = true
-		changed = c.put(now, item) || changed
+		changed = c.put(now, item, sourceFullRead) || changed
 	}
 	for _, key := range c.registry.keys() {
 		if !present[key] {
@@ -43,7 +53,7 @@
 }
 
 // applyChanges applies changes of the store up to a revision.
-func (c *control) applyChanges(now time.Time, items []platform.Item, at platform.Revision) {
+func (c *control) applyChanges(now time.Time, items []platform.Item, at platform.Revision, from changeSource) {
 	c.setQuiet(!c.shouldFollow.Load())
 	changed := false
 	for _, item := range items {
@@ -52,7 +62,7 @@
 		case item.Deleted:
 			changed = c.handleDeleted(now, item.Key) || changed
 		default:
-			changed = c.put(now, item) || changed
+			changed = c.put(now, item, from) || changed
 		}
 	}
 	c.finishUpdate(now, at, changed)
@@ -78,10 +88,10 @@
 }
 
 // put applies a write of one key, and reports whether the endpoints changed.
-func (c *control) put(now time.Time, item platform.Item) bool {
+func (c *control) put(now time.Time, item platform.Item, from changeSource) bool {
 	switch {
 	case item.Key == platform.ConfigKey:
-		return c.applyConfig(item.Value)
+		return c.applyConfig(now, item.Value, from)
 	case strings.HasPrefix(item.Key, platform.UpstreamPrefix):
 		return c.registry.put(now, item.Key, item.Value)
 	case strings.HasPrefix(item.Key, memberPrefix):
@@ -128,7 +138,7 @@
 
 // applyConfig puts a configuration in force if it is newer than the present one, and reports
 // whether it did.
-func (c *control) applyConfig(value []byte) bool {
+func (c *control) applyConfig(now time.Time, value []byte, from changeSource) bool {
 	next, err := platform.DecodeConfig(value)
 	if err != nil {
 		c.log.Error("invalid configuration; keeping the one in force", "error", err.Error())
@@ -139,7 +149,12 @@
 	}
 	c.config = next
 	c.logNewWarnings(next.Warnings)
-	c.log.Info("configuration in force", "version", next.Version.String(), "routes", len(next.Routes), "services", len(next.Services))
+	behind := time.Duration(0)
+	if !c.firstBehind.IsZero() {
+		behind = now.Sub(c.firstBehind)
+	}
+	c.log.Info("configuration in force", "version", next.Version.String(), "routes", len(next.Routes), "services", len(next.Services),
+		"source", string(from), "behind_ms", behind.Milliseconds())
 	return true
 }
 
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -110,6 +110,11 @@
 		"process_uptime_ms":  time.Since(g.started).Milliseconds(),
 		"broker_silent":      g.control.brokerTimeouts.Load(),
 		"follows_store":      boolGauge(g.control.shouldFollow.Load()),
+		"store_revision":     int64(g.control.knownRevision.Load()),
+		"watches_unanswered": g.control.unansweredWatches.Load(),
+	}
+	if at := g.control.repliedAt.Load(); at > 0 {
+		gauges["store_reply_age_ms"] = time.Since(time.UnixMilli(at)).Milliseconds()
 	}
 	for kind, n := range g.store.Calls() {
 		gauges["store_calls_"+kind.String()] = n
--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -126,7 +126,7 @@
 		items = append(items, platform.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
 	}
 	c.history.add(now, b)
-	c.applyChanges(now, items, b.At)
+	c.applyChanges(now, items, b.At, sourceForwarded)
 }
 
 // handleChangesAfterGap applies what it can of a batch that follows missed changes. A configuration
@@ -134,7 +134,7 @@
 // the missed changes, which are requested after receiverLagTimeout.
 func (c *control) handleChangesAfterGap(now time.Time, b changeBatch) {
 	for _, item := range b.Items {
-		if item.Key == platform.ConfigKey && !item.Deleted && c.applyConfig(item.Value) {
+		if item.Key == platform.ConfigKey && !item.Deleted && c.applyConfig(now, item.Value, sourceForwarded) {
 			c.applyUpstreams(now)
 			c.publish(now)
 		}
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -501,7 +501,7 @@
 		now := time.Now()
 		later := c.revision + 10
 		c.handleChanges(now, changeBatch{After: c.revision, At: later, Items: []keyChange{{Key: "servers/i-1", Revision: later, Deleted: true}}})
-		c.applyChanges(now, []platform.Item{{Key: "servers/i-1", Value: entry, Revision: later - 1}}, later-1)
+		c.applyChanges(now, []platform.Item{{Key: "servers/i-1", Value: entry, Revision: later - 1}}, later-1, sourceWatch)
 		c.applyFullRead(now, []platform.Item{{Key: "servers/i-1", Value: entry, Revision: later - 1}}, later-1)
 		done <- c.revision - later
 	})
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -75,6 +75,9 @@
 	shouldFollow      atomic.Bool   // This instance has to follow the store itself.
 	preferredFollower atomic.Bool   // This instance would have to follow the store if the store rejected none.
 
+	repliedAt         atomic.Int64 // When the store last answered a watch or read, in Unix milliseconds; 0 if never.
+	unansweredWatches atomic.Int64 // Watches that ended without a response of the store.
+
 	brokerTimeouts atomic.Int64 // Placement requests that a broker did not answer in time.
 
 	// Owned by the loop.
@@ -291,6 +294,11 @@
 	}
 }
 
+// recordStoreReply records that the store has answered a watch or a read of this instance.
+func (c *control) recordStoreReply() {
+	c.repliedAt.Store(time.Now().UnixMilli())
+}
+
 // publish stores a new snapshot.
 func (c *control) publish(now time.Time) {
 	alive := c.members.alive(now)
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -140,6 +140,7 @@
 	if err != nil {
 		return 0, err
 	}
+	f.control.recordStoreReply()
 	f.control.post(func() {
 		f.control.pause.Refreshed(requestedAt)
 		f.control.applyFullRead(time.Now(), items, at)
@@ -167,28 +168,41 @@
 		case <-ended:
 		}
 	}()
+	start := time.Now()
 	items, at, err := f.store.Watch(ctx, allKeys, after, watchWait)
 	if err != nil {
 		if cause := context.Cause(ctx); errors.Is(cause, errResync) || errors.Is(cause, errFollowChanged) {
 			return after, cause
 		}
+		f.recordUnanswered(ctx, err, after, time.Since(start))
 		return after, err
 	}
+	f.control.recordStoreReply()
 	if len(items) > 0 {
-		f.deliver(items, after, at)
+		f.deliver(items, after, at, sourceWatch)
 		sleep(ctx, f.batchDelay())
 	}
 	return max(after, at), nil
 }
 
+// recordUnanswered counts and logs a watch that ended with an error and without a response of the store.
+func (f *follower) recordUnanswered(ctx context.Context, err error, after platform.Revision, waited time.Duration) {
+	refused := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrCompacted)
+	if refused || errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	f.control.unansweredWatches.Add(1)
+	f.log.Warn("watch of the store ended without a response; rereading all keys", "after", uint64(after), "waited_ms", waited.Milliseconds(), "error", err.Error())
+}
+
 // deliver posts changes to the control loop, which forwards them to the zone if this instance is
 // to follow the store.
-func (f *follower) deliver(items []platform.Item, after, at platform.Revision) {
+func (f *follower) deliver(items []platform.Item, after, at platform.Revision, from changeSource) {
 	f.control.post(func() {
 		if f.control.shouldFollow.Load() {
 			f.control.forwardChanges(items, after, at)
 		}
-		f.control.applyChanges(time.Now(), items, at)
+		f.control.applyChanges(time.Now(), items, at, from)
 	})
 }
 
@@ -216,7 +230,8 @@
 	if err != nil {
 		return after, err
 	}
-	f.deliver(items, after, at)
+	f.control.recordStoreReply()
+	f.deliver(items, after, at, sourceMissed)
 	return max(after, at), nil
 }
 
