Planned stop: log and count the requests that it cuts off

The end of a planned stop was logged without an error also when requests were cut off by it, so a record of closed connections could not tell a stop that ends before its requests from a race of the shutdown.

'instance stopped' now has the number of requests without a complete answer, the first 20 of them are logged each with id, route, when they were read after the SIGTERM and how long they were in service, and requests_cut_off counts them. The server of callers keeps these facts for each connection.

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,7 @@
 
 func (e *echoHandler) Serve(ctx context.Context, r Request, resp *fasthttp.Response) {
 	path := string(r.HTTP.Header.RequestURI())
+	r.SetInfo("", path)
 	e.started <- path
 	if strings.HasPrefix(path, "/wait") {
 		select {
@@ -251,6 +253,29 @@
 	}
 }
 
+func TestInServiceListsUnansweredRequests(t *testing.T) {
+	e := newEchoHandler()
+	s := serve(t, e)
+	for i := range 3 {
+		c, _ := dial(t, s)
+		send(t, c, fmt.Sprintf("GET /wait%d HTTP/1.1\r\nHost: h\r\n\r\n", i))
+		receive(t, "the start of the request", e.started)
+	}
+	var routes []string
+	for _, r := range s.InService() {
+		routes = append(routes, r.Route)
+	}
+	if want := []string{"/wait0", "/wait1", "/wait2"}; !slices.Equal(routes, want) {
+		t.Errorf("in service: %v, want %v", routes, want)
+	}
+	close(e.release)
+	for deadline := time.Now().Add(testTimeout); len(s.InService()) > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("in service after the answers: %v", s.InService())
+		}
+	}
+}
+
 func TestHeadRequestGetsNoBody(t *testing.T) {
 	s := serve(t, newEchoHandler())
 	c, br := dial(t, s)
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -47,6 +48,8 @@
 	served         bool          // At least one request was answered.
 	lastAnswerSent bool          // The server has answered and closes the connection first.
 
+	inService atomic.Pointer[InService] // The request that is being served; nil if there is none.
+
 	mu        sync.Mutex
 	receiving bool // At least one byte of a request has arrived.
 }
@@ -91,7 +94,7 @@
 	if !c.readRequest(req, limits) {
 		return false
 	}
-	return c.serveRequest(Request{HTTP: req, Arrived: time.Now()}, resp)
+	return c.serveRequest(Request{HTTP: req, Arrived: time.Now(), conn: c}, resp)
 }
 
 // awaitRequest waits for the first byte of a request and reports whether it arrived.
@@ -211,6 +214,8 @@
 func (c *conn) serveRequest(r Request, resp *fasthttp.Response) bool {
 	c.server.inFlight.Add(1)
 	defer c.server.inFlight.Add(-1)
+	c.inService.Store(&InService{Arrived: r.Arrived})
+	defer c.inService.Store(nil)
 	isHead := r.HTTP.Header.IsHead()
 	closeAfter := r.HTTP.Header.ConnectionClose()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,22 @@
 type Request struct {
 	HTTP    *fasthttp.Request // Valid until the handler returns.
 	Arrived time.Time         // When the request was read completely.
+
+	conn *conn // Nil outside a Server.
+}
+
+// SetInfo records what InService reports about the request: its ID and its route.
+func (r Request) SetInfo(id, route string) {
+	if r.conn != nil {
+		r.conn.inService.Store(&InService{ID: id, Route: route, Arrived: r.Arrived})
+	}
+}
+
+// InService describes a request that was read and whose answer is not yet written.
+type InService struct {
+	ID      string // Request ID that the caller sent; empty before SetInfo.
+	Route   string // Name of its route; empty before SetInfo.
+	Arrived time.Time
 }
 
 // Handler answers requests. It must not retain a request or an answer after it returns.
@@ -135,6 +152,21 @@
 	return s.inFlight.Load()
 }
 
+// InService returns the requests that were read and not yet answered, in the order in which they
+// were read.
+func (s *Server) InService() []InService {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []InService
+	for c := range s.conns {
+		if r := c.inService.Load(); r != nil {
+			list = append(list, *r)
+		}
+	}
+	slices.SortFunc(list, func(a, b InService) int { return a.Arrived.Compare(b.Arrived) })
+	return list
+}
+
 // Drain adds "Connection: close" to every answer from now on.
 func (s *Server) Drain() {
 	s.draining.Store(true)
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -100,6 +100,7 @@
 		"upstream_dials":     counts.Dials,
 		"upstream_strays":    counts.MismatchedAnswers,
 		"streams_broken":     counts.BrokenStreams,
+		"requests_cut_off":   g.metrics.cutOff.Load(),
 		"log_lines_dropped":  g.logs.dropped.Load(),
 		"caller_connections": int64(g.server.Connections()),
 		"requests_in_flight": g.server.InFlight(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,7 +165,7 @@
 		deregister()
 	}
 	endLifetime()
-	g.log.Info("instance stopped", "error", errorText(err))
+	g.log.Info("instance stopped", "error", errorText(err), "cut_off", g.metrics.cutOff.Load())
 	g.close()
 	_ = g.server.Shutdown(lifetime)
 	tasks.Wait()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -29,7 +29,9 @@
 	instances []*instance
 	version   int
 
-	brokersFrom int // place.brokers_from of the instances; 0 for the default.
+	brokersFrom  int           // place.brokers_from of the instances; 0 for the default.
+	stopWithin   time.Duration // promises.stop_within of the instances; 0 for 4 s.
+	discoveryTTL time.Duration // promises.discovery_ttl of the instances; 0 for 200 ms.
 }
 
 type instance struct {
@@ -114,13 +116,14 @@
 [store]
 address = %q
 [promises]
-stop_within = "4s"
-discovery_ttl = "200ms"
+stop_within = %q
+discovery_ttl = %q
 [place]
 brokers_from = %d
 [log]
 requests = "all"
-`, id, zone, freeAddr(fleet.t, "tcp"), freeAddr(fleet.t, "tcp"), freeAddr(fleet.t, "tcp"), freeAddr(fleet.t, "udp"), freeAddr(fleet.t, "tcp"), fleet.store.Addr(), cmp.Or(fleet.brokersFrom, DefaultSettings().Place.BrokersFrom))
+`, id, zone, freeAddr(fleet.t, "tcp"), freeAddr(fleet.t, "tcp"), freeAddr(fleet.t, "tcp"), freeAddr(fleet.t, "udp"), freeAddr(fleet.t, "tcp"), fleet.store.Addr(),
+		cmp.Or(fleet.stopWithin, 4*time.Second).String(), cmp.Or(fleet.discoveryTTL, 200*time.Millisecond).String(), cmp.Or(fleet.brokersFrom, DefaultSettings().Place.BrokersFrom))
 	path := filepath.Join(fleet.t.TempDir(), id+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		fleet.t.Fatal(err)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -71,6 +71,7 @@
 	if left, ok := platform.TimeLeft(&r.HTTP.Header); ok && left < route.Timeout {
 		in.Deadline = r.Arrived.Add(left)
 	}
+	r.SetInfo(id, route.Name)
 	report := h.forwarder.Serve(ctx, in, resp)
 	h.metrics.recordAnswer(report.Code, time.Since(r.Arrived))
 	h.logRequest(ctx, &in, s, report)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -23,6 +24,8 @@
 	mu      sync.Mutex
 	byCode  map[result.Code]int64
 	latency *hdrhistogram.Histogram // Milliseconds.
+
+	cutOff atomic.Int64 // Requests without a complete answer at the end of a planned stop.
 }
 
 func newMetrics() *metrics {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -34,8 +34,27 @@
 	time.Sleep(time.Until(began.Add(staleTTLs*s.Promises.DiscoveryTTL + s.Promises.DiscoveryTTL/2)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := g.server.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	err := g.server.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		g.logCutOff(began)
+		return nil
+	}
+	if err != nil {
 		return fmt.Errorf("planned stop: %w", err)
 	}
 	return nil
 }
+
+// maxCutOffLogged bounds the requests that are logged one by one at the end of a planned stop.
+const maxCutOffLogged = 20
+
+// logCutOff counts and logs the requests without a complete answer at the end of a planned stop.
+func (g *Gateway) logCutOff(began time.Time) {
+	now := time.Now()
+	list := g.server.InService()
+	g.metrics.cutOff.Add(int64(len(list)))
+	for _, r := range list[:min(len(list), maxCutOffLogged)] {
+		g.log.Warn("request cut off by the planned stop", "request", r.ID, "route", r.Route,
+			"read_after_ms", r.Arrived.Sub(began).Milliseconds(), "ms", now.Sub(r.Arrived).Milliseconds())
+	}
+}
