Planned stop: pass on only requests that end before the instance does

What callers saw: around a SIGTERM to an instance, lookups that it had passed on to an upstream ended with a closed connection.

Cause: an instance that stopped went on passing on every request until 3.5 discovery TTLs after the SIGTERM (3.5 s), and ended 0.4 s before stop_within (5.6 s) whatever was in flight. A request read near the end of the first span had 2.1 s, and the deadlines of callers are 4 to 5 s.

With discovery_ttl = 5s and stop_within = 3s the stop took 17.5 s: the platform would have killed it.

Fix: coord/shutdown holds the schedule of a stop, from stop_within and discovery_ttl. Until callers' addresses expire, and no longer than nearly half of stop_within, every request is passed on. Later only one whose deadline (the caller's or the route's timeout) is before the end of the stop; the others get 503 with code 1019 (not run) and a Retry-After of 0.1 s, so that their callers go to another instance. The check stands before each attempt that would put a request in service, so it holds on kept and new connections and for retries alike; a request in service may still be hedged, which only makes it end sooner. Connections are taken for three quarters of stop_within at most. 'instance stopped' has the number of requests turned away.

--- /dev/null
+++ b/coord/shutdown/shutdown_test.go
@@ -0,0 +1,61 @@
+package shutdown
+
+import (
+	"testing"
+	"time"
+)
+
+func TestPlan(t *testing.T) {
+	begin := time.Now()
+	for name, tc := range map[string]struct {
+		promises    Promises
+		acceptUntil time.Duration // Since the begin of the stop.
+		end         time.Duration
+		admitAll    time.Duration
+	}{
+		"callers' addresses expire in half of the stop": {Promises{6 * time.Second, 900 * time.Millisecond}, 3150 * time.Millisecond, 5600 * time.Millisecond, 2700 * time.Millisecond},
+		"usual":                               {Promises{6 * time.Second, time.Second}, 3500 * time.Millisecond, 5600 * time.Millisecond, 2800 * time.Millisecond},
+		"callers' addresses outlive the stop": {Promises{6 * time.Second, 5 * time.Second}, 4500 * time.Millisecond, 5600 * time.Millisecond, 2800 * time.Millisecond},
+		"short stop":                          {Promises{2 * time.Second, time.Second}, 1500 * time.Millisecond, 2*time.Second - 2*time.Second/6, 800 * time.Millisecond},
+		"very short stop":                     {Promises{600 * time.Millisecond, time.Second}, 450 * time.Millisecond, 500 * time.Millisecond, 200 * time.Millisecond},
+		"long stop":                           {Promises{30 * time.Second, time.Second}, 3500 * time.Millisecond, 29600 * time.Millisecond, 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := NewPlan(begin, tc.promises)
+			if got := p.AcceptUntil.Sub(begin); got != tc.acceptUntil {
+				t.Errorf("accepts connections until %s, want %s", got, tc.acceptUntil)
+			}
+			if got := p.End.Sub(begin); got != tc.end {
+				t.Errorf("ends at %s, want %s", got, tc.end)
+			}
+			for at := time.Duration(0); at < tc.promises.StopWithin; at += tc.promises.StopWithin / 60 {
+				for left := time.Duration(0); left < 2*tc.promises.StopWithin; left += tc.promises.StopWithin / 60 {
+					want := at < tc.admitAll || at+left <= tc.end
+					if got := p.Admits(begin.Add(at), begin.Add(at+left)); got != want {
+						t.Fatalf("at %s, %s left: admitted %v", at, left, got)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Whatever the promises, a stop keeps its own order, and a request admitted with a deadline beyond its end
+// has about half of StopWithin.
+func TestPlanKeepsItsBounds(t *testing.T) {
+	begin := time.Now()
+	for _, stopWithin := range []time.Duration{10 * time.Millisecond, time.Second, 2 * time.Second, 6 * time.Second, 30 * time.Second, time.Hour} {
+		for _, ttl := range []time.Duration{10 * time.Millisecond, time.Second, 5 * time.Second, time.Hour} {
+			p := NewPlan(begin, Promises{stopWithin, ttl})
+			if p.AcceptUntil.After(p.End) || p.End.After(begin.Add(stopWithin)) || p.AcceptUntil.Before(begin) {
+				t.Errorf("stop_within %s, discovery_ttl %s: accepts until %s, ends at %s", stopWithin, ttl, p.AcceptUntil.Sub(begin), p.End.Sub(begin))
+			}
+			if last := begin.Add(stopWithin / 2); p.Admits(last, p.End.Add(1)) {
+				t.Errorf("stop_within %s, discovery_ttl %s: a request read after half of it is admitted though it may be cut off", stopWithin, ttl)
+			}
+			if !p.Admits(begin, begin.Add(time.Hour)) {
+				t.Errorf("stop_within %s, discovery_ttl %s: a request read with the signal is rejected", stopWithin, ttl)
+			}
+		}
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -44,6 +44,9 @@
 	HTTP     *fasthttp.Request
 	Arrived  time.Time
 	Deadline time.Time // The earlier of the caller's deadline and the route's timeout.
+
+	// MayStart reports whether an attempt may start at a time while no other is running; nil if always.
+	MayStart func(now time.Time) bool
 }
 
 // Report is the result of a request, for the log.
@@ -176,6 +179,9 @@
 	if err := ctx.Err(); err != nil {
 		return dispatch.Grant{}, err
 	}
+	if r.running == 0 && r.MayStart != nil && !r.MayStart(time.Now()) {
+		return dispatch.Grant{}, errStopping
+	}
 	return f.dispatcher.Acquire(dispatch.Request{
 		Service:       r.Service,
 		SizeClass:     r.Route.Name,
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -150,6 +150,7 @@
 	timeout     time.Duration
 	method      string
 	http10      bool
+	mayStart    func(now time.Time) bool
 }
 
 func (c call) serve(t *testing.T, f *Forwarder, id string) (*fasthttp.Response, Report) {
@@ -171,7 +172,7 @@
 	}
 	var resp fasthttp.Response
 	report := f.Serve(t.Context(), Request{
-		ID: id, Service: "s", HTTP: &req, Arrived: now, Deadline: now.Add(timeout),
+		ID: id, Service: "s", HTTP: &req, Arrived: now, Deadline: now.Add(timeout), MayStart: c.mayStart,
 		Route: platform.Route{Idempotent: c.idempotent, MaxAttempts: c.maxAttempts, Objective: testTimeout},
 	}, &resp)
 	return &resp, report
@@ -456,3 +457,55 @@
 		}
 	}
 }
+
+// During a planned stop a request may become unable to end before its instance does.
+func TestNoAttemptStartsThatMayNotEnd(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first    func(int, *fasthttp.Request, net.Conn) bool // Nil: no attempt may start at all.
+		wantCode result.Code
+		status   int
+	}{
+		"before the first attempt": {nil, result.CodeStopping, 503},
+		"not executed":             {rejectNotExecuted, result.CodeStopping, 503},
+		"connection reset":         {reset, result.CodeAnswerCutOff, 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var stopping atomic.Bool
+			stopping.Store(tc.first == nil)
+			first := startUpstream(t, func(n int, req *fasthttp.Request, c net.Conn) bool {
+				stopping.Store(true)
+				return tc.first(n, req, c)
+			})
+			second := startUpstream(t, serveOK)
+			f := New(newSequentialDispatcher(first.listener.Addr().String(), second.listener.Addr().String()))
+			stopped := idempotentCall
+			stopped.mayStart = func(time.Time) bool { return !stopping.Load() }
+			resp, report := stopped.serve(t, f, "a")
+			if resp.StatusCode() != tc.status || report.Code != tc.wantCode || second.requests.Load() != 0 {
+				t.Errorf("status %d, %+v, %d attempts at the second endpoint", resp.StatusCode(), report, second.requests.Load())
+			}
+			if retry := len(resp.Header.Peek("Retry-After")) > 0; retry != (tc.status == 503) {
+				t.Errorf("Retry-After is set: %v", retry)
+			}
+		})
+	}
+}
+
+// A request that is in service is hedged until the end of a planned stop: a hedge only makes it end sooner.
+func TestRequestInServiceIsHedgedDuringPlannedStop(t *testing.T) {
+	var stopping atomic.Bool
+	release := make(chan struct{})
+	defer close(release)
+	slow := startUpstream(t, func(int, *fasthttp.Request, net.Conn) bool {
+		stopping.Store(true)
+		<-release
+		return false
+	})
+	ok := startUpstream(t, serveOK)
+	c := idempotentCall
+	c.mayStart = func(time.Time) bool { return !stopping.Load() }
+	resp, report := c.serve(t, New(newSequentialDispatcher(slow.listener.Addr().String(), ok.listener.Addr().String())), "a")
+	if resp.StatusCode() != 200 {
+		t.Errorf("status %d, %+v", resp.StatusCode(), report)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/internal/callers"
 	"github.com/damaskcove/damaskcove/internal/forward"
 	"github.com/damaskcove/damaskcove/platform"
@@ -29,6 +30,7 @@
 	control          *control
 	forwarder        *forward.Forwarder
 	metrics          *metrics
+	handler          *handler
 	server           *callers.Server
 	auxServers       []*auxServer
 	socket           *peerSocket
@@ -64,8 +66,8 @@
 	g.store = platform.NewStore(s.Store.Address)
 	g.control = newControl(s, g.log, g.socket)
 	g.forwarder = forward.New(g.control)
-	h := &handler{control: g.control, forwarder: g.forwarder, metrics: g.metrics, log: g.log, logAll: func() bool { return g.current().Log.Requests == LogAll }}
-	if g.server, err = callers.Listen(s.Listen.Callers, h); err != nil {
+	g.handler = &handler{control: g.control, forwarder: g.forwarder, metrics: g.metrics, log: g.log, logAll: func() bool { return g.current().Log.Requests == LogAll }}
+	if g.server, err = callers.Listen(s.Listen.Callers, g.handler); err != nil {
 		return err
 	}
 	g.control.dropIdle = g.forwarder.CloseIdleConnections
@@ -165,7 +167,7 @@
 		deregister()
 	}
 	endLifetime()
-	g.log.Info("instance stopped", "error", errorText(err), "cut_off", g.metrics.cutOff.Load())
+	g.log.Info("instance stopped", "error", errorText(err), "cut_off", g.metrics.cutOff.Load(), "turned_away", g.metrics.answers(result.CodeStopping))
 	g.close()
 	_ = g.server.Shutdown(lifetime)
 	tasks.Wait()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/coord/shutdown"
 	"github.com/damaskcove/damaskcove/internal/callers"
 	"github.com/damaskcove/damaskcove/internal/forward"
 	"github.com/damaskcove/damaskcove/platform"
@@ -27,6 +29,13 @@
 	metrics   *metrics
 	log       *slog.Logger
 	logAll    func() bool
+	stop      atomic.Pointer[shutdown.Plan] // Nil until a planned stop begins.
+}
+
+// mayStart reports whether an attempt of a request with a deadline may start.
+func (h *handler) mayStart(now, deadline time.Time) bool {
+	plan := h.stop.Load()
+	return plan == nil || plan.Admits(now, deadline)
 }
 
 // Limits implements callers.Handler.
@@ -71,6 +80,7 @@
 	if left, ok := platform.TimeLeft(&r.HTTP.Header); ok && left < route.Timeout {
 		in.Deadline = r.Arrived.Add(left)
 	}
+	in.MayStart = func(now time.Time) bool { return h.mayStart(now, in.Deadline) }
 	r.SetInfo(id, route.Name)
 	report := h.forwarder.Serve(ctx, in, resp)
 	h.metrics.recordAnswer(report.Code, time.Since(r.Arrived))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -40,6 +40,13 @@
 	_ = m.latency.RecordValue(min(max(took.Milliseconds(), histogramMin), histogramMax))
 }
 
+// answers returns the number of answers with a code.
+func (m *metrics) answers(code result.Code) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.byCode[code]
+}
+
 // quantiles are the reported percentiles of the latency.
 var quantiles = []float64{50, 90, 99, 99.9}
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -5,25 +5,25 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/damaskcove/damaskcove/coord/shutdown"
 )
 
+// leaveInterval and leaveRepeats control how often the other instances are notified of the stop,
+// as datagrams get lost.
 const (
-	// stopMargin is how long before the end of promises.stop_within a planned stop ends.
-	stopMargin = 400 * time.Millisecond
-	// staleTTLs is the number of discovery TTLs for which callers may use a discovery answer.
-	staleTTLs = 3
-	// leaveInterval and leaveRepeats control how often the other instances are notified of the stop,
-	// as datagrams get lost.
 	leaveInterval = 100 * time.Millisecond
 	leaveRepeats  = 3
 )
 
 // stop makes the planned stop: it takes the instance out of discovery, serves the callers that
-// still connect, and returns when all requests are answered or promises.stop_within is nearly over.
+// still connect as far as their requests end in time, and returns when all are answered or
+// promises.stop_within is nearly over.
 func (g *Gateway) stop() error {
-	s := g.current()
 	began := time.Now()
-	deadline := began.Add(s.Promises.StopWithin - stopMargin)
+	promises := g.current().Promises
+	plan := shutdown.NewPlan(began, shutdown.Promises{StopWithin: promises.StopWithin, DiscoveryTTL: promises.DiscoveryTTL})
+	g.handler.stop.Store(&plan)
 	g.leaving.Store(true)
 	g.log.Info("planned stop started; serving callers that still connect", "in_flight", g.server.InFlight())
 	g.server.Drain()
@@ -31,8 +31,8 @@
 		g.control.post(func() { g.control.leaving = true; g.control.sendReports() })
 		time.Sleep(leaveInterval)
 	}
-	time.Sleep(time.Until(began.Add(staleTTLs*s.Promises.DiscoveryTTL + s.Promises.DiscoveryTTL/2)))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	time.Sleep(time.Until(plan.AcceptUntil))
+	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
 	err := g.server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 // callerConn is a caller's connection to an instance.
@@ -36,6 +38,13 @@
 	}
 }
 
+// answer reads the next answer.
+func (c *callerConn) answer() (*fasthttp.Response, error) {
+	var resp fasthttp.Response
+	err := resp.Read(c.br)
+	return &resp, err
+}
+
 // logLine returns the first log line with a message, or nil.
 func (in *instance) logLine(msg string) map[string]any {
 	for line := range strings.Lines(in.logs.String()) {
@@ -83,3 +92,79 @@
 		t.Errorf("read %v ms after the start of the stop, in service for %v ms", readAfter, ms)
 	}
 }
+
+// Requests read late in a stop were passed on and cut off by its end.
+func TestRequestsReadLateInPlannedStopAreNotCutOff(t *testing.T) {
+	fleet := newTestFleet(t)
+	fleet.stopWithin, fleet.discoveryTTL = 6*time.Second, 1500*time.Millisecond
+	in, u := fleet.startServing()
+	kept := map[string]*callerConn{}
+	for _, path := range []string{"/x", "/safe/x"} {
+		c := in.dial(t)
+		c.request(t, "before", path, 5*time.Second)
+		if resp, err := c.answer(); err != nil || resp.StatusCode() != 200 {
+			t.Fatalf("before the stop: status %d, %v", resp.StatusCode(), err)
+		}
+		kept[path] = c
+	}
+	hold := make(chan struct{})
+	defer close(hold)
+	u.hold.Store(&hold)
+	in.stop()
+	stopped := time.Now()
+	const late = 3050 * time.Millisecond // More than half of stop_within.
+	time.Sleep(time.Until(stopped.Add(late)))
+	before := u.requests.Load()
+	conns := map[string]*callerConn{"on a new connection": in.dial(t)}
+	conns["on a new connection"].request(t, "new", "/x", 5*time.Second)
+	for path, c := range kept {
+		conns["on a kept connection, "+path] = c
+		c.request(t, "kept", path, 5*time.Second)
+	}
+	pipelined := in.dial(t)
+	conns["the first of two"] = pipelined
+	pipelined.request(t, "first", "/safe/x", 5*time.Second)
+	pipelined.request(t, "second", "/safe/x", 5*time.Second)
+	for name, c := range conns {
+		resp, err := c.answer()
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if resp.StatusCode() != 503 || len(resp.Header.Peek("Retry-After")) == 0 || !resp.ConnectionClose() || !strings.Contains(string(resp.Body()), "1019") {
+			t.Errorf("%s: %s%s", name, &resp.Header, resp.Body())
+		}
+	}
+	if got := u.requests.Load(); got != before {
+		t.Errorf("%d requests were passed on", got-before)
+	}
+	short := in.dial(t)
+	short.request(t, "short", "/x", 300*time.Millisecond)
+	if resp, err := short.answer(); err != nil || resp.StatusCode() != 504 || u.requests.Load() != before+1 {
+		t.Errorf("a request whose deadline is before the end: status %d, %v", resp.StatusCode(), err)
+	}
+	eventually(t, "the end of the stop is logged", func() bool { return in.logLine("instance stopped") != nil })
+	line := in.logLine("instance stopped")
+	if line["cut_off"] != 0.0 || line["turned_away"] != float64(len(conns)) {
+		t.Errorf("logged %v", line)
+	}
+}
+
+// Callers may hold an address for longer than the instance has for its stop.
+func TestPlannedStopEndsWithinItsPromise(t *testing.T) {
+	fleet := newTestFleet(t)
+	fleet.stopWithin, fleet.discoveryTTL = 3*time.Second, 5*time.Second
+	in, _ := fleet.startServing()
+	in.stop()
+	stopped := time.Now()
+	c := in.dial(t)
+	c.request(t, "early", "/x", 5*time.Second)
+	if resp, err := c.answer(); err != nil || resp.StatusCode() != 200 {
+		t.Errorf("a request just after the start of the stop: status %d, %v", resp.StatusCode(), err)
+	}
+	err := <-in.done
+	in.done <- err
+	if took := time.Since(stopped); err != nil || took > fleet.stopWithin {
+		t.Errorf("stopped after %s: %v", took, err)
+	}
+}
