damaskcove: a planned stop runs only requests that end before it does

With callers that are never silent, or a stop.timeout shorter than fleet.discovery_max_age, requests are run until the last moment. Found by reading; no run of a fleet has shown it.

TestRequestsThatOutliveAPlannedStopAreNotRun fails without the check: the request ran.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/coord/routing"
+	"github.com/damaskcove/damaskcove/coord/shutdown"
 	"github.com/damaskcove/damaskcove/internal/exchange"
 )
 
@@ -21,6 +22,7 @@
 	mu       sync.RWMutex
 	services map[fleet.Service]*service
 	stopping bool
+	stop     *shutdown.Plan // Nil until BeginStop.
 	pending  sync.WaitGroup // Running calls of Execute.
 }
 
@@ -49,16 +51,23 @@
 // request may be retried and hedged. Any other is sent again only while no earlier attempt
 // can have run. Execute returns soon after ctx ends or the request's deadline passes.
 func (d *Dispatcher) Execute(ctx context.Context, r exchange.Request) exchange.Answer {
-	s, rejection := d.admit(r.Service)
+	r.Deadline = d.deadline(ctx, r.Deadline)
+	s, rejection := d.admit(r.Service, r.Deadline)
 	if s == nil {
 		return countAnswer(rejection)
 	}
 	defer d.pending.Done()
 	counters.Add(countRequests, 1)
-	r.Deadline = d.deadline(ctx, r.Deadline)
 	return countAnswer(s.execute(ctx, r))
 }
 
+// BeginStop makes Execute reject the requests that may not end before a planned stop does.
+func (d *Dispatcher) BeginStop(plan shutdown.Plan) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stop = &plan
+}
+
 // Drain rejects new requests, waits for the running ones and closes the connections. It
 // returns ctx's error if ctx ends first.
 func (d *Dispatcher) Drain(ctx context.Context) error {
@@ -81,10 +90,10 @@
 
 // admit adds a request to pending and returns its service, or a rejection if the service is
 // unknown or the dispatcher is stopping.
-func (d *Dispatcher) admit(name fleet.Service) (*service, exchange.Answer) {
+func (d *Dispatcher) admit(name fleet.Service, deadline time.Time) (*service, exchange.Answer) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	if d.stopping {
+	if d.stopping || d.stop != nil && !d.stop.Admits(time.Now(), deadline) {
 		return nil, exchange.Rejection(result.CodeStopping, "")
 	}
 	s := d.services[name]
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -12,6 +12,7 @@
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/coord/routing"
+	"github.com/damaskcove/damaskcove/coord/shutdown"
 )
 
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Started: 1\r\nContent-Length: 0\r\n\r\n"
@@ -351,3 +352,21 @@
 		t.Fatalf("the request in flight got %q", got)
 	}
 }
+
+// A stop whose callers never fall silent lasts for all of its time, and what is in flight then is cut off.
+func TestRequestsThatOutliveAPlannedStopAreNotRun(t *testing.T) {
+	u := newRawUpstream(t, always(ok("whole")))
+	d := testDispatcher(t, newRecorder(), targetsOf(1, u.endpoint()))
+	const timeout, passed = 60 * time.Second, 40 * time.Second
+	d.BeginStop(shutdown.NewPlan(time.Now().Add(-passed), shutdown.Promises{StopWithin: timeout, DiscoveryTTL: timeout}))
+	long := get("/")
+	long.Deadline = time.Now().Add(timeout - passed)
+	if a := d.Execute(context.Background(), long); a.Code != result.CodeStopping || a.Execution != result.NotRun || u.count() != 0 {
+		t.Errorf("a request that may not end in time: answer %+v, %d requests at the upstream", a, u.count())
+	}
+	short := get("/")
+	short.Deadline = time.Now().Add((timeout - passed) / 2)
+	if a := d.Execute(context.Background(), short); a.Code != result.CodeAnswered {
+		t.Errorf("a request that ends in time: answer %+v", a)
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/damaskcove/damaskcove/coord/shutdown"
 	"github.com/damaskcove/damaskcove/internal/metastore"
 )
 
@@ -103,8 +104,10 @@
 func (n *Node) stop(cause error) {
 	n.stopping.Store(true)
 	n.log.Info("planned stop started", "incarnation", n.self.Ref.Incarnation, "in_flight", n.entry.InFlight())
-	ctx, cancel := context.WithTimeout(context.Background(), n.opts.Settings.Stop.Timeout)
+	timeout := n.opts.Settings.Stop.Timeout
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	n.dispatcher.BeginStop(shutdown.NewPlan(time.Now(), shutdown.Promises{StopWithin: timeout, DiscoveryTTL: n.opts.Settings.Fleet.DiscoveryMaxAge}))
 	if cause == nil {
 		n.onLoop(ctx, n.members.Leave)
 	}
