Test that pipelined requests during a shutdown are answered or not served

A race of the shutdown was one hypothesis for requests that were passed on and lost around a SIGTERM. The test plays callers that send requests behind others, slowly and reading late, while the server drains and shuts down: each request that is served must be answered in full.

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -424,3 +424,57 @@
 		}
 	}
 }
+
+// Callers send requests behind others while the server drains and shuts down. Every request that is
+// served gets its complete answer, also when its caller reads late.
+func TestPipelinedRequestsDuringShutdownAreAnsweredOrNotServed(t *testing.T) {
+	for round := range 5 {
+		e := newEchoHandler()
+		e.started = make(chan string, 100_000)
+		s := serve(t, e)
+		const callers, most = 40, 4
+		var answered atomic.Int64
+		var done sync.WaitGroup
+		for i := range callers {
+			done.Go(func() {
+				for k := 0; ; k++ {
+					c, err := net.Dial("tcp", s.Addr())
+					if err != nil {
+						return // The server has ended.
+					}
+					_ = c.SetDeadline(time.Now().Add(testTimeout))
+					for j := range 1 + (i+k)%most {
+						if _, err := fmt.Fprintf(c, "GET /%d/%d/%d HTTP/1.1\r\nHost: h\r\n\r\n", i, k, j); err != nil {
+							break
+						}
+						time.Sleep(time.Duration((i*j)%3) * 300 * time.Microsecond)
+					}
+					time.Sleep(time.Duration(i%5) * time.Millisecond)
+					br := bufio.NewReader(c)
+					for range 1 + (i+k)%most {
+						if _, err := br.Peek(1); err != nil {
+							break
+						}
+						var resp fasthttp.Response
+						if err := resp.Read(br); err != nil {
+							t.Errorf("round %d, caller %d: incomplete answer: %v", round, i, err)
+							break
+						}
+						answered.Add(1)
+					}
+					_ = c.Close()
+				}
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		s.Drain()
+		time.Sleep(10 * time.Millisecond)
+		if err := s.Shutdown(t.Context()); err != nil {
+			t.Error(err)
+		}
+		done.Wait()
+		if served := int64(len(e.started)); served != answered.Load() {
+			t.Errorf("round %d: %d requests served, %d answers received", round, served, answered.Load())
+		}
+	}
+}
