Follower: keep resyncs that are requested while changes are batched

What callers saw: nothing yet in a record; found while looking for the cause of requests handled by an old configuration. An instance that finds itself behind, or that was paused, requests a resync of the store, and nothing came of it.

Cause: the goroutine that ends a watch for a resync goes on for the batch delay of 0.5 s after the watch has returned, and takes the request. The context that it then cancels is looked at only if the watch had failed. The same holds for a watch that returns in the moment of the request, and for a changed role as a follower.

Fix: watch waits for that goroutine and returns its request, whether the watch has returned changes or not. Each request that is taken is thus acted on.

TestResyncDuringBatchDelayIsNotLost failed before (no read of the store within 20 s), and passes now.

--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -454,6 +454,20 @@
 	})
 }
 
+// Guards against a lost request for a resync: it comes while a follower batches changes.
+func TestResyncDuringBatchDelayIsNotLost(t *testing.T) {
+	fleet := newTestFleet(t)
+	in := fleet.startInstance("one", "a")
+	fleet.configure("h.example", "orders")
+	eventually(t, "ready", func() bool { return in.ready(t) })
+	watches, reads := fleet.store.Calls("watch"), fleet.store.Calls("range")
+	eventually(t, "the instance watches", func() bool { return fleet.store.Calls("watch") > watches })
+	fleet.startUpstream("i-1", "orders")
+	eventually(t, "the upstream is in use", func() bool { return in.hasEndpoint("i-1") })
+	in.gateway.control.requestResync(true)
+	eventually(t, "the store is read", func() bool { return fleet.store.Calls("range") > reads })
+}
+
 // Guards against a configuration that waits for missed changes: of a burst of dozens of datagrams, at
 // hundreds of changes a second, one is lost. A configuration after the gap applies at once, and the
 // missed changes are requested.
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -155,25 +155,46 @@
 
 // watch waits for changes after a revision and delivers them.
 func (f *follower) watch(ctx context.Context, after platform.Revision) (platform.Revision, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	ended := make(chan struct{})
-	defer close(ended)
+	ctx, stop := f.interruptible(ctx)
+	at, err := f.watchOnce(ctx, after)
+	if interrupt := stop(); interrupt != nil {
+		return at, interrupt
+	}
+	return at, err
+}
+
+// interruptible returns a context that ends when a resync is requested or the role as a follower
+// changes. stop releases it, and returns errResync or errFollowChanged if that has happened.
+func (f *follower) interruptible(parent context.Context) (ctx context.Context, stop func() error) {
+	ctx, cancel := context.WithCancelCause(parent)
+	released, done := make(chan struct{}), make(chan struct{})
 	go func() {
+		defer close(done)
 		select {
 		case <-f.control.resync:
 			cancel(errResync)
 		case <-f.control.followChanged:
 			cancel(errFollowChanged)
-		case <-ended:
+		case <-released:
 		}
 	}()
+	return ctx, func() error {
+		close(released)
+		<-done
+		defer cancel(nil)
+		if cause := context.Cause(ctx); errors.Is(cause, errResync) || errors.Is(cause, errFollowChanged) {
+			return cause
+		}
+		return nil
+	}
+}
+
+// watchOnce waits for changes after a revision, delivers them, and then waits while further changes
+// collect in the store.
+func (f *follower) watchOnce(ctx context.Context, after platform.Revision) (platform.Revision, error) {
 	start := time.Now()
 	items, at, err := f.store.Watch(ctx, allKeys, after, watchWait)
 	if err != nil {
-		if cause := context.Cause(ctx); errors.Is(cause, errResync) || errors.Is(cause, errFollowChanged) {
-			return after, cause
-		}
 		f.recordUnanswered(ctx, err, after, time.Since(start))
 		return after, err
 	}
