Followers: forward the changes that a read of all keys shows

What callers saw: an instance that doesn't follow the store handles requests by an old configuration, or places them on upstreams that leave, for longer than the followers of its zone; if the store rejects it, until the next configuration.

Cause: a follower forwards what its watch returns, but not what it learns by a read of all keys, as it does after each failed call. The others learn from its next heartbeat that they are behind, request a resend of changes that no follower has, and then each read the store.

Fix: before it applies a full read, a follower forwards the changes since its own revision as a batch: later items, and known keys that are missing, as deletions. The batch leads from its revision to that of the read, so receivers treat it like any other, and it can be resent. While keys may be missing only because the store has failed, a deletion would take upstreams out of use at once that the follower itself keeps for a grace period. Then only a configuration is forwarded, as a batch after a gap, and the receivers read the rest themselves.

TestFollowerForwardsChangesOfFullRead and TestFollowerForwardsConfigurationOfFullReadAfterOutage failed before, after 20 s each, and pass now.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -26,9 +26,14 @@
 	first := !c.synced
 	c.setQuiet(first)
 	present := make(map[string]bool, len(items))
-	changed := false
 	for _, item := range items {
 		present[item.Key] = true
+	}
+	if !first && at > c.revision && c.shouldFollow.Load() {
+		c.forwardFullRead(now, items, present, at)
+	}
+	changed := false
+	for _, item := range items {
 		changed = c.put(now, item, sourceFullRead) || changed
 	}
 	for _, key := range c.registry.keys() {
--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -94,6 +95,29 @@
 	c.sendChanges(b, c.snapshot.Load().alive...)
 }
 
+// forwardFullRead forwards what a read of all keys shows to have changed since this instance's revision.
+// While missing keys may be due to a failure of the store, only a configuration is forwarded, as a batch
+// after a gap: the receivers have to read the store themselves.
+func (c *control) forwardFullRead(now time.Time, items []platform.Item, present map[string]bool, at platform.Revision) {
+	var changes []platform.Item
+	for _, item := range items {
+		if item.Revision > c.revision {
+			changes = append(changes, item)
+		}
+	}
+	missing := slices.Collect(maps.Keys(c.members.byKey))
+	missing = slices.DeleteFunc(append(missing, c.registry.keys()...), func(key string) bool { return present[key] })
+	if len(missing) > 0 && c.storeFailing(now) {
+		changes = slices.DeleteFunc(changes, func(item platform.Item) bool { return item.Key != platform.ConfigKey })
+		c.forwardChanges(changes, at, at)
+		return
+	}
+	for _, key := range missing {
+		changes = append(changes, platform.Item{Key: key, Revision: at, Deleted: true})
+	}
+	c.forwardChanges(changes, c.revision, at)
+}
+
 // sendChanges sends a batch to those of the given instances that are in this zone.
 func (c *control) sendChanges(b changeBatch, to ...*member) {
 	datagrams, err := b.datagrams()
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -468,6 +468,52 @@
 	eventually(t, "the store is read", func() bool { return fleet.store.Calls("range") > reads })
 }
 
+// Guards against changes that reach the followers alone: a follower learns them by a read of all keys,
+// and the others of its zone don't reach the store.
+func TestFollowerForwardsChangesOfFullRead(t *testing.T) {
+	fleet, instances, links := startZone(t, 3)
+	last := instances[2]
+	links[2].refuse(true)
+	fleet.startUpstream("i-1", "orders")
+	eventually(t, "the upstream is in use", func() bool { return last.hasEndpoint("i-1") })
+	fleet.store.SetFault(standin.NoWatchEvents)
+	eventually(t, "the last failure of the store is long ago", func() bool {
+		return !slices.ContainsFunc(instances[:2], func(in *instance) bool {
+			return inControl(in, func(c *control) bool { return c.storeFailing(time.Now()) })
+		})
+	})
+	fleet.configure("h.example", "orders")
+	fleet.startUpstream("i-2", "orders")
+	fleet.store.Delete("servers/i-1")
+	instances[0].gateway.control.requestResync(true)
+	eventually(t, "the changes are applied", func() bool {
+		return last.gateway.control.snapshot.Load().Version == 2 && last.hasEndpoint("i-2") && !last.hasEndpoint("i-1")
+	})
+}
+
+// Guards against a configuration that reaches the followers alone after an outage in which registrations
+// expired, and against upstreams that others remove at once while the followers keep them.
+func TestFollowerForwardsConfigurationOfFullReadAfterOutage(t *testing.T) {
+	fleet, instances, links := startZone(t, 3)
+	last := instances[2]
+	links[2].refuse(true)
+	fleet.startUpstream("i-1", "orders")
+	eventually(t, "the upstream is in use", func() bool { return last.hasEndpoint("i-1") })
+	fleet.store.SetFault(standin.Unavailable)
+	eventually(t, "the outage is noticed", func() bool { return slices.Equal(followers(instances), []bool{false, false, false}) })
+	fleet.store.Delete("servers/i-1")
+	fleet.configure("h.example", "orders")
+	revision := fleet.store.Revision()
+	fleet.store.SetFault(standin.NoFault)
+	eventually(t, "the configuration is in force", func() bool { return last.gateway.control.snapshot.Load().Version == 2 })
+	if inControl(last, func(c *control) bool { return c.revision >= platform.Revision(revision) }) {
+		t.Error("the instance has a revision without its deletions")
+	}
+	if !last.hasEndpoint("i-1") {
+		t.Error("the upstream that is missing after the outage is removed at once")
+	}
+}
+
 // Guards against a configuration that waits for missed changes: of a burst of dozens of datagrams, at
 // hundreds of changes a second, one is lost. A configuration after the gap applies at once, and the
 // missed changes are requested.
