Out of descriptors, an instance keeps its listeners and its process

Cause: fasthttp's server returns every error of Accept. For the listeners for readiness, discovery and metrics the instance took a failed accept (EMFILE) for the end of the listener, and ended itself. The callers' listener of damaskcove is served in the same way. The callers' listener of damaskgate had its own pause and retry, and the loop that receives datagrams of other instances tried again without a pause.

Evidence: the last line of the instance's log is "instance stopped" with the error "serve on 127.0.0.1:22973: accept tcp4 127.0.0.1:22973: accept4: too many open files", at the moment of the platform's readiness check.

Change: internal/accept retries all errors of Accept but those of a closed listener, a passed deadline, or a socket that cannot accept, with a pause that doubles from 5 to 100 ms. All listeners that are not served by net/http, which does the same, use it. The metric accept_failures and a log line, at most one a second, tell a limit of descriptors from other causes.

Callers may still take all descriptors, so that readiness checks and upstreams get none; that is the next change.

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -57,7 +57,7 @@
 
 func serve(t *testing.T, e *echoHandler) *Server {
 	t.Helper()
-	s, err := Listen("127.0.0.1:0", e)
+	s, err := Listen("127.0.0.1:0", e, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/accept"
 )
 
 // Limits bound what a caller may send.
@@ -43,6 +45,7 @@
 type Server struct {
 	handler    Handler
 	listener   *net.TCPListener
+	observe    accept.Observer
 	acceptDone chan struct{} // Closed when Run accepts no more connections.
 	draining   atomic.Bool
 	closing    atomic.Bool
@@ -53,13 +56,14 @@
 	wg    sync.WaitGroup
 }
 
-// Listen listens on an IP number and port.
-func Listen(addr string, handler Handler) (*Server, error) {
+// Listen listens on an IP number and port. observe is told of accepts that fail and are tried again; it
+// may be nil.
+func Listen(addr string, handler Handler, observe accept.Observer) (*Server, error) {
 	listener, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers on %s: %w", addr, err)
 	}
-	return &Server{handler: handler, listener: listener.(*net.TCPListener), acceptDone: make(chan struct{}), conns: make(map[*conn]struct{})}, nil
+	return &Server{handler: handler, listener: listener.(*net.TCPListener), observe: observe, acceptDone: make(chan struct{}), conns: make(map[*conn]struct{})}, nil
 }
 
 // Addr returns the IP number and port that the server listens on.
@@ -68,8 +72,6 @@
 }
 
 const (
-	// acceptRetryDelay is the pause after a failed accept, for instance when file descriptors run out.
-	acceptRetryDelay = 20 * time.Millisecond
 	// On shutdown, connections in the listener's backlog are accepted until it has been empty for
 	// backlogIdleTime, for at most backlogTimeout: closing the listener resets those left in it.
 	backlogIdleTime = 20 * time.Millisecond
@@ -79,19 +81,18 @@
 // Run accepts connections until Shutdown, and then those in the listener's backlog.
 func (s *Server) Run() error {
 	defer close(s.acceptDone)
+	listener := accept.Retry(s.listener, s.observe)
 	var backlogDeadline time.Time // Zero until Shutdown was called.
 	for {
 		waitStart := time.Now()
-		c, err := s.listener.Accept()
+		c, err := listener.Accept()
 		switch {
 		case err == nil:
 			s.serve(c)
 		case errors.Is(err, net.ErrClosed):
 			return nil
-		case !s.closing.Load():
-			// Out of file descriptors, or the caller disconnected before the accept: both are transient.
-			time.Sleep(acceptRetryDelay)
-			continue
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return fmt.Errorf("accept callers on %s: %w", s.Addr(), err)
 		case !backlogDeadline.IsZero() && time.Since(waitStart) >= backlogIdleTime:
 			return nil // The backlog was empty for that long.
 		}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,6 +18,7 @@
 	"github.com/damaskcove/damaskcove/client"
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/accept"
 	"github.com/damaskcove/damaskcove/internal/exchange"
 	"github.com/damaskcove/damaskcove/internal/tracing"
 )
@@ -109,7 +110,7 @@
 
 // Run serves callers until Shutdown.
 func (s *Server) Run() error {
-	err := s.app.Listener(s.listener)
+	err := s.app.Listener(accept.Retry(s.listener, accept.NewFailures(s.cfg.Log).Observe))
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("serve callers on %q: %w", s.cfg.Listen, err)
 	}
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -10,7 +10,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -256,3 +258,51 @@
 		t.Error("the request still runs after its caller closed the connection")
 	}
 }
+
+// failingListener fails its first accepts like the listener of a process without free descriptors.
+type failingListener struct {
+	net.Listener
+	failures int // Used by Accept alone.
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+func TestFailedAcceptDoesNotEndTheServer(t *testing.T) {
+	s, err := New(Config{
+		Listen: "127.0.0.1:0", MaxBodyBytes: 100,
+		Tracer: noop.NewTracerProvider().Tracer("test"), Log: slog.New(slog.DiscardHandler),
+		WrapListener: func(l net.Listener) net.Listener { return &failingListener{Listener: l, failures: 3} },
+	}, &fakeBackend{router: NewRouter(testConfig())})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run() }()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		resp, err := http.Get("http://" + s.Addr() + client.DiscoverPath + "?service=stock")
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_ = resp.Body.Close()
+	}()
+	select {
+	case err := <-ended:
+		t.Fatalf("the server ended: %v", err)
+	case <-answered:
+	}
+	if err := s.Shutdown(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/internal/accept"
 	"github.com/damaskcove/damaskcove/platform"
 )
 
@@ -22,6 +23,7 @@
 type auxServer struct {
 	listener net.Listener
 	server   *fasthttp.Server
+	observe  accept.Observer // Nil for none.
 }
 
 func listenAux(addr string, handler fasthttp.RequestHandler) (*auxServer, error) {
@@ -40,7 +42,7 @@
 }
 
 func (s *auxServer) run() error {
-	if err := s.server.Serve(s.listener); err != nil && !errors.Is(err, net.ErrClosed) {
+	if err := s.server.Serve(accept.Retry(s.listener, s.observe)); err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("serve on %s: %w", s.listener.Addr(), err)
 	}
 	return nil
@@ -101,6 +103,7 @@
 		"upstream_strays":    counts.MismatchedAnswers,
 		"streams_broken":     counts.BrokenStreams,
 		"log_lines_dropped":  g.logs.dropped.Load(),
+		"accept_failures":    g.acceptFailures.Count(),
 		"caller_connections": int64(g.server.Connections()),
 		"requests_in_flight": g.server.InFlight(),
 		"instances_alive":    int64(len(g.control.snapshot.Load().alive)),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/internal/accept"
 	"github.com/damaskcove/damaskcove/internal/callers"
 	"github.com/damaskcove/damaskcove/internal/forward"
 	"github.com/damaskcove/damaskcove/platform"
@@ -31,6 +32,7 @@
 	metrics          *metrics
 	server           *callers.Server
 	auxServers       []*auxServer
+	acceptFailures   *accept.Failures
 	socket           *peerSocket
 	record           memberRecord
 	reassembler      reassembler // Owned by the goroutine that receives datagrams.
@@ -64,8 +66,9 @@
 	g.store = platform.NewStore(s.Store.Address)
 	g.control = newControl(s, g.log, g.socket)
 	g.forwarder = forward.New(g.control)
+	g.acceptFailures = accept.NewFailures(g.log)
 	h := &handler{control: g.control, forwarder: g.forwarder, metrics: g.metrics, log: g.log, logAll: func() bool { return g.current().Log.Requests == LogAll }}
-	if g.server, err = callers.Listen(s.Listen.Callers, h); err != nil {
+	if g.server, err = callers.Listen(s.Listen.Callers, h, g.acceptFailures.Observe); err != nil {
 		return err
 	}
 	g.control.dropIdle = g.forwarder.CloseIdleConnections
@@ -96,6 +99,7 @@
 		if err != nil {
 			return err
 		}
+		aux.observe = g.acceptFailures.Observe
 		g.auxServers = append(g.auxServers, aux)
 	}
 	return nil
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/damaskcove/damaskcove/coord/broker"
 	"github.com/damaskcove/damaskcove/coord/dispatch"
+	"github.com/damaskcove/damaskcove/internal/accept"
 	"github.com/damaskcove/damaskcove/platform"
 )
 
@@ -98,14 +100,18 @@
 // returns.
 func (p *peerSocket) receive(handle func(data []byte)) {
 	buffer := make([]byte, maxDatagramBytes+1)
+	var backoff accept.Backoff
 	for {
 		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err == nil {
-			handle(buffer[:n])
+		if err != nil {
+			time.Sleep(backoff.Next())
+			continue
 		}
+		backoff.Reset()
+		handle(buffer[:n])
 	}
 }
 
