Callers leave descriptors for upstreams and readiness checks

Cause: nothing bounded the connections of callers. They took all descriptors, so that no connection could be opened to an upstream, and none of the readiness check or of discovery be accepted.

Change: coord/admission decides which connections of callers stay open. One with a request counts two descriptors, its own and that of the connection to an upstream, an idle one counts one; a new connection counts two until 0.3 s have passed without a request. Together with the other connections they stay within seven eighths of RLIMIT_NOFILE or instance.max_fds, whichever is smaller. Beyond that the longest idle connections are closed, with the same care as at the idle timeout: a request that has arrived is answered first. If all have requests, new connections wait in the backlog, and answers ask callers to close.

Metrics: descriptors_counted, descriptors_limit, callers_retired; a log line every 2 s while connections are closed.

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -57,10 +57,17 @@
 
 func serve(t *testing.T, e *echoHandler) *Server {
 	t.Helper()
-	s, err := Listen("127.0.0.1:0", e, nil)
+	s, err := Listen("127.0.0.1:0", e, Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
+	run(t, s)
+	return s
+}
+
+// run runs a server until the end of the test.
+func run(t *testing.T, s *Server) {
+	t.Helper()
 	done := make(chan error, 1)
 	go func() { done <- s.Run() }()
 	t.Cleanup(func() {
@@ -71,7 +78,6 @@
 			t.Error(err)
 		}
 	})
-	return s
 }
 
 func dial(t *testing.T, s *Server) (net.Conn, *bufio.Reader) {
@@ -399,3 +405,68 @@
 		}
 	}
 }
+
+// Callers took all descriptors, and none was left for readiness checks and upstreams.
+func TestCallersLeaveDescriptorsForUpstreams(t *testing.T) {
+	const descriptors = 80 // Of which 70 are for callers and upstreams.
+	e := newEchoHandler()
+	e.started = make(chan string, 4*descriptors)
+	s, err := Listen("127.0.0.1:0", e, Options{Descriptors: descriptors})
+	if err != nil {
+		t.Fatal(err)
+	}
+	run(t, s)
+	busy, busyReader := dial(t, s)
+	send(t, busy, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	receive(t, "the start of the request", e.started)
+	var readers []*bufio.Reader
+	for range 3 * descriptors {
+		c, br := dial(t, s)
+		send(t, c, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+		if status, _ := readAnswer(t, br); status != 200 {
+			t.Fatalf("status %d", status)
+		}
+		readers = append(readers, br)
+		if counted, limit := s.Descriptors(); counted > limit {
+			t.Fatalf("%d descriptors, limit %d", counted, limit)
+		}
+	}
+	if _, err := readers[0].ReadByte(); err != io.EOF {
+		t.Errorf("the connection that is idle for longest: %v", err)
+	}
+	close(e.release)
+	if status, _ := readAnswer(t, busyReader); status != 200 {
+		t.Errorf("the request in flight: status %d", status)
+	}
+	if got := s.Retired(); got < 2*descriptors {
+		t.Errorf("%d connections closed", got)
+	}
+}
+
+// New callers wait while all connections have requests.
+func TestBusyConnectionsAreNotClosedForOthers(t *testing.T) {
+	e := newEchoHandler()
+	s, err := Listen("127.0.0.1:0", e, Options{Descriptors: 16}) // Seven callers with requests.
+	if err != nil {
+		t.Fatal(err)
+	}
+	run(t, s)
+	var readers []*bufio.Reader
+	for range 12 {
+		c, br := dial(t, s)
+		send(t, c, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+		readers = append(readers, br)
+	}
+	for range 7 {
+		receive(t, "the start of a request", e.started)
+	}
+	if counted, limit := s.Descriptors(); counted > limit {
+		t.Errorf("%d descriptors, limit %d", counted, limit)
+	}
+	close(e.release)
+	for i, br := range readers {
+		if status, _ := readAnswer(t, br); status != 200 {
+			t.Errorf("caller %d: status %d", i, status)
+		}
+	}
+}
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/coord/admission"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/internal/sockpeek"
 )
@@ -25,8 +26,8 @@
 	bodyTimeout = 10 * time.Second
 	// writeTimeout bounds the time to write an answer to a caller that does not read.
 	writeTimeout = 10 * time.Second
-	// firstRequestTimeout is how long after accepting a connection the server waits for its first
-	// request during a shutdown: a few round trips.
+	// firstRequestTimeout is how long after accepting a connection its first request is expected: a few
+	// round trips. The server waits so long during a shutdown, and before it takes the connection for idle.
 	firstRequestTimeout = 300 * time.Millisecond
 	// lingerTimeout bounds the time that data from the caller is discarded before a close. Closing
 	// with unread data would reset the connection before the caller has read its answer.
@@ -38,6 +39,7 @@
 // conn is a caller's connection.
 type conn struct {
 	server *Server
+	entry  *admission.Connection[*conn]
 	nc     net.Conn
 	br     *bufio.Reader
 	bw     *bufio.Writer
@@ -45,20 +47,23 @@
 	acceptedAt     time.Time
 	idleTimeout    time.Duration // Longest idle timeout that applied since the connection was accepted.
 	served         bool          // At least one request was answered.
+	expecting      bool          // The first request is expected within firstRequestTimeout.
 	lastAnswerSent bool          // The server has answered and closes the connection first.
 
 	mu        sync.Mutex
 	receiving bool // At least one byte of a request has arrived.
+	retired   bool // To be closed as soon as it has no request, to make room.
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	return &conn{server: s, nc: nc, acceptedAt: time.Now(), br: bufio.NewReaderSize(nc, readBufferBytes), bw: bufio.NewWriterSize(nc, readBufferBytes)}
+	return &conn{server: s, nc: nc, acceptedAt: time.Now(), expecting: true, br: bufio.NewReaderSize(nc, readBufferBytes), bw: bufio.NewWriterSize(nc, readBufferBytes)}
 }
 
 func (c *conn) run() {
 	defer func() { _ = c.nc.Close() }()
 	for c.serveNext() {
 		c.served = true
+		c.server.setIdle(c)
 	}
 	if c.lastAnswerSent {
 		c.linger()
@@ -103,11 +108,17 @@
 		c.receiving = err == nil
 		c.mu.Unlock()
 		if err == nil {
+			c.expecting = false
+			c.server.setBusy(c)
 			return true
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
 		}
+		if c.expecting && time.Since(c.acceptedAt) >= firstRequestTimeout {
+			c.expecting = false
+			c.server.setIdle(c)
+		}
 	}
 	// The connection is closed without reading on. A request that arrives during the close gets a
 	// reset, which shows its caller that it was not read; discarding it would lose the request.
@@ -125,6 +136,8 @@
 	now := time.Now()
 	until := since.Add(c.idleTimeout)
 	switch {
+	case c.retired:
+		until = now
 	case !c.server.closing.Load():
 	case c.served:
 		until = now
@@ -137,6 +150,9 @@
 		}
 		until = now.Add(limits.HeadTimeout)
 	}
+	if first := c.acceptedAt.Add(firstRequestTimeout); c.expecting && now.Before(first) && first.Before(until) {
+		until = first
+	}
 	_ = c.nc.SetReadDeadline(until)
 	return true
 }
@@ -150,6 +166,12 @@
 	}
 }
 
+func (c *conn) isRetired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired
+}
+
 // growBuffer replaces the read buffer by one of headBytes and reports whether it was smaller.
 func (c *conn) growBuffer(headBytes int) bool {
 	if c.br.Size() >= headBytes {
@@ -229,7 +251,7 @@
 
 // write writes an answer and reports whether the connection stays open.
 func (c *conn) write(resp *fasthttp.Response, closeAfter bool) bool {
-	closeAfter = closeAfter || c.server.draining.Load()
+	closeAfter = closeAfter || c.server.draining.Load() || c.server.crowded.Load() || c.isRetired()
 	if closeAfter {
 		resp.SetConnectionClose()
 	}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/coord/admission"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/internal/accept"
 )
@@ -45,25 +46,46 @@
 type Server struct {
 	handler    Handler
 	listener   *net.TCPListener
-	observe    accept.Observer
+	options    Options
 	acceptDone chan struct{} // Closed when Run accepts no more connections.
 	draining   atomic.Bool
 	closing    atomic.Bool
 	inFlight   atomic.Int64
 
+	crowded atomic.Bool   // No more connections are accepted, as all open ones have requests.
+	retired atomic.Int64  // Idle connections closed to make room.
+	closed  chan struct{} // Signalled when a connection was closed.
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	table *admission.Connections[*conn]
 	wg    sync.WaitGroup
 }
 
-// Listen listens on an IP number and port. observe is told of accepts that fail and are tried again; it
-// may be nil.
-func Listen(addr string, handler Handler, observe accept.Observer) (*Server, error) {
+// Options configure a Server. The zero value sets no limits.
+type Options struct {
+	ObserveAccept accept.Observer      // Told of accepts that fail and are tried again.
+	Descriptors   int                  // File descriptors that the process may have open; 0: no limit.
+	Use           func() admission.Use // Counts the other connections of the process.
+}
+
+// Listen listens on an IP number and port.
+func Listen(addr string, handler Handler, options Options) (*Server, error) {
 	listener, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers on %s: %w", addr, err)
 	}
-	return &Server{handler: handler, listener: listener.(*net.TCPListener), observe: observe, acceptDone: make(chan struct{}), conns: make(map[*conn]struct{})}, nil
+	return &Server{
+		handler: handler, listener: listener.(*net.TCPListener), options: options, acceptDone: make(chan struct{}),
+		conns: make(map[*conn]struct{}), table: admission.NewConnections[*conn](options.Descriptors), closed: make(chan struct{}, 1),
+	}, nil
+}
+
+func (s *Server) use() admission.Use {
+	if s.options.Use == nil {
+		return admission.Use{}
+	}
+	return s.options.Use()
 }
 
 // Addr returns the IP number and port that the server listens on.
@@ -81,9 +103,10 @@
 // Run accepts connections until Shutdown, and then those in the listener's backlog.
 func (s *Server) Run() error {
 	defer close(s.acceptDone)
-	listener := accept.Retry(s.listener, s.observe)
+	listener := accept.Retry(s.listener, s.options.ObserveAccept)
 	var backlogDeadline time.Time // Zero until Shutdown was called.
 	for {
+		s.awaitRoom()
 		waitStart := time.Now()
 		c, err := listener.Accept()
 		switch {
@@ -113,6 +136,7 @@
 	c := newConn(s, nc)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
+	c.entry = s.table.Open(c)
 	s.wg.Add(1)
 	s.mu.Unlock()
 	go func() {
@@ -120,7 +144,12 @@
 		c.run()
 		s.mu.Lock()
 		delete(s.conns, c)
+		s.table.Close(c.entry)
 		s.mu.Unlock()
+		select {
+		case s.closed <- struct{}{}:
+		default:
+		}
 	}()
 }
 
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -48,6 +48,11 @@
 	return nil
 }
 
+// connections returns the number of open connections.
+func (s *auxServer) connections() int {
+	return int(max(s.server.GetOpenConnectionsCount(), 0)) // It is -1 before run.
+}
+
 func (s *auxServer) close() error {
 	return s.listener.Close()
 }
@@ -104,6 +109,7 @@
 		"streams_broken":     counts.BrokenStreams,
 		"log_lines_dropped":  g.logs.dropped.Load(),
 		"accept_failures":    g.acceptFailures.Count(),
+		"callers_retired":    g.server.Retired(),
 		"caller_connections": int64(g.server.Connections()),
 		"requests_in_flight": g.server.InFlight(),
 		"instances_alive":    int64(len(g.control.snapshot.Load().alive)),
@@ -114,6 +120,8 @@
 		"broker_silent":      g.control.brokerTimeouts.Load(),
 		"follows_store":      boolGauge(g.control.shouldFollow.Load()),
 	}
+	counted, limit := g.server.Descriptors()
+	gauges["descriptors_counted"], gauges["descriptors_limit"] = int64(counted), int64(limit)
 	for kind, n := range g.store.Calls() {
 		gauges["store_calls_"+kind.String()] = n
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,9 @@
 	g.forwarder = forward.New(g.control)
 	g.acceptFailures = accept.NewFailures(g.log)
 	h := &handler{control: g.control, forwarder: g.forwarder, metrics: g.metrics, log: g.log, logAll: func() bool { return g.current().Log.Requests == LogAll }}
-	if g.server, err = callers.Listen(s.Listen.Callers, h, g.acceptFailures.Observe); err != nil {
+	if g.server, err = callers.Listen(s.Listen.Callers, h, callers.Options{
+		ObserveAccept: g.acceptFailures.Observe, Descriptors: descriptorLimit(s.Instance.MaxFDs), Use: g.otherConnections,
+	}); err != nil {
 		return err
 	}
 	g.control.dropIdle = g.forwarder.CloseIdleConnections
@@ -270,12 +272,15 @@
 	return min(p.ApplyWithin, p.DrainWithin) / batchDelayDivisor
 }
 
-// sweepInterval is how often idle connections to upstreams are checked.
+// sweepInterval is how often idle connections to upstreams are checked, and connections closed to make
+// room are logged.
 const sweepInterval = 2 * time.Second
 
 func (g *Gateway) sweep(ctx context.Context) {
+	var retired int64
 	for ctx.Err() == nil {
 		sleep(ctx, sweepInterval)
 		g.forwarder.Sweep(time.Now())
+		retired = g.logRoom(retired)
 	}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -27,6 +27,7 @@
 	Zone     string  `toml:"zone"`
 	Region   string  `toml:"region"`
 	LinkMbps float64 `toml:"link_mbps"` // Bandwidth of the machine's own link in Mbit/s; 0 if unknown.
+	MaxFDs   int     `toml:"max_fds"`   // File descriptors that the process may open; 0: the system's limit alone.
 
 	FirstStart bool `toml:"first_start"` // The whole fleet starts for the first time.
 }
@@ -143,6 +144,9 @@
 	if s.Instance.LinkMbps < 0 {
 		c.Add("instance.link_mbps", tomlfile.FormatValue(s.Instance.LinkMbps), "must not be negative")
 	}
+	if s.Instance.MaxFDs != 0 && s.Instance.MaxFDs < minFDs {
+		c.Add("instance.max_fds", tomlfile.FormatValue(s.Instance.MaxFDs), "must be 0 or at least %d", minFDs)
+	}
 	if s.Place.FloorShare < 0 || s.Place.FloorShare > 1 {
 		c.Add("place.floor_share", tomlfile.FormatValue(s.Place.FloorShare), "must be from 0 to 1")
 	}
@@ -160,6 +164,9 @@
 	}
 }
 
+// minFDs leaves descriptors for some callers beside the instance's own sockets.
+const minFDs = 64
+
 const (
 	minDuration = 10 * time.Millisecond
 	maxDuration = time.Hour
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,6 +46,15 @@
 	br      *bufio.Reader
 	bw      *bufio.Writer
 	watched chan struct{} // Closed when WatchIdle's goroutine has ended; nil if there is none.
+	closed  atomic.Bool
+}
+
+// open counts the open connections of the process.
+var open atomic.Int64
+
+// Open returns the number of open connections that the process has made.
+func Open() int {
+	return int(open.Load())
 }
 
 // Dial connects to an IP number and port. The connection is closed when sent bytes stay
@@ -70,6 +80,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
+	open.Add(1)
 	limiter := &readLimiter{Conn: conn}
 	return &Conn{
 		conn:    conn,
@@ -159,5 +170,8 @@
 
 // Close closes the connection and aborts a running Send or Receive.
 func (c *Conn) Close() error {
+	if !c.closed.Swap(true) {
+		open.Add(-1)
+	}
 	return c.conn.Close()
 }
