The bodies of requests in service take bounded memory

Cause: a request went back to the pool of requests with the buffer of its body, whatever its size, both of the caller's request and of the copy that each attempt made. Small requests then used these objects and kept their buffers, and the next large one grew the buffer of another object. Nothing bounded the bytes of bodies in service either.

Change: a body is read into segments of its own, at most 1 MB each, that all attempts share and none modifies; it is not pooled. Its bytes count towards a budget until the caller's request and the last attempt have ended: an attempt of a request that is not idempotent may outlast its caller. The budget is a third of instance.memory_mb (256 is assumed if unknown). coord/admission decides: an announced length is reserved before the body is read, a chunked body as it grows. What does not fit is rejected at once with 503, code 1022 and Retry-After. Bodies that have been arriving for over 2 s yield to others, so that slow senders do not keep them out for longer. Bodies over 64 KB leave an eighth of the budget to small ones. Chunks are decoded by net/http's strict reader, which bounds extensions too.

Metrics: bodies_bytes, bodies_peak_bytes, bodies_limit_bytes, bodies_refused, bodies_yielded.

--- a/coord/result/codes.go
+++ b/coord/result/codes.go
@@ -22,6 +22,7 @@
 	CodeStopping           Code = 1019
 	CodeNotReady           Code = 1020
 	CodeRelayFailed        Code = 1021
+	CodeBodiesFull         Code = 1022
 	CodeTicketMalformed    Code = 1100
 	CodeTicketForged       Code = 1101
 	CodeTicketExpired      Code = 1102
@@ -83,6 +84,7 @@
 	{CodeStopping, "stopping", 503, NotRun, "The instance is stopping and took no new work."},
 	{CodeNotReady, "not-ready", 503, NotRun, "The instance has no configuration yet."},
 	{CodeRelayFailed, "relay-failed", 502, Unknown, "The instance that the request was passed to did not answer."},
+	{CodeBodiesFull, "bodies-full", 503, NotRun, "The instance has no memory left for the request's body."},
 	{CodeTicketMalformed, "ticket-malformed", 400, Unknown, "The Idempotency-Key does not hold a ticket; this attempt did not run."},
 	{CodeTicketForged, "ticket-forged", 403, Unknown, "The ticket's authentication code is wrong or of a retired key; this attempt did not run."},
 	{CodeTicketExpired, "ticket-expired", 409, Unknown, "The ticket has expired; an earlier attempt may have run."},
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -52,7 +52,7 @@
 		case <-e.release:
 		}
 	}
-	resp.SetBodyString(path + " " + string(r.HTTP.Body()))
+	resp.SetBodyString(path + " " + r.Body.String())
 }
 
 func serve(t *testing.T, e *echoHandler) *Server {
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http/httputil"
 	"os"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 
 	"github.com/damaskcove/damaskcove/coord/admission"
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/body"
 	"github.com/damaskcove/damaskcove/internal/sockpeek"
 )
 
@@ -93,10 +95,12 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	if !c.readRequest(req, limits) {
+	payload, ok := c.readRequest(req, limits)
+	if !ok {
 		return false
 	}
-	return c.serveRequest(Request{HTTP: req, Arrived: time.Now()}, resp)
+	defer payload.Release()
+	return c.serveRequest(Request{HTTP: req, Body: payload, Arrived: time.Now()}, resp)
 }
 
 // awaitRequest waits for the first byte of a request and reports whether it arrived.
@@ -197,27 +201,24 @@
 }
 
 // readRequest reads a request whose head is buffered and reports whether it is complete.
-func (c *conn) readRequest(req *fasthttp.Request, limits Limits) bool {
+func (c *conn) readRequest(req *fasthttp.Request, limits Limits) (*body.Body, bool) {
 	if err := req.Header.Read(c.br); err != nil {
 		c.reject(result.CodeMalformedRequest, err.Error())
-		return false
+		return nil, false
 	}
 	if req.Header.ContentLength() > limits.BodyBytes {
-		c.reject(result.CodeBodyTooLarge, "the body is over its bound")
-		return false
+		c.reject(result.CodeBodyTooLarge, body.ErrTooLarge.Error())
+		return nil, false
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if req.MayContinue() {
-		if _, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return false
-		}
-	}
-	err := req.ContinueReadBody(c.br, max(limits.BodyBytes, 1), false)
+	payload, err := c.readBody(req, max(limits.BodyBytes, 1))
 	switch {
 	case err == nil:
-		return true
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		c.reject(result.CodeBodyTooLarge, "the body is over its bound")
+		return payload, true
+	case errors.Is(err, body.ErrNoRoom):
+		c.reject(result.CodeBodiesFull, err.Error())
+	case errors.Is(err, body.ErrTooLarge):
+		c.reject(result.CodeBodyTooLarge, err.Error())
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.reject(result.CodeRequestTimedOut, "the body did not arrive in time")
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
@@ -225,7 +226,55 @@
 	default:
 		c.reject(result.CodeMalformedRequest, err.Error())
 	}
-	return false
+	return nil, false
+}
+
+// readBody reads the body of a request, of at most limit bytes, as its head announces it.
+func (c *conn) readBody(req *fasthttp.Request, limit int) (*body.Body, error) {
+	size := req.Header.ContentLength() // Negative: chunked, or no body.
+	chunked := size == chunkedLength
+	if size <= 0 && !chunked {
+		return nil, nil
+	}
+	reader := &bodyReader{conn: c, r: c.br, expect: req.MayContinue()}
+	if chunked {
+		reader.r = httputil.NewChunkedReader(c.br)
+	}
+	payload, err := c.server.options.Bodies.Read(reader, size, limit, c.interruptBody)
+	if err != nil || !chunked {
+		return payload, err
+	}
+	if err := req.Header.ReadTrailer(c.br); err != nil && err != io.EOF {
+		payload.Release()
+		return nil, err
+	}
+	req.Header.SetContentLength(payload.Size())
+	return payload, nil
+}
+
+// chunkedLength is the length that fasthttp gives for a chunked body.
+const chunkedLength = -1
+
+// bodyReader asks for the body before its first read if the caller waits for that.
+type bodyReader struct {
+	conn   *conn
+	r      io.Reader
+	expect bool
+}
+
+func (r *bodyReader) Read(p []byte) (int, error) {
+	if r.expect {
+		r.expect = false
+		if _, err := r.conn.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return 0, net.ErrClosed
+		}
+	}
+	return r.r.Read(p)
+}
+
+// interruptBody ends the receiving of a body.
+func (c *conn) interruptBody() {
+	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
 }
 
 // serveRequest passes a request to the handler, writes the answer, and reports whether the connection
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -15,6 +15,7 @@
 	"github.com/damaskcove/damaskcove/coord/admission"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/internal/accept"
+	"github.com/damaskcove/damaskcove/internal/body"
 )
 
 // Limits bound what a caller may send.
@@ -27,7 +28,8 @@
 
 // Request is a caller's request.
 type Request struct {
-	HTTP    *fasthttp.Request // Valid until the handler returns.
+	HTTP    *fasthttp.Request // Head of the request. Valid until the handler returns.
+	Body    *body.Body        // Counted until the handler returns, unless it retains the body.
 	Arrived time.Time         // When the request was read completely.
 }
 
@@ -67,6 +69,7 @@
 	ObserveAccept accept.Observer      // Told of accepts that fail and are tried again.
 	Descriptors   int                  // File descriptors that the process may have open; 0: no limit.
 	Use           func() admission.Use // Counts the other connections of the process.
+	Bodies        *body.Budget         // Bounds the bytes of bodies in service; nil: no limit.
 }
 
 // Listen listens on an IP number and port.
@@ -75,6 +78,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers on %s: %w", addr, err)
 	}
+	if options.Bodies == nil {
+		options.Bodies = body.NewBudget(0)
+	}
 	return &Server{
 		handler: handler, listener: listener.(*net.TCPListener), options: options, acceptDone: make(chan struct{}),
 		conns: make(map[*conn]struct{}), table: admission.NewConnections[*conn](options.Descriptors), closed: make(chan struct{}, 1),
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -107,7 +107,7 @@
 func (f *Forwarder) roundTrip(r *request, req *fasthttp.Request, a *attempt, conn *httpconn.Conn) {
 	prepareHeader(&req.Header)
 	platform.SetUpstreamHeaders(&req.Header, time.Until(r.deadline), a.grant.Endpoint.Name)
-	sent, err := conn.Send(req, r.deadline)
+	sent, err := conn.SendBody(&req.Header, r.Body.Segments(), r.deadline)
 	if !sent {
 		a.outcome, a.err = outcomeNotSent, err
 		return
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/damaskcove/damaskcove/coord/dispatch"
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/body"
 	"github.com/damaskcove/damaskcove/platform"
 )
 
@@ -41,7 +42,8 @@
 	ID       string // Request ID that the caller sent.
 	Route    platform.Route
 	Service  string
-	HTTP     *fasthttp.Request
+	HTTP     *fasthttp.Request // Head of the request.
+	Body     *body.Body
 	Arrived  time.Time
 	Deadline time.Time // The earlier of the caller's deadline and the route's timeout.
 }
@@ -196,9 +198,11 @@
 	r.sent++
 	r.running++
 	req := fasthttp.AcquireRequest()
-	r.HTTP.CopyTo(req)
+	r.HTTP.Header.CopyTo(&req.Header)
+	r.Body.Retain() // The attempt of a request that is not idempotent may outlast its caller.
 	go func() {
 		defer fasthttp.ReleaseRequest(req)
+		defer r.Body.Release()
 		a := f.runAttempt(ctx, r, req, grant)
 		r.completed <- a
 		if a.stream != nil {
@@ -207,7 +211,7 @@
 	}()
 }
 
-// runAttempt sends a copy of the request to the granted endpoint and records the result with the
+// runAttempt sends the request, with a header of its own, to the granted endpoint and records the result with the
 // dispatcher. For a streamed answer, finishStream records it.
 func (f *Forwarder) runAttempt(ctx context.Context, r *request, req *fasthttp.Request, grant dispatch.Grant) *attempt {
 	a := &attempt{grant: grant, started: time.Now()}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/damaskcove/damaskcove/coord/dispatch"
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/body"
 	"github.com/damaskcove/damaskcove/platform"
 )
 
@@ -160,7 +161,6 @@
 	req.Header.SetHost("h.example")
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Connection", "keep-alive, X-Hop")
-	req.SetBodyString("body")
 	if c.http10 {
 		req.Header.SetProtocol("HTTP/1.0")
 	}
@@ -171,7 +171,7 @@
 	}
 	var resp fasthttp.Response
 	report := f.Serve(t.Context(), Request{
-		ID: id, Service: "s", HTTP: &req, Arrived: now, Deadline: now.Add(timeout),
+		ID: id, Service: "s", HTTP: &req, Body: body.New([]byte("body")), Arrived: now, Deadline: now.Add(timeout),
 		Route: platform.Route{Idempotent: c.idempotent, MaxAttempts: c.maxAttempts, Objective: testTimeout},
 	}, &resp)
 	return &resp, report
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -120,6 +120,9 @@
 		"broker_silent":      g.control.brokerTimeouts.Load(),
 		"follows_store":      boolGauge(g.control.shouldFollow.Load()),
 	}
+	bodies := g.bodies.Counts()
+	gauges["bodies_bytes"], gauges["bodies_peak_bytes"], gauges["bodies_limit_bytes"] = bodies.Reserved, bodies.Peak, bodies.Limit
+	gauges["bodies_refused"], gauges["bodies_yielded"] = bodies.Refused, bodies.Yielded
 	counted, limit := g.server.Descriptors()
 	gauges["descriptors_counted"], gauges["descriptors_limit"] = int64(counted), int64(limit)
 	for kind, n := range g.store.Calls() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskcove/damaskcove/internal/accept"
+	"github.com/damaskcove/damaskcove/internal/body"
 	"github.com/damaskcove/damaskcove/internal/callers"
 	"github.com/damaskcove/damaskcove/internal/forward"
 	"github.com/damaskcove/damaskcove/platform"
@@ -33,6 +34,7 @@
 	server           *callers.Server
 	auxServers       []*auxServer
 	acceptFailures   *accept.Failures
+	bodies           *body.Budget
 	socket           *peerSocket
 	record           memberRecord
 	reassembler      reassembler // Owned by the goroutine that receives datagrams.
@@ -66,10 +68,11 @@
 	g.store = platform.NewStore(s.Store.Address)
 	g.control = newControl(s, g.log, g.socket)
 	g.forwarder = forward.New(g.control)
+	g.bodies = body.NewBudget(bodyBudget(s.Instance.MemoryMB))
 	g.acceptFailures = accept.NewFailures(g.log)
 	h := &handler{control: g.control, forwarder: g.forwarder, metrics: g.metrics, log: g.log, logAll: func() bool { return g.current().Log.Requests == LogAll }}
 	if g.server, err = callers.Listen(s.Listen.Callers, h, callers.Options{
-		ObserveAccept: g.acceptFailures.Observe, Descriptors: descriptorLimit(s.Instance.MaxFDs), Use: g.otherConnections,
+		ObserveAccept: g.acceptFailures.Observe, Descriptors: descriptorLimit(s.Instance.MaxFDs), Use: g.otherConnections, Bodies: g.bodies,
 	}); err != nil {
 		return err
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -29,6 +29,7 @@
 	instances []*instance
 	version   int
 
+	memoryMB    int // instance.memory_mb of the instances; 0 for none.
 	brokersFrom int // place.brokers_from of the instances; 0 for the default.
 }
 
@@ -121,6 +122,9 @@
 [log]
 requests = "all"
 `, id, zone, freeAddr(fleet.t, "tcp"), freeAddr(fleet.t, "tcp"), freeAddr(fleet.t, "tcp"), freeAddr(fleet.t, "udp"), freeAddr(fleet.t, "tcp"), fleet.store.Addr(), cmp.Or(fleet.brokersFrom, DefaultSettings().Place.BrokersFrom))
+	if fleet.memoryMB > 0 {
+		text = strings.Replace(text, "[listen]", fmt.Sprintf("memory_mb = %d\n[listen]", fleet.memoryMB), 1)
+	}
 	path := filepath.Join(fleet.t.TempDir(), id+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		fleet.t.Fatal(err)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -20,6 +20,10 @@
 // long, as only a change of the configuration helps.
 const unsupportedRouteRetryAfter = 2 * time.Second
 
+// bodiesFullRetryAfter is the Retry-After while there is no room for a request's body: others are answered
+// meanwhile.
+const bodiesFullRetryAfter = 300 * time.Millisecond
+
 // handler serves callers' requests.
 type handler struct {
 	control   *control
@@ -36,7 +40,11 @@
 
 // Reject implements callers.Handler.
 func (h *handler) Reject(code result.Code, detail string, resp *fasthttp.Response) {
-	forward.Reject(resp, "", code, detail, 0)
+	var retryAfter time.Duration
+	if code == result.CodeBodiesFull {
+		retryAfter = bodiesFullRetryAfter
+	}
+	forward.Reject(resp, "", code, detail, retryAfter)
 	h.metrics.recordAnswer(code, 0)
 	h.log.Warn("cannot read a request; it is refused", "code", code, "detail", detail)
 }
@@ -65,7 +73,7 @@
 		return
 	}
 	in := forward.Request{
-		ID: id, Route: route, Service: pickService(route.Split), HTTP: r.HTTP, Arrived: r.Arrived,
+		ID: id, Route: route, Service: pickService(route.Split), HTTP: r.HTTP, Body: r.Body, Arrived: r.Arrived,
 		Deadline: r.Arrived.Add(route.Timeout),
 	}
 	if left, ok := platform.TimeLeft(&r.HTTP.Header); ok && left < route.Timeout {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"math"
 	"syscall"
 
@@ -21,6 +22,21 @@
 	return min(setting, int(system.Cur))
 }
 
+const (
+	// bodyShareDivisor is the share of the memory for the bodies of requests in service. Bytes that were
+	// released stay in memory until the next collection, so that bodies may take twice their share; the last
+	// third is for all else.
+	bodyShareDivisor = 3
+	// defaultMemoryMB is assumed for a machine whose memory is not known.
+	defaultMemoryMB = 256
+)
+
+// bodyBudget returns the bytes of the bodies of requests in service, for a machine's memory in MB; 0:
+// unknown.
+func bodyBudget(memoryMB int) int64 {
+	return int64(cmp.Or(memoryMB, defaultMemoryMB)) << 20 / bodyShareDivisor
+}
+
 // otherConnections counts the connections other than those of callers.
 func (g *Gateway) otherConnections() admission.Use {
 	use := admission.Use{Upstreams: httpconn.Open()}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -28,6 +28,7 @@
 	Region   string  `toml:"region"`
 	LinkMbps float64 `toml:"link_mbps"` // Bandwidth of the machine's own link in Mbit/s; 0 if unknown.
 	MaxFDs   int     `toml:"max_fds"`   // File descriptors that the process may open; 0: the system's limit alone.
+	MemoryMB int     `toml:"memory_mb"` // Memory that the process may use, in MB (2^20 bytes); 0 if unknown.
 
 	FirstStart bool `toml:"first_start"` // The whole fleet starts for the first time.
 }
@@ -147,6 +148,9 @@
 	if s.Instance.MaxFDs != 0 && s.Instance.MaxFDs < minFDs {
 		c.Add("instance.max_fds", tomlfile.FormatValue(s.Instance.MaxFDs), "must be 0 or at least %d", minFDs)
 	}
+	if s.Instance.MemoryMB < 0 {
+		c.Add("instance.memory_mb", tomlfile.FormatValue(s.Instance.MemoryMB), "must not be negative")
+	}
 	if s.Place.FloorShare < 0 || s.Place.FloorShare > 1 {
 		c.Add("place.floor_share", tomlfile.FormatValue(s.Place.FloorShare), "must be from 0 to 1")
 	}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -163,6 +163,33 @@
 	return true, nil
 }
 
+// SendBody is Send for a request whose body is in segments, which are not modified. It sets the length in
+// the header.
+func (c *Conn) SendBody(header *fasthttp.RequestHeader, body [][]byte, deadline time.Time) (sent bool, err error) {
+	if err := c.conn.SetDeadline(deadline); err != nil {
+		return false, fmt.Errorf("set the deadline of a connection: %w", err)
+	}
+	size := 0
+	for _, segment := range body {
+		size += len(segment)
+	}
+	if size > 0 || !header.IsGet() && !header.IsHead() {
+		header.SetContentLength(size)
+	}
+	if err := header.Write(c.bw); err != nil {
+		return true, fmt.Errorf("write a request: %w", err)
+	}
+	for _, segment := range body {
+		if _, err := c.bw.Write(segment); err != nil {
+			return true, fmt.Errorf("write a request: %w", err)
+		}
+	}
+	if err := c.bw.Flush(); err != nil {
+		return true, fmt.Errorf("write a request: %w", err)
+	}
+	return true, nil
+}
+
 // FullyRead reports whether no received data is left in the buffer after an answer.
 func (c *Conn) FullyRead() bool {
 	return c.br.Buffered() == 0
