--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http/httputil"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -14,7 +15,9 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/coord/admission"
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/body"
 	"github.com/damaskcove/damaskcove/internal/sockpeek"
 )
 
@@ -26,8 +29,8 @@
 	bodyTimeout = 10 * time.Second
 	// writeTimeout bounds the time to write an answer to a caller that does not read.
 	writeTimeout = 10 * time.Second
-	// firstRequestTimeout is how long after accepting a connection the server waits for its first
-	// request during a shutdown: a few round trips.
+	// firstRequestTimeout is how long after accepting a connection its first request is expected: a few
+	// round trips. The server waits so long during a shutdown, and before it takes the connection for idle.
 	firstRequestTimeout = 300 * time.Millisecond
 	// lingerTimeout bounds the time that data from the caller is discarded before a close. Closing
 	// with unread data would reset the connection before the caller has read its answer.
@@ -39,6 +42,7 @@
 // conn is a caller's connection.
 type conn struct {
 	server *Server
+	entry  *admission.Connection[*conn]
 	nc     net.Conn
 	br     *bufio.Reader
 	bw     *bufio.Writer
@@ -46,22 +50,25 @@
 	acceptedAt     time.Time
 	idleTimeout    time.Duration // Longest idle timeout that applied since the connection was accepted.
 	served         bool          // At least one request was answered.
+	expecting      bool          // The first request is expected within firstRequestTimeout.
 	lastAnswerSent bool          // The server has answered and closes the connection first.
 
 	inService atomic.Pointer[InService] // The request that is being served; nil if there is none.
 
 	mu        sync.Mutex
 	receiving bool // At least one byte of a request has arrived.
+	retired   bool // To be closed as soon as it has no request, to make room.
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	return &conn{server: s, nc: nc, acceptedAt: time.Now(), br: bufio.NewReaderSize(nc, readBufferBytes), bw: bufio.NewWriterSize(nc, readBufferBytes)}
+	return &conn{server: s, nc: nc, acceptedAt: time.Now(), expecting: true, br: bufio.NewReaderSize(nc, readBufferBytes), bw: bufio.NewWriterSize(nc, readBufferBytes)}
 }
 
 func (c *conn) run() {
 	defer func() { _ = c.nc.Close() }()
 	for c.serveNext() {
 		c.served = true
+		c.server.setIdle(c)
 	}
 	if c.lastAnswerSent {
 		c.linger()
@@ -91,10 +98,12 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	if !c.readRequest(req, limits) {
+	payload, ok := c.readRequest(req, limits)
+	if !ok {
 		return false
 	}
-	return c.serveRequest(Request{HTTP: req, Arrived: time.Now(), conn: c}, resp)
+	defer payload.Release()
+	return c.serveRequest(Request{HTTP: req, Body: payload, Arrived: time.Now(), conn: c}, resp)
 }
 
 // awaitRequest waits for the first byte of a request and reports whether it arrived.
@@ -106,11 +115,17 @@
 		c.receiving = err == nil
 		c.mu.Unlock()
 		if err == nil {
+			c.expecting = false
+			c.server.setBusy(c)
 			return true
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
 		}
+		if c.expecting && time.Since(c.acceptedAt) >= firstRequestTimeout {
+			c.expecting = false
+			c.server.setIdle(c)
+		}
 	}
 	// The connection is closed without reading on. A request that arrives during the close gets a
 	// reset, which shows its caller that it was not read; discarding it would lose the request.
@@ -128,6 +143,8 @@
 	now := time.Now()
 	until := since.Add(c.idleTimeout)
 	switch {
+	case c.retired:
+		until = now
 	case !c.server.closing.Load():
 	case c.served:
 		until = now
@@ -140,6 +157,9 @@
 		}
 		until = now.Add(limits.HeadTimeout)
 	}
+	if first := c.acceptedAt.Add(firstRequestTimeout); c.expecting && now.Before(first) && first.Before(until) {
+		until = first
+	}
 	_ = c.nc.SetReadDeadline(until)
 	return true
 }
@@ -153,6 +173,12 @@
 	}
 }
 
+func (c *conn) isRetired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired
+}
+
 // growBuffer replaces the read buffer by one of headBytes and reports whether it was smaller.
 func (c *conn) growBuffer(headBytes int) bool {
 	if c.br.Size() >= headBytes {
@@ -178,27 +204,24 @@
 }
 
 // readRequest reads a request whose head is buffered and reports whether it is complete.
-func (c *conn) readRequest(req *fasthttp.Request, limits Limits) bool {
+func (c *conn) readRequest(req *fasthttp.Request, limits Limits) (*body.Body, bool) {
 	if err := req.Header.Read(c.br); err != nil {
 		c.reject(result.CodeMalformedRequest, err.Error())
-		return false
+		return nil, false
 	}
 	if req.Header.ContentLength() > limits.BodyBytes {
-		c.reject(result.CodeBodyTooLarge, "the body is over its bound")
-		return false
+		c.reject(result.CodeBodyTooLarge, body.ErrTooLarge.Error())
+		return nil, false
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if req.MayContinue() {
-		if _, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return false
-		}
-	}
-	err := req.ContinueReadBody(c.br, max(limits.BodyBytes, 1), false)
+	payload, err := c.readBody(req, max(limits.BodyBytes, 1))
 	switch {
 	case err == nil:
-		return true
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		c.reject(result.CodeBodyTooLarge, "the body is over its bound")
+		return payload, true
+	case errors.Is(err, body.ErrNoRoom):
+		c.reject(result.CodeBodiesFull, err.Error())
+	case errors.Is(err, body.ErrTooLarge):
+		c.reject(result.CodeBodyTooLarge, err.Error())
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.reject(result.CodeRequestTimedOut, "the body did not arrive in time")
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
@@ -206,7 +229,55 @@
 	default:
 		c.reject(result.CodeMalformedRequest, err.Error())
 	}
-	return false
+	return nil, false
+}
+
+// readBody reads the body of a request, of at most limit bytes, as its head announces it.
+func (c *conn) readBody(req *fasthttp.Request, limit int) (*body.Body, error) {
+	size := req.Header.ContentLength() // Negative: chunked, or no body.
+	chunked := size == chunkedLength
+	if size <= 0 && !chunked {
+		return nil, nil
+	}
+	reader := &bodyReader{conn: c, r: c.br, expect: req.MayContinue()}
+	if chunked {
+		reader.r = httputil.NewChunkedReader(c.br)
+	}
+	payload, err := c.server.options.Bodies.Read(reader, size, limit, c.interruptBody)
+	if err != nil || !chunked {
+		return payload, err
+	}
+	if err := req.Header.ReadTrailer(c.br); err != nil && err != io.EOF {
+		payload.Release()
+		return nil, err
+	}
+	req.Header.SetContentLength(payload.Size())
+	return payload, nil
+}
+
+// chunkedLength is the length that fasthttp gives for a chunked body.
+const chunkedLength = -1
+
+// bodyReader asks for the body before its first read if the caller waits for that.
+type bodyReader struct {
+	conn   *conn
+	r      io.Reader
+	expect bool
+}
+
+func (r *bodyReader) Read(p []byte) (int, error) {
+	if r.expect {
+		r.expect = false
+		if _, err := r.conn.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return 0, net.ErrClosed
+		}
+	}
+	return r.r.Read(p)
+}
+
+// interruptBody ends the receiving of a body.
+func (c *conn) interruptBody() {
+	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
 }
 
 // serveRequest passes a request to the handler, writes the answer, and reports whether the connection
@@ -234,7 +305,7 @@
 
 // write writes an answer and reports whether the connection stays open.
 func (c *conn) write(resp *fasthttp.Response, closeAfter bool) bool {
-	closeAfter = closeAfter || c.server.draining.Load()
+	closeAfter = closeAfter || c.server.draining.Load() || c.server.crowded.Load() || c.isRetired()
 	if closeAfter {
 		resp.SetConnectionClose()
 	}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,7 +13,10 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/coord/admission"
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/accept"
+	"github.com/damaskcove/damaskcove/internal/body"
 )
 
 // Limits bound what a caller may send.
@@ -25,7 +29,8 @@
 
 // Request is a caller's request.
 type Request struct {
-	HTTP    *fasthttp.Request // Valid until the handler returns.
+	HTTP    *fasthttp.Request // Head of the request. Valid until the handler returns.
+	Body    *body.Body        // Counted until the handler returns, unless it retains the body.
 	Arrived time.Time         // When the request was read completely.
 
 	conn *conn // Nil outside a Server.
@@ -60,23 +65,50 @@
 type Server struct {
 	handler    Handler
 	listener   *net.TCPListener
+	options    Options
 	acceptDone chan struct{} // Closed when Run accepts no more connections.
 	draining   atomic.Bool
 	closing    atomic.Bool
 	inFlight   atomic.Int64
 
+	crowded atomic.Bool   // No more connections are accepted, as all open ones have requests.
+	retired atomic.Int64  // Idle connections closed to make room.
+	closed  chan struct{} // Signalled when a connection was closed.
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	table *admission.Connections[*conn]
 	wg    sync.WaitGroup
 }
 
+// Options configure a Server. The zero value sets no limits.
+type Options struct {
+	ObserveAccept accept.Observer      // Told of accepts that fail and are tried again.
+	Descriptors   int                  // File descriptors that the process may have open; 0: no limit.
+	Use           func() admission.Use // Counts the other connections of the process.
+	Bodies        *body.Budget         // Bounds the bytes of bodies in service; nil: no limit.
+}
+
 // Listen listens on an IP number and port.
-func Listen(addr string, handler Handler) (*Server, error) {
+func Listen(addr string, handler Handler, options Options) (*Server, error) {
 	listener, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers on %s: %w", addr, err)
 	}
-	return &Server{handler: handler, listener: listener.(*net.TCPListener), acceptDone: make(chan struct{}), conns: make(map[*conn]struct{})}, nil
+	if options.Bodies == nil {
+		options.Bodies = body.NewBudget(0)
+	}
+	return &Server{
+		handler: handler, listener: listener.(*net.TCPListener), options: options, acceptDone: make(chan struct{}),
+		conns: make(map[*conn]struct{}), table: admission.NewConnections[*conn](options.Descriptors), closed: make(chan struct{}, 1),
+	}, nil
+}
+
+func (s *Server) use() admission.Use {
+	if s.options.Use == nil {
+		return admission.Use{}
+	}
+	return s.options.Use()
 }
 
 // Addr returns the IP number and port that the server listens on.
@@ -85,8 +117,6 @@
 }
 
 const (
-	// acceptRetryDelay is the pause after a failed accept, for instance when file descriptors run out.
-	acceptRetryDelay = 20 * time.Millisecond
 	// On shutdown, connections in the listener's backlog are accepted until it has been empty for
 	// backlogIdleTime, for at most backlogTimeout: closing the listener resets those left in it.
 	backlogIdleTime = 20 * time.Millisecond
@@ -96,19 +126,19 @@
 // Run accepts connections until Shutdown, and then those in the listener's backlog.
 func (s *Server) Run() error {
 	defer close(s.acceptDone)
+	listener := accept.Retry(s.listener, s.options.ObserveAccept)
 	var backlogDeadline time.Time // Zero until Shutdown was called.
 	for {
+		s.awaitRoom()
 		waitStart := time.Now()
-		c, err := s.listener.Accept()
+		c, err := listener.Accept()
 		switch {
 		case err == nil:
 			s.serve(c)
 		case errors.Is(err, net.ErrClosed):
 			return nil
-		case !s.closing.Load():
-			// Out of file descriptors, or the caller disconnected before the accept: both are transient.
-			time.Sleep(acceptRetryDelay)
-			continue
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return fmt.Errorf("accept callers on %s: %w", s.Addr(), err)
 		case !backlogDeadline.IsZero() && time.Since(waitStart) >= backlogIdleTime:
 			return nil // The backlog was empty for that long.
 		}
@@ -129,6 +159,7 @@
 	c := newConn(s, nc)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
+	c.entry = s.table.Open(c)
 	s.wg.Add(1)
 	s.mu.Unlock()
 	go func() {
@@ -136,7 +167,12 @@
 		c.run()
 		s.mu.Lock()
 		delete(s.conns, c)
+		s.table.Close(c.entry)
 		s.mu.Unlock()
+		select {
+		case s.closed <- struct{}{}:
+		default:
+		}
 	}()
 }
 
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/internal/accept"
 	"github.com/damaskcove/damaskcove/platform"
 )
 
@@ -22,6 +23,7 @@
 type auxServer struct {
 	listener net.Listener
 	server   *fasthttp.Server
+	observe  accept.Observer // Nil for none.
 }
 
 func listenAux(addr string, handler fasthttp.RequestHandler) (*auxServer, error) {
@@ -40,12 +42,17 @@
 }
 
 func (s *auxServer) run() error {
-	if err := s.server.Serve(s.listener); err != nil && !errors.Is(err, net.ErrClosed) {
+	if err := s.server.Serve(accept.Retry(s.listener, s.observe)); err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("serve on %s: %w", s.listener.Addr(), err)
 	}
 	return nil
 }
 
+// connections returns the number of open connections.
+func (s *auxServer) connections() int {
+	return int(max(s.server.GetOpenConnectionsCount(), 0)) // It is -1 before run.
+}
+
 func (s *auxServer) close() error {
 	return s.listener.Close()
 }
@@ -102,6 +109,8 @@
 		"streams_broken":     counts.BrokenStreams,
 		"requests_cut_off":   g.metrics.cutOff.Load(),
 		"log_lines_dropped":  g.logs.dropped.Load(),
+		"accept_failures":    g.acceptFailures.Count(),
+		"callers_retired":    g.server.Retired(),
 		"caller_connections": int64(g.server.Connections()),
 		"requests_in_flight": g.server.InFlight(),
 		"instances_alive":    int64(len(g.control.snapshot.Load().alive)),
@@ -117,6 +126,11 @@
 	if at := g.control.repliedAt.Load(); at > 0 {
 		gauges["store_reply_age_ms"] = time.Since(time.UnixMilli(at)).Milliseconds()
 	}
+	bodies := g.bodies.Counts()
+	gauges["bodies_bytes"], gauges["bodies_peak_bytes"], gauges["bodies_limit_bytes"] = bodies.Reserved, bodies.Peak, bodies.Limit
+	gauges["bodies_refused"], gauges["bodies_yielded"] = bodies.Refused, bodies.Yielded
+	counted, limit := g.server.Descriptors()
+	gauges["descriptors_counted"], gauges["descriptors_limit"] = int64(counted), int64(limit)
 	for kind, n := range g.store.Calls() {
 		gauges["store_calls_"+kind.String()] = n
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/accept"
+	"github.com/damaskcove/damaskcove/internal/body"
 	"github.com/damaskcove/damaskcove/internal/callers"
 	"github.com/damaskcove/damaskcove/internal/forward"
 	"github.com/damaskcove/damaskcove/platform"
@@ -33,6 +35,8 @@
 	handler          *handler
 	server           *callers.Server
 	auxServers       []*auxServer
+	acceptFailures   *accept.Failures
+	bodies           *body.Budget
 	socket           *peerSocket
 	record           memberRecord
 	reassembler      reassembler // Owned by the goroutine that receives datagrams.
@@ -66,8 +70,12 @@
 	g.store = platform.NewStore(s.Store.Address)
 	g.control = newControl(s, g.log, g.socket)
 	g.forwarder = forward.New(g.control)
+	g.bodies = body.NewBudget(bodyBudget(s.Instance.MemoryMB))
+	g.acceptFailures = accept.NewFailures(g.log)
 	g.handler = &handler{control: g.control, forwarder: g.forwarder, metrics: g.metrics, log: g.log, logAll: func() bool { return g.current().Log.Requests == LogAll }}
-	if g.server, err = callers.Listen(s.Listen.Callers, g.handler); err != nil {
+	if g.server, err = callers.Listen(s.Listen.Callers, g.handler, callers.Options{
+		ObserveAccept: g.acceptFailures.Observe, Descriptors: descriptorLimit(s.Instance.MaxFDs), Use: g.otherConnections, Bodies: g.bodies,
+	}); err != nil {
 		return err
 	}
 	g.control.dropIdle = g.forwarder.CloseIdleConnections
@@ -98,6 +106,7 @@
 		if err != nil {
 			return err
 		}
+		aux.observe = g.acceptFailures.Observe
 		g.auxServers = append(g.auxServers, aux)
 	}
 	return nil
@@ -268,12 +277,15 @@
 	return min(p.ApplyWithin, p.DrainWithin) / batchDelayDivisor
 }
 
-// sweepInterval is how often idle connections to upstreams are checked.
+// sweepInterval is how often idle connections to upstreams are checked, and connections closed to make
+// room are logged.
 const sweepInterval = 2 * time.Second
 
 func (g *Gateway) sweep(ctx context.Context) {
+	var retired int64
 	for ctx.Err() == nil {
 		sleep(ctx, sweepInterval)
 		g.forwarder.Sweep(time.Now())
+		retired = g.logRoom(retired)
 	}
 }
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,6 +46,15 @@
 	br      *bufio.Reader
 	bw      *bufio.Writer
 	watched chan struct{} // Closed when WatchIdle's goroutine has ended; nil if there is none.
+	closed  atomic.Bool
+}
+
+// open counts the open connections of the process.
+var open atomic.Int64
+
+// Open returns the number of open connections that the process has made.
+func Open() int {
+	return int(open.Load())
 }
 
 // Dial connects to an IP number and port. The connection is closed when sent bytes stay
@@ -70,6 +80,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
+	open.Add(1)
 	limiter := &readLimiter{Conn: conn}
 	return &Conn{
 		conn:    conn,
@@ -152,6 +163,33 @@
 	return true, nil
 }
 
+// SendBody is Send for a request whose body is in segments, which are not modified. It sets the length in
+// the header.
+func (c *Conn) SendBody(header *fasthttp.RequestHeader, body [][]byte, deadline time.Time) (sent bool, err error) {
+	if err := c.conn.SetDeadline(deadline); err != nil {
+		return false, fmt.Errorf("set the deadline of a connection: %w", err)
+	}
+	size := 0
+	for _, segment := range body {
+		size += len(segment)
+	}
+	if size > 0 || !header.IsGet() && !header.IsHead() {
+		header.SetContentLength(size)
+	}
+	if err := header.Write(c.bw); err != nil {
+		return true, fmt.Errorf("write a request: %w", err)
+	}
+	for _, segment := range body {
+		if _, err := c.bw.Write(segment); err != nil {
+			return true, fmt.Errorf("write a request: %w", err)
+		}
+	}
+	if err := c.bw.Flush(); err != nil {
+		return true, fmt.Errorf("write a request: %w", err)
+	}
+	return true, nil
+}
+
 // FullyRead reports whether no received data is left in the buffer after an answer.
 func (c *Conn) FullyRead() bool {
 	return c.br.Buffered() == 0
@@ -159,5 +197,8 @@
 
 // Close closes the connection and aborts a running Send or Receive.
 func (c *Conn) Close() error {
+	if !c.closed.Swap(true) {
+		open.Add(-1)
+	}
 	return c.conn.Close()
 }
