A reset before the last line of a chunked answer is no end

What callers saw: a 200, framed as whole, of an answer in chunks whose endpoint was reset after the last chunk's size, before the empty line that ends the answer (or its trailers). All chunks had come, so no caller got a short body by this; but the answer was not whole.

Cause: fasthttp takes any failed read of a trailer's first byte for the end of the answer. The check for it looked at io.EOF alone, and a reset is another error. With a FIN the check worked.

The check now holds for every failed read of the connection: a chunked body that needed one more read than the connection gave is incomplete.

Evidence: TestAnswerCutAtAnyByteNeverLooksComplete cuts twelve forms of an answer after every byte (of large bodies: at both edges and at every 997th), by FIN and by RST, on fresh and on kept connections, and reads what a caller would get. Before: 10 cuts of "chunks", "chunks and trailer" and "large in chunks" looked complete, all by RST within the last twelve bytes; every other cut was seen, all those within a head among them. With Body.truncated taken out (a mutant), 462 cuts look complete.

--- a/internal/httpconn/receive.go
+++ b/internal/httpconn/receive.go
@@ -32,8 +32,8 @@
 // keep a reader busy.
 type readLimiter struct {
 	net.Conn
-	left int  // Bytes that may still be read.
-	eof  bool // The peer has closed the connection.
+	left  int  // Bytes that may still be read.
+	ended bool // The peer has closed or reset the connection, or a read has failed otherwise.
 }
 
 // Read implements io.Reader.
@@ -43,7 +43,7 @@
 	}
 	n, err := l.Conn.Read(p[:min(len(p), l.left)])
 	l.left -= n
-	l.eof = l.eof || errors.Is(err, io.EOF)
+	l.ended = l.ended || err != nil
 	return n, err
 }
 
@@ -105,9 +105,9 @@
 }
 
 // truncated reports whether a body whose stream is at its end is incomplete. fasthttp takes the end of
-// the connection between two chunks for the end of the body.
+// the connection between two chunks, or before the last line, for the end of the body.
 func (b *Body) truncated() bool {
-	return b.size >= 0 && b.read < b.size || b.chunked && b.limiter.eof
+	return b.size >= 0 && b.read < b.size || b.chunked && b.limiter.ended
 }
 
 // buffer reads up to limit bytes of the body and reports whether that is all of it.
