An answer that breaks off in its head is not merged with the next one

What callers saw: a faulty endpoint repeated an earlier refusal on a kept connection, broke off in the middle of its head, and then answered the request in service there. An order that the endpoint had run was sent to a second endpoint, or its caller got a 503 (429, 421: "not run, try again") with the endpoint's signature.

Cause: a refusal that is repeated whole is told by its Request-Id and skipped. One that breaks off within the status line's reason or within a header's value goes on with the true answer's status line, as a part of that reason or value. fasthttp reads the rest as one head: the status and Not-Executed of the refusal, the id, the signature and the length of the true answer. It also lets two lengths, a length beside chunks, other transfer codings, folded lines and any status number pass.

An answer's head is now checked before it is parsed, as a caller's is: one status line of HTTP/1 with a status from 100 to 599 and none within another line, lines that end with CR LF, a name without spaces on each, and at most one length or chunks alone. What does not pass is no answer: 502 for an order, another endpoint for a lookup.

Evidence: TestRepeatedRefusalIsNoAnswer repeats six refusals up to each of their bytes before a true answer.

--- /dev/null
+++ b/internal/forward/refusal_test.go
@@ -0,0 +1,72 @@
+package forward
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// TestRepeatedRefusalIsNoAnswer guards against taking an earlier refusal, or a part of one, that comes once
+// more on a kept connection for the answer to the request in service there.
+func TestRepeatedRefusalIsNoAnswer(t *testing.T) {
+	const date = "Date: Sat, 05 Dec 2026 01:46:12 GMT\r\n"
+	for name, refusal := range map[string]string{
+		"id first":  "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: first\r\nNot-Executed: 1\r\n" + date + "Content-Length: 4\r\n\r\nbusy",
+		"id last":   "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 4\r\n" + date + "Request-Id: first\r\n\r\nbusy",
+		"no id":     "HTTP/1.1 429 Too Many Requests\r\nNot-Executed: 1\r\n" + date + "Content-Length: 4\r\n\r\nbusy",
+		"400":       "HTTP/1.1 400 Bad Request\r\nNot-Executed: no id\r\n" + date + "Content-Length: 0\r\n\r\n",
+		"421":       "HTTP/1.1 421 Misdirected Request\r\n" + date + "Request-Id: first\r\nContent-Length: 0\r\n\r\n",
+		"in chunks": "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: first\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const concurrent = 8
+			var all sync.WaitGroup
+			for first := range concurrent {
+				all.Add(1)
+				go func() {
+					defer all.Done()
+					for position := 1 + first; position <= len(refusal); position += concurrent {
+						testRepeatedRefusal(t, refusal[:position], position == len(refusal))
+					}
+				}()
+			}
+			all.Wait()
+		})
+	}
+}
+
+func testRepeatedRefusal(t *testing.T, part string, whole bool) {
+	t.Helper()
+	u := startUpstream(t, func(n int, req *fasthttp.Request, c net.Conn) bool {
+		if n == 1 {
+			return rejectNotExecuted(n, req, c)
+		}
+		_, err := io.WriteString(c, part)
+		// The endpoint runs the second request.
+		return err == nil && answer(c, req, 200, "fine")
+	})
+	defer func() { _ = u.listener.Close() }()
+	other := startUpstream(t, serveOK)
+	defer func() { _ = other.listener.Close() }()
+	f := New(newSequentialDispatcher(u.listener.Addr().String(), other.listener.Addr().String()))
+	nonIdempotentCall.serve(t, f, "first")
+	before := other.requests.Load()
+	second := nonIdempotentCall
+	if !whole {
+		second.timeout = time.Second // The rest of the part may never come.
+	}
+	resp, report := second.serve(t, f, "second")
+	if len(report.Attempts) == 0 || !report.Attempts[0].Reused {
+		t.Errorf("after %q: %+v", part, report)
+		return
+	}
+	served := resp.StatusCode() == 200 && string(resp.Body()) == "fine" && string(resp.Header.Peek("Server-Stamp")) == "3e.07"
+	if got := other.requests.Load() - before; got != 0 || !served && (whole || resp.StatusCode() != 502 && resp.StatusCode() != 504) {
+		t.Errorf("after %q: status %d, sent to another endpoint %d times, %+v", part, resp.StatusCode(), got, report)
+	}
+}
--- a/internal/httpconn/receive.go
+++ b/internal/httpconn/receive.go
@@ -159,7 +159,7 @@
 	resp.ResetBody()
 	resp.StreamBody = false
 	for {
-		if err := resp.Header.Read(c.br); err != nil {
+		if err := readHead(c.br, &resp.Header); err != nil {
 			return nil, err
 		}
 		if !isInformational(resp.StatusCode()) {
