Only a refusal that is proved is told to a caller

What callers saw: 503, 429 or 408, which promise that a request has not run and never will, for an order that an endpoint had run; and an order that an endpoint had run was sent to a second one.

Cause, four ways in which a faulty endpoint's answer was believed: - a signed 503, 429 or 408 without Not-Executed was passed on as it was. Only Not-Executed (and 421) says that a request has not run; - Not-Executed beside a success counted as "not run"; - an answer without an id counted as the answer to the first request on a connection, also a refusal; - of two ids, the first counted.

An answer is now a request's only if it bears its id, once. A status that promises without proof, or a proof beside a status below 400, decides nothing: 502 with no endpoint's signature for an order, another endpoint for a lookup.

Evidence: TestRefusalWithoutProofIsNoPromise, ten answers.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -128,7 +128,7 @@
 			return
 		}
 		answer = platform.ReadResponseInfo(&a.resp.Header)
-		if answer.RequestID == r.ID || answer.RequestID == "" && !a.reused && mismatched == 0 {
+		if answer.RequestID == r.ID {
 			break
 		}
 		f.metrics.mismatched.Add(1)
@@ -162,11 +162,14 @@
 	errMismatched = errors.New("the answer belongs to another request")
 	errUnsigned   = errors.New("the answer bears no upstream's signature")
 	errEncoded    = errors.New("the answer's body is encoded")
+	errUnproven   = errors.New("the answer's status and headers disagree on whether the request has run")
 )
 
 // classify returns the outcome of an attempt from the answer's status and headers.
 func classify(status int, answer platform.ResponseInfo) (outcome, error) {
 	switch {
+	case answer.NotExecuted && status < fasthttp.StatusBadRequest, answer.Promise && !answer.NotExecuted:
+		return outcomeIncomplete, errUnproven
 	case answer.NotExecuted:
 		return outcomeNotRun, nil
 	case !answer.Signed:
--- a/internal/forward/refusal_test.go
+++ b/internal/forward/refusal_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -70,3 +71,35 @@
 		t.Errorf("after %q: status %d, sent to another endpoint %d times, %+v", part, resp.StatusCode(), got, report)
 	}
 }
+
+// TestRefusalWithoutProofIsNoPromise guards against a status that promises "not run" for a request that an
+// endpoint may have run.
+func TestRefusalWithoutProofIsNoPromise(t *testing.T) {
+	for name, text := range map[string]string{
+		"503 of one that ran it":       "HTTP/1.1 503 X\r\nRequest-Id: %s\r\nServer-Stamp: 3e\r\nContent-Length: 0\r\n\r\n",
+		"429 of one that ran it":       "HTTP/1.1 429 X\r\nRequest-Id: %s\r\nServer-Stamp: 3e\r\nContent-Length: 0\r\n\r\n",
+		"408 of one that ran it":       "HTTP/1.1 408 X\r\nRequest-Id: %s\r\nServer-Stamp: 3e\r\nContent-Length: 0\r\n\r\n",
+		"503 without a word":           "HTTP/1.1 503 X\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n",
+		"success and not executed":     "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nServer-Stamp: 3e\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfine",
+		"refusal without an id":        "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"refusal of another request":   "HTTP/1.1 503 X\r\nRequest-Id: other\r\nNot-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		"refusal with two ids":         "HTTP/1.1 503 X\r\nRequest-Id: %s\r\nRequest-Id: other\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"half a refusal":               "HTTP/1.1 503 X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n",
+		"refusal with an unknown body": "HTTP/1.1 503 X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 50\r\n\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			odd := startUpstream(t, func(_ int, req *fasthttp.Request, c net.Conn) bool {
+				_, _ = io.WriteString(c, strings.ReplaceAll(text, "%s", string(req.Header.Peek("Request-Id"))))
+				return false
+			})
+			other := startUpstream(t, serveOK)
+			resp, report := nonIdempotentCall.serve(t, New(newSequentialDispatcher(odd.listener.Addr().String(), other.listener.Addr().String())), "a")
+			if resp.StatusCode() != 502 || other.requests.Load() != 0 || len(resp.Header.Peek("Server-Stamp")) != 0 {
+				t.Errorf("non-idempotent: status %d, sent to another endpoint %d times, %+v", resp.StatusCode(), other.requests.Load(), report)
+			}
+			if resp, report := idempotentCall.serve(t, New(newSequentialDispatcher(odd.listener.Addr().String(), other.listener.Addr().String())), "b"); string(resp.Body()) != "fine" {
+				t.Errorf("idempotent: %q, %+v", resp.Body(), report)
+			}
+		})
+	}
+}
