A tried endpoint is not granted again by a broker

What callers would see: an order that an endpoint refuses is sent to the same endpoint once more, on the same kept connection and under the same id. A copy of the first refusal then passes for the answer while the endpoint runs the order: "not run, try again", or a run elsewhere.

Cause: a placement request names at most 24 of the endpoints that were tried, and the requester did not check the grant. Attempts that cannot be sent do not count against max_attempts, so that a service with many dead endpoints gets there.

The requester now places the request by itself if it is granted an endpoint that it has tried. Evidence: TestTriedEndpointIsNotGrantedAgain was granted i-1, the 25th of the tried, before, and gets a rejection now; the package's tests pass with -race (147 s).

--- a/internal/gateway/broker_test.go
+++ b/internal/gateway/broker_test.go
@@ -243,3 +243,28 @@
 		t.Errorf("%d bytes, %v", len(data), err)
 	}
 }
+
+// Guards against sending a request once more to an endpoint that has refused it: a copy of that refusal
+// would pass for the answer. A placementRequest has room for some of the tried endpoints only.
+func TestTriedEndpointIsNotGrantedAgain(t *testing.T) {
+	fleet, all := startBrokeredFleet(t, "aaaa")
+	fleet.startUpstream("i-1", "orders")
+	in := all[0]
+	eventually(t, "served", func() bool { status, _, _ := in.send(t, "h.example", "/x"); return status == http.StatusOK })
+	req := dispatch.Request{Service: "orders", Deadline: time.Now().Add(waitTimeout), Objective: time.Now().Add(waitTimeout)}
+	for k := range maxTried {
+		req.Tried = append(req.Tried, endpointID(fmt.Sprint("i-dead-", k)))
+	}
+	for _, tried := range []bool{true, false} {
+		if tried {
+			req.Tried = append(req.Tried, endpointID("i-1"))
+		} else {
+			req.Tried = req.Tried[:maxTried]
+		}
+		result := make(chan acquireResult, 1)
+		in.gateway.control.post(func() { in.gateway.control.place(time.Now(), req, result) })
+		if got := <-result; (got.rejection != nil) != tried {
+			t.Errorf("tried %v: %+v", tried, got)
+		}
+	}
+}
--- a/internal/gateway/brokerwire.go
+++ b/internal/gateway/brokerwire.go
@@ -82,7 +82,7 @@
 
 const (
 	perMille = 1000
-	// maxTried bounds the endpoints that a placementRequest excludes.
+	// maxTried bounds the endpoints that a placementRequest excludes; the requester checks the others.
 	maxTried = 24
 	// maxReportedSilent keeps a livenessReport within a datagram: an instance takes at most 9 bytes.
 	maxReportedSilent = 120
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/broker"
@@ -116,7 +117,7 @@
 		return
 	}
 	endpoint, ok := c.machine.Endpoint(r.Endpoint)
-	if !ok || endpoint.Service != p.request.Service {
+	if !ok || endpoint.Service != p.request.Service || slices.Contains(p.request.Tried, r.Endpoint) {
 		c.sendGrantEnd(now, from, r.Seq, dispatch.EndedUnknown, 0)
 		c.placeLocally(now, p.request, p.result)
 		return
