An odd registration names no endpoint, and is logged once

- some odd entries named an endpoint: capacity, sequence or born in a string, names of fields in capitals, which replaced the true ones, born null, port 0, 0.0.0.0 (the instance itself), broadcast, multicast and IPv6 addresses, bytes that are not UTF-8, ids that no header can carry.
Requests were placed there and failed or were refused;
- the log got the odd value itself, up to a megabyte, at each write of the entry by each instance.
A line over 256 KB is dropped, others with it.

Cause: decoding into a struct, which matches names in any case and takes a number in a string for a json.Number; the address was parsed, but not looked at; the texts of errors quoted the value.

--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -18,6 +18,7 @@
 	log     *slog.Logger
 	quiet   bool              // Registrations are not logged one by one.
 	entries map[string]*entry // By store key.
+	invalid map[string]string // The errors of the invalid registrations that are logged already, by store key.
 }
 
 // entry is an upstream's registration.
@@ -34,7 +35,7 @@
 const reregisterGrace = 1600 * time.Millisecond
 
 func newRegistry(log *slog.Logger) *registry {
-	return &registry{log: log, entries: make(map[string]*entry)}
+	return &registry{log: log, entries: make(map[string]*entry), invalid: make(map[string]string)}
 }
 
 // put adds or updates an upstream by its registration, and reports whether the endpoints changed. An
@@ -42,9 +43,14 @@
 func (r *registry) put(now time.Time, key string, value []byte) bool {
 	u, err := platform.DecodeUpstream(key, value)
 	if err != nil {
-		r.log.Warn("invalid upstream registration; not using the upstream", "key", key, "error", err.Error())
-		return r.remove(key)
+		if r.invalid[key] != err.Error() {
+			r.log.Warn("invalid upstream registration; not using the upstream", "key", key, "error", err.Error())
+		}
+		changed := r.remove(key)
+		r.invalid[key] = err.Error()
+		return changed
 	}
+	delete(r.invalid, key)
 	old := r.entries[key]
 	if old != nil && old.missingSince.IsZero() && equivalent(old.Upstream, u) {
 		old.Upstream = u
@@ -68,6 +74,7 @@
 
 // remove removes an upstream, and reports whether there was one.
 func (r *registry) remove(key string) bool {
+	delete(r.invalid, key)
 	e := r.entries[key]
 	if e == nil {
 		return false
@@ -84,6 +91,7 @@
 // It stays in use until expire, as it may register again; a draining one is removed at once. The
 // result reports whether the endpoints changed.
 func (r *registry) markMissing(availableSince time.Time, key string) bool {
+	delete(r.invalid, key)
 	e := r.entries[key]
 	if e == nil {
 		return false
@@ -110,9 +118,9 @@
 	return changed
 }
 
-// keys returns the store keys of all registrations.
+// keys returns the store keys of all registrations, invalid ones included.
 func (r *registry) keys() []string {
-	return slices.Collect(maps.Keys(r.entries))
+	return slices.AppendSeq(slices.Collect(maps.Keys(r.entries)), maps.Keys(r.invalid))
 }
 
 // endpoints returns the endpoints of the services in a configuration.
