Follower: give up watches without a response within apply_within

Cause: a follower takes the silence of its watch for "nothing has changed". A watch waited 25 s, and 2 s more for its response. A connection on which the store has lost a response returns nothing further but stays open. Meanwhile the instance went on reporting that it follows the store, so that no other took over. A dead watch showed only by a later revision at another instance, which nobody has when one outage takes the watches of all followers, and by a failed call of the registrar, which calls each 12 s.

Fix: what a follower knows has to be confirmed by responses of the store, at intervals that follow from the shorter of apply_within and drain_within (following.Schedule): a quarter is spent on batching changes, a watch waits for half, and its response may take another quarter. A watch that exceeds that has lost its response: it is given up and all keys are read again. A follower whose last response is older than the whole bound no longer reports that it follows. The registrar's request for a resync after an outage is gone: no watch outlasts one any more.

--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -113,8 +113,8 @@
 		"store_revision":     int64(g.control.knownRevision.Load()),
 		"watches_unanswered": g.control.unansweredWatches.Load(),
 	}
-	if at := g.control.repliedAt.Load(); at > 0 {
-		gauges["store_reply_age_ms"] = time.Since(time.UnixMilli(at)).Milliseconds()
+	if at := g.control.repliedAt.Load(); at != nil {
+		gauges["store_reply_age_ms"] = time.Since(*at).Milliseconds()
 	}
 	for kind, n := range g.store.Calls() {
 		gauges["store_calls_"+kind.String()] = n
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -75,8 +75,9 @@
 	shouldFollow      atomic.Bool   // This instance has to follow the store itself.
 	preferredFollower atomic.Bool   // This instance would have to follow the store if the store rejected none.
 
-	repliedAt         atomic.Int64 // When the store last answered a watch or read, in Unix milliseconds; 0 if never.
-	unansweredWatches atomic.Int64 // Watches that ended without a response of the store.
+	schedule          func() following.Schedule
+	repliedAt         atomic.Pointer[time.Time] // When the store last answered a watch or read; nil if never.
+	unansweredWatches atomic.Int64              // Watches that ended without a response of the store.
 
 	brokerTimeouts atomic.Int64 // Placement requests that a broker did not answer in time.
 
@@ -95,7 +96,7 @@
 	handoverUntil   time.Time // Until then a Handover is requested; zero once one was received.
 	firstBehind     time.Time // When another instance first reported a later revision; zero while up to date.
 	followPolicy    *following.Machine
-	following       bool // This instance follows the store, and its last call succeeded.
+	following       bool // This instance follows the store, and its last call succeeded. Others are told isFollowing.
 	placement       placementClient
 	broker          *brokerState // Nil until the first placement request.
 
@@ -128,6 +129,7 @@
 		resync:        make(chan bool, 1),
 		done:          make(chan struct{}),
 		dropIdle:      func() {},
+		schedule:      s.Promises.schedule,
 		followChanged: make(chan struct{}, 1),
 		deregistered:  make(chan struct{}, 1),
 		placement:     newPlacementClient(),
@@ -225,7 +227,7 @@
 func (c *control) message(now time.Time, events []dispatch.Event) message {
 	return message{
 		From: c.peer, Revision: c.revision, Leaving: c.leaving, HasFullRetryWindow: c.machine.HasFullRetryWindow(now),
-		Following: c.following, StoreFailing: c.following && c.storeFailing(now), Events: events,
+		Following: c.isFollowing(now), StoreFailing: c.following && c.storeFailing(now), Events: events,
 	}
 }
 
@@ -296,7 +298,15 @@
 
 // recordStoreReply records that the store has answered a watch or a read of this instance.
 func (c *control) recordStoreReply() {
-	c.repliedAt.Store(time.Now().UnixMilli())
+	now := time.Now()
+	c.repliedAt.Store(&now)
+}
+
+// isFollowing reports whether this instance follows the store and its knowledge is confirmed by a
+// response of the store.
+func (c *control) isFollowing(now time.Time) bool {
+	at := c.repliedAt.Load()
+	return c.following && at != nil && c.schedule().Confirmed(now, *at)
 }
 
 // publish stores a new snapshot.
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -16,11 +16,6 @@
 	// readTimeout is many times the store's typical response time of 4 ms, and less than the 2 s in
 	// which changes must take effect.
 	readTimeout = time.Second
-	// watchWait is how long a watch waits for a change. Keep-alives detect a dead connection sooner.
-	watchWait = 25 * time.Second
-	// batchDelayDivisor is the fraction of the time in which a change must take effect that is spent
-	// on batching changes into one call.
-	batchDelayDivisor = 4
 	// initialRetryDelay and maxRetryDelay bound the delay after a failed call; it doubles.
 	initialRetryDelay = 50 * time.Millisecond
 	maxRetryDelay     = 400 * time.Millisecond
@@ -44,12 +39,11 @@
 
 // follower keeps the control loop up to date with the platform's store.
 type follower struct {
-	store      *platform.Store
-	control    *control
-	log        *slog.Logger
-	health     *storeHealth
-	batchDelay func() time.Duration // Delay after a change, before the next watch.
-	wait       time.Duration        // Delay before the first read.
+	store   *platform.Store
+	control *control
+	log     *slog.Logger
+	health  *storeHealth
+	wait    time.Duration // Delay before the first read.
 }
 
 // storeHealth tracks whether the store answers the calls of the follower and the registrar.
@@ -61,9 +55,8 @@
 	failingSince time.Time // Time of the first failed call; zero while the store answers.
 }
 
-// record records the outcome of a call. recovered reports whether it is the first success after
-// failures.
-func (r *storeHealth) record(err error) (recovered bool) {
+// record records the outcome of a call.
+func (r *storeHealth) record(err error) {
 	if err != nil {
 		r.control.post(func() { r.control.lastStoreError = time.Now() })
 	}
@@ -76,9 +69,7 @@
 	case err == nil && !r.failingSince.IsZero():
 		r.log.Info("store available again", "after_ms", time.Since(r.failingSince).Milliseconds())
 		r.failingSince = time.Time{}
-		return true
 	}
-	return false
 }
 
 // run keeps the control loop up to date until ctx ends.
@@ -94,7 +85,7 @@
 		switch {
 		case !synced && (f.control.shouldFollow.Load() || !f.control.upToDate.Load()):
 			at, err = f.readAll(ctx)
-			delay = f.batchDelay()
+			delay = f.control.schedule().Batch
 		case f.control.shouldFollow.Load() && !answered:
 			at, err = f.readMissed(ctx, at)
 		case f.control.shouldFollow.Load():
@@ -112,7 +103,8 @@
 			continue
 		}
 		f.control.post(func() { f.control.setFollowing(err == nil) })
-		if f.health.record(err); err == nil {
+		f.health.record(err)
+		if err == nil {
 			delayAfterError = initialRetryDelay
 			sleep(ctx, delay)
 			continue
@@ -190,10 +182,12 @@
 }
 
 // watchOnce waits for changes after a revision, delivers them, and then waits while further changes
-// collect in the store.
+// collect in the store. A watch that outlasts the schedule's limit fails: its response was lost.
 func (f *follower) watchOnce(ctx context.Context, after platform.Revision) (platform.Revision, error) {
-	start := time.Now()
-	items, at, err := f.store.Watch(ctx, allKeys, after, watchWait)
+	schedule, start := f.control.schedule(), time.Now()
+	watchCtx, cancel := context.WithTimeout(ctx, schedule.WatchLimit())
+	defer cancel()
+	items, at, err := f.store.Watch(watchCtx, allKeys, after, schedule.Wait)
 	if err != nil {
 		f.recordUnanswered(ctx, err, after, time.Since(start))
 		return after, err
@@ -201,7 +195,7 @@
 	f.control.recordStoreReply()
 	if len(items) > 0 {
 		f.deliver(items, after, at, sourceWatch)
-		sleep(ctx, f.batchDelay())
+		sleep(ctx, schedule.Batch)
 	}
 	return max(after, at), nil
 }
@@ -296,9 +290,8 @@
 		case err != nil:
 			wait = maxRetryDelay
 			r.health.record(err)
-		case r.health.record(nil):
-			// A watch that was started while the store didn't respond may wait forever.
-			r.health.control.requestResync(true)
+		default:
+			r.health.record(nil)
 		}
 		r.wait(ctx, wait, &lease)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/coord/following"
 	"github.com/damaskcove/damaskcove/internal/callers"
 	"github.com/damaskcove/damaskcove/internal/forward"
 	"github.com/damaskcove/damaskcove/platform"
@@ -63,6 +64,7 @@
 	g.log = slog.New(slog.NewJSONHandler(g.logs, nil)).With("instance", s.Instance.ID)
 	g.store = platform.NewStore(s.Store.Address)
 	g.control = newControl(s, g.log, g.socket)
+	g.control.schedule = g.schedule
 	g.forwarder = forward.New(g.control)
 	h := &handler{control: g.control, forwarder: g.forwarder, metrics: g.metrics, log: g.log, logAll: func() bool { return g.current().Log.Requests == LogAll }}
 	if g.server, err = callers.Listen(s.Listen.Callers, h); err != nil {
@@ -135,7 +137,7 @@
 	tasks.Go(func() { g.control.run(lifetime) })
 	health := &storeHealth{log: g.log, control: g.control}
 	tasks.Go(func() {
-		f := &follower{store: g.store, control: g.control, log: g.log, health: health, batchDelay: g.batchDelay}
+		f := &follower{store: g.store, control: g.control, log: g.log, health: health}
 		if s.Instance.FirstStart {
 			f.wait = firstStartWait
 		}
@@ -259,11 +261,9 @@
 	}
 }
 
-// batchDelay returns how long changes of the store are batched: a part of the time in which they
-// must take effect.
-func (g *Gateway) batchDelay() time.Duration {
-	p := g.current().Promises
-	return min(p.ApplyWithin, p.DrainWithin) / batchDelayDivisor
+// schedule returns the schedule of a follower of the store.
+func (g *Gateway) schedule() following.Schedule {
+	return g.current().Promises.schedule()
 }
 
 // sweepInterval is how often idle connections to upstreams are checked.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"time"
 
+	"github.com/damaskcove/damaskcove/coord/following"
 	"github.com/damaskcove/damaskcove/internal/tomlfile"
 )
 
@@ -53,6 +54,11 @@
 	DiscoveryTTL time.Duration `toml:"discovery_ttl"` // How long callers may keep a discovery answer.
 }
 
+// schedule returns the schedule of a follower of the store, for the time in which changes must take effect.
+func (p PromiseSettings) schedule() following.Schedule {
+	return following.NewSchedule(min(p.ApplyWithin, p.DrainWithin))
+}
+
 // RetrySettings bound the retries of one service by all instances together.
 type RetrySettings struct {
 	Window time.Duration `toml:"window"`
