--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/coord/following"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/internal/accept"
 	"github.com/damaskcove/damaskcove/internal/body"
@@ -69,6 +70,7 @@
 	g.log = slog.New(slog.NewJSONHandler(g.logs, nil)).With("instance", s.Instance.ID)
 	g.store = platform.NewStore(s.Store.Address)
 	g.control = newControl(s, g.log, g.socket)
+	g.control.schedule = g.schedule
 	g.forwarder = forward.New(g.control)
 	g.bodies = body.NewBudget(bodyBudget(s.Instance.MemoryMB))
 	g.acceptFailures = accept.NewFailures(g.log)
@@ -146,7 +148,7 @@
 	tasks.Go(func() { g.control.run(lifetime) })
 	health := &storeHealth{log: g.log, control: g.control}
 	tasks.Go(func() {
-		f := &follower{store: g.store, control: g.control, log: g.log, health: health, batchDelay: g.batchDelay}
+		f := &follower{store: g.store, control: g.control, log: g.log, health: health}
 		if s.Instance.FirstStart {
 			f.wait = firstStartWait
 		}
@@ -270,11 +272,9 @@
 	}
 }
 
-// batchDelay returns how long changes of the store are batched: a part of the time in which they
-// must take effect.
-func (g *Gateway) batchDelay() time.Duration {
-	p := g.current().Promises
-	return min(p.ApplyWithin, p.DrainWithin) / batchDelayDivisor
+// schedule returns the schedule of a follower of the store.
+func (g *Gateway) schedule() following.Schedule {
+	return g.current().Promises.schedule()
 }
 
 // sweepInterval is how often idle connections to upstreams are checked, and connections closed to make
