Forwarded reads of all keys end at their own revision

What callers would see: an instance that misses one change of the store for good, for instance an upstream that leaves. Found by reading; no run has shown it.

Its revision is that of the first page, and later pages may hold items that changed after it. A follower forwarded those with the read, so the batch, split into datagrams, led its receivers to a later revision than the follower's own. What its watch then returned up to that revision they took for applied.

Items after the revision of the read are now left to the watch, which repeats them. TestForwardedFullReadDoesNotLeadBeyondItsRevision failed before (revision 6 after a read at 5).

--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -96,12 +96,13 @@
 }
 
 // forwardFullRead forwards what a read of all keys shows to have changed since this instance's revision.
-// While missing keys may be due to a failure of the store, only a configuration is forwarded, as a batch
-// after a gap: the receivers have to read the store themselves.
+// Items that changed after the revision of the read are left to the watch, which repeats them: a batch must
+// not lead its receivers beyond its own revision. While missing keys may be due to a failure of the store,
+// only a configuration is forwarded, as a batch after a gap: the receivers have to read the store themselves.
 func (c *control) forwardFullRead(now time.Time, items []platform.Item, present map[string]bool, at platform.Revision) {
 	var changes []platform.Item
 	for _, item := range items {
-		if item.Revision > c.revision {
+		if item.Revision > c.revision && item.Revision <= at {
 			changes = append(changes, item)
 		}
 	}
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -491,6 +491,36 @@
 	})
 }
 
+// Guards against changes that receivers take for applied: the pages of a range are no snapshot, and the
+// later ones may hold changes after its revision.
+func TestForwardedFullReadDoesNotLeadBeyondItsRevision(t *testing.T) {
+	fleet := newTestFleet(t)
+	in := fleet.startInstance("one", "a")
+	fleet.configure("h.example", "orders")
+	eventually(t, "ready", func() bool { return in.ready(t) })
+	value := bytes.Repeat([]byte("x"), maxDatagramBytes)
+	later := inControl(in, func(c *control) []platform.Revision {
+		at := c.revision + 2
+		items := []platform.Item{
+			{Key: "servers/i-1", Value: value, Revision: at - 1}, {Key: "servers/i-2", Value: value, Revision: at},
+			{Key: "servers/i-3", Value: value, Revision: at + 1},
+		}
+		present := map[string]bool{"servers/i-1": true, "servers/i-2": true, "servers/i-3": true}
+		c.forwardFullRead(time.Now(), items, present, at)
+		b := c.history.batches[len(c.history.batches)-1]
+		var later []platform.Revision
+		for _, item := range b.Items {
+			if item.Revision > at || b.At != at {
+				later = append(later, item.Revision)
+			}
+		}
+		return later
+	})
+	if len(later) > 0 {
+		t.Errorf("forwarded changes of the revisions %v after that of the read", later)
+	}
+}
+
 // Guards against a configuration that reaches the followers alone after an outage in which registrations
 // expired, and against upstreams that others remove at once while the followers keep them.
 func TestFollowerForwardsConfigurationOfFullReadAfterOutage(t *testing.T) {
