Control loop: let a full resync replace a waiting smaller one

After a pause of the process, requests can be rejected for 1 s and old state be used after that.

Cause: the channel of resync requests holds one. A request for a read of all keys was dropped while one for the missed changes waited, and that doesn't renew what an instance knew before a pause.

Fix: a full request takes the place of the waiting one. Only the control loop sends requests.

--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"slices"
@@ -464,10 +465,24 @@
 	eventually(t, "the instance watches", func() bool { return fleet.store.Calls("watch") > watches })
 	fleet.startUpstream("i-1", "orders")
 	eventually(t, "the upstream is in use", func() bool { return in.hasEndpoint("i-1") })
-	in.gateway.control.requestResync(true)
+	inControl(in, func(c *control) bool { c.requestResync(true); return true })
 	eventually(t, "the store is read", func() bool { return fleet.store.Calls("range") > reads })
 }
 
+// Guards against a full resync that is dropped, as after a pause, while a smaller one waits.
+func TestFullResyncReplacesWaitingOne(t *testing.T) {
+	settings := DefaultSettings()
+	for _, requests := range [][]bool{{false, true}, {true, false}, {true, true}} {
+		c := newControl(&settings, slog.New(slog.DiscardHandler), nil)
+		for _, full := range requests {
+			c.requestResync(full)
+		}
+		if full := <-c.resync; !full {
+			t.Errorf("requests %v: not of all keys", requests)
+		}
+	}
+}
+
 // Guards against changes that reach the followers alone: a follower learns them by a read of all keys,
 // and the others of its zone don't reach the store.
 func TestFollowerForwardsChangesOfFullRead(t *testing.T) {
@@ -485,7 +500,7 @@
 	fleet.configure("h.example", "orders")
 	fleet.startUpstream("i-2", "orders")
 	fleet.store.Delete("servers/i-1")
-	instances[0].gateway.control.requestResync(true)
+	inControl(instances[0], func(c *control) bool { c.requestResync(true); return true })
 	eventually(t, "the changes are applied", func() bool {
 		return last.gateway.control.snapshot.Load().Version == 2 && last.hasEndpoint("i-2") && !last.hasEndpoint("i-1")
 	})
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -288,8 +288,15 @@
 	c.requestResync(c.storeFailing(now))
 }
 
-// requestResync requests a read of the store: of all keys if full, else of the missed changes.
+// requestResync requests a read of the store: of all keys if full, else of the missed changes. A full
+// one replaces a request that waits. Only the control loop may call it.
 func (c *control) requestResync(full bool) {
+	if full {
+		select {
+		case <-c.resync:
+		default:
+		}
+	}
 	select {
 	case c.resync <- full:
 	default:
