A slow reader of an answer no longer holds its request's body

A body counted towards the budget until its answer was written, up to 10 s for a caller that reads slowly. It is released once the handler has returned; an attempt that goes on holds the body itself. Found in review of the former change; no failure was seen.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -99,7 +99,6 @@
 	if !ok {
 		return false
 	}
-	defer payload.Release()
 	return c.serveRequest(Request{HTTP: req, Body: payload, Arrived: time.Now()}, resp)
 }
 
@@ -288,6 +287,7 @@
 	defer cancel()
 	watcher := c.watchDisconnect(cancel)
 	c.server.handler.Serve(ctx, r, resp)
+	r.Body.Release() // Not later, as the caller may be slow to read the answer.
 	watcher.stop()
 	if ctx.Err() != nil {
 		return false
