--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/body"
 )
 
 const testTimeout = 10 * time.Second
@@ -470,3 +471,27 @@
 		}
 	}
 }
+
+// A caller that does not read its answer must not keep its request's bytes counted.
+func TestSlowReaderDoesNotHoldItsBody(t *testing.T) {
+	const size = 16 << 20 // More than the sockets of both sides hold.
+	e := newEchoHandler()
+	e.limits.BodyBytes = size
+	bodies := body.NewBudget(4 * size)
+	s, err := Listen("127.0.0.1:0", e, Options{Bodies: bodies})
+	if err != nil {
+		t.Fatal(err)
+	}
+	run(t, s)
+	c, br := dial(t, s)
+	send(t, c, fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size)))
+	receive(t, "the start of the request", e.started)
+	for deadline := time.Now().Add(testTimeout); bodies.Counts().Reserved > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are reserved while the answer is not read", bodies.Counts().Reserved)
+		}
+	}
+	if status, text := readAnswer(t, br); status != 200 || len(text) != size+len("/x ") {
+		t.Errorf("status %d, %d bytes", status, len(text))
+	}
+}
