dispatch: two merged answers are no answer

An order that had run was answered "not run", or with the refusal's status.

fasthttp's client parses the head by itself here, so that the check looks at what it has read: a status line within the reason or a header's value makes the answer malformed, which leaves open whether the order ran.

Evidence: TestRepeatedPartOfRefusalIsNoAnswer, a refusal cut after each byte. Before, 31 of 108 cuts were told as not run and 24 bore the refusal's status; after, none. TestAnswerCutAtAnyByteIsIncomplete cuts six answers after each byte, by FIN and RST, and passed before as well: in this dispatcher an answer must end with the last byte that was read.

A whole earlier refusal, written after the next request was sent, cannot be told from the answer to it: that protocol has no request ids. One that arrives before is found, as bytes on an idle connection.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/coord/routing"
 	"github.com/damaskcove/damaskcove/internal/exchange"
+	"github.com/damaskcove/damaskcove/internal/httpconn"
 )
 
 const statusNotStarted = fasthttp.StatusServiceUnavailable
@@ -96,9 +97,25 @@
 	if !noTrailingBytes(conn.tail, resp, bodiless) {
 		return incomplete(result.CodeAnswerMalformed, endpoint, "bytes follow the answer's end", true)
 	}
+	if mergesTwoHeads(resp) {
+		return incomplete(result.CodeAnswerMalformed, endpoint, "a status line within the head", true)
+	}
 	return readAnswer(endpoint, resp, bodiless)
 }
 
+// mergesTwoHeads reports whether an answer broke off in its head and the next one was read as its rest.
+func mergesTwoHeads(resp *fasthttp.Response) bool {
+	if httpconn.ContainsStatusLine(string(resp.Header.StatusMessage())) {
+		return true
+	}
+	for _, value := range resp.Header.All() {
+		if httpconn.ContainsStatusLine(string(value)) {
+			return true
+		}
+	}
+	return false
+}
+
 func readAnswer(endpoint fleet.Endpoint, resp *fasthttp.Response, bodiless bool) outcome {
 	status := resp.StatusCode()
 	o := outcome{reusable: !resp.ConnectionClose()}
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -57,12 +57,12 @@
 func checkHead(head string) error {
 	lines := strings.Split(strings.TrimSuffix(head, "\r\n\r\n"), "\r\n")
 	first, lines := lines[0], lines[1:]
-	if !isStatusLine(first) || strings.ContainsAny(first, "\r\n\x00") || containsStatusLine(first[len(versionPrefix):]) {
+	if !isStatusLine(first) || strings.ContainsAny(first, "\r\n\x00") || ContainsStatusLine(first[len(versionPrefix):]) {
 		return fmt.Errorf("%w: status line %q", errHead, shorten(first))
 	}
 	framing := 0
 	for _, line := range lines {
-		if strings.ContainsAny(line, "\r\n\x00") || containsStatusLine(line) {
+		if strings.ContainsAny(line, "\r\n\x00") || ContainsStatusLine(line) {
 			return fmt.Errorf("%w: line %q", errHead, shorten(line))
 		}
 		name, value, ok := strings.Cut(line, ":")
@@ -88,8 +88,9 @@
 // versionPrefix begins a status line.
 const versionPrefix = "HTTP/1."
 
-// containsStatusLine reports whether a status line begins anywhere in a line.
-func containsStatusLine(line string) bool {
+// ContainsStatusLine reports whether a status line begins anywhere in a line. One within another line of a
+// head shows that the head broke off there and another answer follows.
+func ContainsStatusLine(line string) bool {
 	for i := strings.Index(line, versionPrefix); i >= 0; i = strings.Index(line, versionPrefix) {
 		if line = line[i:]; isStatusLine(line) {
 			return true
