metastore: an odd entry leaves the platform's list readable

What operators would see: one entry in the platform's list with a number too large, a field of another type or very deep nesting, and every instance of the former fleet stops following the list: each read fails as "store unavailable", for as long as the entry is there.

Cause: the list is one JSON document and was decoded as one value, whose first error failed the read. Unusable entries are dropped later, by package listing, which never saw them.

A field that does not fit now reads as the zero value, and what is nested deeper than 32 levels (a list has four) as empty; package listing drops such entries and counts them. A document that is not JSON still fails.

--- a/internal/metastore/client/client.go
+++ b/internal/metastore/client/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -138,8 +137,8 @@
 	if err != nil {
 		return metastore.Listing{}, fmt.Errorf("read list: %w", readError(err))
 	}
-	listing := new(metastore.Listing)
-	if err := json.Unmarshal(reply.body, listing); err != nil {
+	listing, err := decodeListing(reply.body)
+	if err != nil {
 		return metastore.Listing{}, fmt.Errorf("read list of %d bytes: %w: %w", len(reply.body), metastore.ErrUnavailable, err)
 	}
 	c.lastListing.Store(listing)
