Full reads: forward no change after the revision of the read

In a batch that is split into several datagrams, that revision became the one up to which the receivers count all changes as known. They would have skipped another change between the two revisions when the follower's watch returned it.

Fix: only changes up to the read's revision are forwarded. The watch, which goes on from there, returns the others.

TestFullReadForwardsNoChangesAfterItsRevision failed before, and passes now; go test -race ./internal/gateway passes (156 s).

--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -101,7 +101,7 @@
 func (c *control) forwardFullRead(now time.Time, items []platform.Item, present map[string]bool, at platform.Revision) {
 	var changes []platform.Item
 	for _, item := range items {
-		if item.Revision > c.revision {
+		if item.Revision > c.revision && item.Revision <= at { // The watch from at returns the later ones.
 			changes = append(changes, item)
 		}
 	}
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -506,6 +506,30 @@
 	})
 }
 
+// Guards against changes that receivers skip as known: a key changes between two pages of a read of all
+// keys, and its revision, after that of the read, would become that of the receivers.
+func TestFullReadForwardsNoChangesAfterItsRevision(t *testing.T) {
+	settings := DefaultSettings()
+	c := newControl(&settings, slog.New(slog.DiscardHandler), nil)
+	now := time.Unix(1000, 0)
+	c.applyFullRead(now, nil, 5)
+	var items []platform.Item
+	for revision := platform.Revision(6); revision < 30; revision++ {
+		items = append(items, platform.Item{Key: fmt.Sprint("servers/i-", revision), Value: make([]byte, maxDatagramBytes/2), Revision: revision})
+	}
+	c.applyFullRead(now, items, 9)
+	after := platform.Revision(5)
+	for _, b := range c.history.after(after) {
+		if b.After != after || b.At > 9 || slices.ContainsFunc(b.Items, func(item keyChange) bool { return item.Revision > b.At }) {
+			t.Errorf("a batch from %d to %d has the changes %+v", b.After, b.At, b.Items)
+		}
+		after = b.At
+	}
+	if after != 9 {
+		t.Errorf("changes are forwarded up to revision %d, want 9", after)
+	}
+}
+
 // Guards against a configuration that reaches the followers alone after an outage in which registrations
 // expired, and against upstreams that others remove at once while the followers keep them.
 func TestFollowerForwardsConfigurationOfFullReadAfterOutage(t *testing.T) {
