--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -506,33 +506,27 @@
 	})
 }
 
-// Guards against changes that receivers take for applied: the pages of a range are no snapshot, and the
-// later ones may hold changes after its revision.
-func TestForwardedFullReadDoesNotLeadBeyondItsRevision(t *testing.T) {
-	fleet := newTestFleet(t)
-	in := fleet.startInstance("one", "a")
-	fleet.configure("h.example", "orders")
-	eventually(t, "ready", func() bool { return in.ready(t) })
-	value := bytes.Repeat([]byte("x"), maxDatagramBytes)
-	later := inControl(in, func(c *control) []platform.Revision {
-		at := c.revision + 2
-		items := []platform.Item{
-			{Key: "servers/i-1", Value: value, Revision: at - 1}, {Key: "servers/i-2", Value: value, Revision: at},
-			{Key: "servers/i-3", Value: value, Revision: at + 1},
-		}
-		present := map[string]bool{"servers/i-1": true, "servers/i-2": true, "servers/i-3": true}
-		c.forwardFullRead(time.Now(), items, present, at)
-		b := c.history.batches[len(c.history.batches)-1]
-		var later []platform.Revision
-		for _, item := range b.Items {
-			if item.Revision > at || b.At != at {
-				later = append(later, item.Revision)
-			}
+// Guards against changes that receivers skip as known: a key changes between two pages of a read of all
+// keys, and its revision, after that of the read, would become that of the receivers.
+func TestFullReadForwardsNoChangesAfterItsRevision(t *testing.T) {
+	settings := DefaultSettings()
+	c := newControl(&settings, slog.New(slog.DiscardHandler), nil)
+	now := time.Unix(1000, 0)
+	c.applyFullRead(now, nil, 5)
+	var items []platform.Item
+	for revision := platform.Revision(6); revision < 30; revision++ {
+		items = append(items, platform.Item{Key: fmt.Sprint("servers/i-", revision), Value: make([]byte, maxDatagramBytes/2), Revision: revision})
+	}
+	c.applyFullRead(now, items, 9)
+	after := platform.Revision(5)
+	for _, b := range c.history.after(after) {
+		if b.After != after || b.At > 9 || slices.ContainsFunc(b.Items, func(item keyChange) bool { return item.Revision > b.At }) {
+			t.Errorf("a batch from %d to %d has the changes %+v", b.After, b.At, b.Items)
 		}
-		return later
-	})
-	if len(later) > 0 {
-		t.Errorf("forwarded changes of the revisions %v after that of the read", later)
+		after = b.At
+	}
+	if after != 9 {
+		t.Errorf("changes are forwarded up to revision %d, want 9", after)
 	}
 }
 
