Large entries of another writer do not stop an instance from following

What operators would see: another writer keeps entries of a megabyte among those of the endpoints, and instances stop following the store for as long as they are there: "store unavailable", each full read fails, changes of the configuration come many seconds late.

Cause: - a full read had 1 s for all of its pages, and a page has at most 1 MB. On a part of a core some ten megabytes take longer, each time anew; - a watch's reply over 4 MB counted as a failed call of the store, which keeps missing endpoints in use for longer and delays the full read; - the values were kept, forwarded to the zone, and too large for its datagrams, so that every instance read them from the store.

A page may now take 1 s each. A reply that is too large leads to a full read at once, with a log line of its own, and is no failure of the store.

Evidence: TestFullReadIsBoundedByPage fails with one bound for all pages ("page 9: no complete answer before the deadline").

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// readTimeout is many times the store's typical response time of 4 ms, and less than the 2 s in
-	// which changes must take effect.
+	// readTimeout bounds a call, or a page of a full read: many times the store's typical response time
+	// of 4 ms, and less than the 2 s in which changes must take effect.
 	readTimeout = time.Second
 	// watchWait is how long a watch waits for a change. Keep-alives detect a dead connection sooner.
 	watchWait = 25 * time.Second
@@ -110,6 +110,9 @@
 		case errors.Is(err, platform.ErrCompacted):
 			f.log.Warn("store has compacted its history after this revision; rereading all keys", "after", uint64(at))
 			continue
+		case errors.Is(err, platform.ErrTooManyChanges):
+			f.log.Warn("too many changes after this revision for one reply of the store; rereading all keys", "after", uint64(at))
+			continue
 		}
 		f.control.post(func() { f.control.setFollowing(err == nil) })
 		if f.health.record(err); err == nil {
@@ -133,10 +136,8 @@
 
 // readAll reads all keys and posts them to the control loop.
 func (f *follower) readAll(ctx context.Context) (platform.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	requestedAt := time.Now()
-	items, at, err := f.store.Range(ctx, allKeys)
+	items, at, err := f.store.Range(ctx, allKeys, readTimeout)
 	if err != nil {
 		return 0, err
 	}
