--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// readTimeout is many times the store's typical response time of 4 ms, and less than the 2 s in
-	// which changes must take effect.
+	// readTimeout bounds a call, or a page of a full read: many times the store's typical response time
+	// of 4 ms, and less than the 2 s in which changes must take effect.
 	readTimeout = time.Second
 	// initialRetryDelay and maxRetryDelay bound the delay after a failed call; it doubles.
 	initialRetryDelay = 50 * time.Millisecond
@@ -101,6 +101,9 @@
 		case errors.Is(err, platform.ErrCompacted):
 			f.log.Warn("store has compacted its history after this revision; rereading all keys", "after", uint64(at))
 			continue
+		case errors.Is(err, platform.ErrTooManyChanges):
+			f.log.Warn("too many changes after this revision for one reply of the store; rereading all keys", "after", uint64(at))
+			continue
 		}
 		f.control.post(func() { f.control.setFollowing(err == nil) })
 		f.health.record(err)
@@ -125,10 +128,8 @@
 
 // readAll reads all keys and posts them to the control loop.
 func (f *follower) readAll(ctx context.Context) (platform.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	requestedAt := time.Now()
-	items, at, err := f.store.Range(ctx, allKeys)
+	items, at, err := f.store.Range(ctx, allKeys, readTimeout)
 	if err != nil {
 		return 0, err
 	}
@@ -202,8 +203,8 @@
 
 // recordUnanswered counts and logs a watch that ended with an error and without a response of the store.
 func (f *follower) recordUnanswered(ctx context.Context, err error, after platform.Revision, waited time.Duration) {
-	refused := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrCompacted)
-	if refused || errors.Is(ctx.Err(), context.Canceled) {
+	answered := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooManyChanges)
+	if answered || errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
 	f.control.unansweredWatches.Add(1)
