--- a/coord/following/following.go
+++ b/coord/following/following.go
@@ -9,7 +9,8 @@
 // In each availability zone the instances with the lowest keys follow the store and forward its
 // changes to the others. A follower that fails, is partitioned off or is refused by the store
 // reports that or stops sending, and the next instance by key takes over. An instance that
-// receives messages of no follower follows the store itself.
+// receives messages of no follower follows the store itself. A Schedule tells how long a follower waits
+// for the store, and for how long a response confirms what it knows.
 package following
 
 import "time"
