Tests of faulty answers: only a request that was sent proves anything

TestAnswerCutAtAnyByteNeverLooksComplete failed in one run on a machine with a load of 90 on 8 cores: eight requests got a 503. The reports tell why: each had one attempt, "not-sent", as the connection was not made within 300 ms or the process had been paused before it sent. Nothing had reached an endpoint, so the 503 was true, and the cut was not tested.

The tests now serve such a request again until it is sent, so that each cut is tested by a request that reached the endpoint.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -177,6 +177,18 @@
 	return &resp, report
 }
 
+// serveSent serves a call again until a byte of it has reached an endpoint at the first attempt: on a busy
+// machine a connection may not be made in time, and the process may be paused before it sends.
+func (c call) serveSent(t *testing.T, f *Forwarder, id string) (*fasthttp.Response, Report) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); ; {
+		resp, report := c.serve(t, f, id)
+		if len(report.Attempts) > 0 && report.Attempts[0].Outcome != outcomeNotSent.String() || time.Now().After(end) {
+			return resp, report
+		}
+	}
+}
+
 var (
 	nonIdempotentCall = call{maxAttempts: 3, method: "POST"}
 	idempotentCall    = call{idempotent: true, maxAttempts: 3, method: "POST"}
