--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -52,7 +52,7 @@
 // can have run. Execute returns soon after ctx ends or the request's deadline passes.
 func (d *Dispatcher) Execute(ctx context.Context, r exchange.Request) exchange.Answer {
 	r.Deadline = d.deadline(ctx, r.Deadline)
-	s, rejection := d.admit(r.Service, r.Deadline)
+	s, rejection := d.admit(r)
 	if s == nil {
 		return countAnswer(rejection)
 	}
@@ -61,7 +61,8 @@
 	return countAnswer(s.execute(ctx, r))
 }
 
-// BeginStop makes Execute reject the requests that may not end before a planned stop does.
+// BeginStop makes Execute reject the requests that may not end before a planned stop does. Those with a
+// key are executed: a rejection would settle the key as not run, also for later requests with it.
 func (d *Dispatcher) BeginStop(plan shutdown.Plan) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -90,15 +91,16 @@
 
 // admit adds a request to pending and returns its service, or a rejection if the service is
 // unknown or the dispatcher is stopping.
-func (d *Dispatcher) admit(name fleet.Service, deadline time.Time) (*service, exchange.Answer) {
+func (d *Dispatcher) admit(r exchange.Request) (*service, exchange.Answer) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	if d.stopping || d.stop != nil && !d.stop.Admits(time.Now(), deadline) {
+	outlivesStop := d.stop != nil && r.Key == "" && !d.stop.Admits(time.Now(), r.Deadline)
+	if d.stopping || outlivesStop {
 		return nil, exchange.Rejection(result.CodeStopping, "")
 	}
-	s := d.services[name]
+	s := d.services[r.Service]
 	if s == nil {
-		return nil, exchange.Rejection(result.CodeNoEndpoint, fmt.Sprintf("Service %q.", name))
+		return nil, exchange.Rejection(result.CodeNoEndpoint, fmt.Sprintf("Service %q.", r.Service))
 	}
 	d.pending.Add(1)
 	return s, exchange.Answer{}
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -364,6 +364,11 @@
 	if a := d.Execute(context.Background(), long); a.Code != result.CodeStopping || a.Execution != result.NotRun || u.count() != 0 {
 		t.Errorf("a request that may not end in time: answer %+v, %d requests at the upstream", a, u.count())
 	}
+	keyed := long
+	keyed.Key = "order-1"
+	if a := d.Execute(context.Background(), keyed); a.Code != result.CodeAnswered {
+		t.Errorf("a request with a key: answer %+v", a)
+	}
 	short := get("/")
 	short.Deadline = time.Now().Add((timeout - passed) / 2)
 	if a := d.Execute(context.Background(), short); a.Code != result.CodeAnswered {
