A streamed answer no longer holds its request's body

The bytes of a body counted towards the budget until its answer was written, also when the answer is streamed to a caller that reads slowly: the attempt released the body after the stream. It does so before. TestStreamedAnswerDoesNotHoldRequestBody failed before (4 bytes held).

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -208,8 +208,8 @@
 	r.Body.Retain() // The attempt of a request that is not idempotent may outlast its caller.
 	go func() {
 		defer fasthttp.ReleaseRequest(req)
-		defer r.Body.Release()
 		a := f.runAttempt(ctx, r, req, grant)
+		r.Body.Release() // Before a streamed answer is written, as its reader may be slow.
 		r.completed <- a
 		if a.stream != nil {
 			f.finishStream(ctx, a)
@@ -217,8 +217,8 @@
 	}()
 }
 
-// runAttempt sends the request, with a header of its own, to the granted endpoint and records the result with the
-// dispatcher. For a streamed answer, finishStream records it.
+// runAttempt sends the request, with a header of its own, to the granted endpoint and records the result
+// with the dispatcher. For a streamed answer, finishStream records it.
 func (f *Forwarder) runAttempt(ctx context.Context, r *request, req *fasthttp.Request, grant dispatch.Grant) *attempt {
 	a := &attempt{grant: grant, started: time.Now()}
 	overdue := time.AfterFunc(grant.BaselineLatency*overdueFactor, func() { f.dispatcher.Overdue(grant) })
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -15,6 +15,9 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/damaskcove/damaskcove/internal/body"
+	"github.com/damaskcove/damaskcove/platform"
 )
 
 // largeBody is the body of an answer that is too large to buffer and is streamed.
@@ -297,3 +300,31 @@
 		_ = resp.CloseBodyStream()
 	}
 }
+
+// A streamed answer whose caller reads slowly held the request's body.
+func TestStreamedAnswerDoesNotHoldRequestBody(t *testing.T) {
+	u := startUpstream(t, func(_ int, req *fasthttp.Request, c net.Conn) bool {
+		framings["length"](c, string(req.Header.Peek("Request-Id")), largeBody, true)
+		return true
+	})
+	budget := body.NewBudget(1 << 20)
+	payload, err := budget.Read(strings.NewReader("body"), len("body"), len("body"), func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var req fasthttp.Request
+	req.Header.SetMethod("POST")
+	req.Header.Set("Request-Id", "a")
+	req.SetRequestURI("/x")
+	req.Header.SetContentLength(payload.Size())
+	var resp fasthttp.Response
+	New(newSequentialDispatcher(u.listener.Addr().String())).Serve(t.Context(), Request{
+		ID: "a", Service: "s", HTTP: &req, Body: payload, Arrived: time.Now(), Deadline: time.Now().Add(testTimeout),
+		Route: platform.Route{MaxAttempts: 1, Objective: testTimeout},
+	}, &resp)
+	payload.Release()
+	if got := budget.Counts().Reserved; resp.StatusCode() != 200 || resp.BodyStream() == nil || got != 0 {
+		t.Errorf("status %d, streamed %v, %d bytes of the request's body are held", resp.StatusCode(), resp.BodyStream() != nil, got)
+	}
+	_ = resp.CloseBodyStream()
+}
