An answer without an id ends its attempt at once

Such an answer is no request's since only answers with the request's id count. On a new connection it was skipped like an answer to an earlier request, and the attempt waited for another until its deadline: 504, and no retry of a lookup in time. No earlier request can have caused it there, so the attempt ends as incomplete. TestAnswerWithoutIDEndsAttemptAtOnce failed before (504 after 985 ms).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -132,7 +132,8 @@
 			break
 		}
 		f.metrics.mismatched.Add(1)
-		if mismatched >= maxMismatched || body != nil || a.resp.ConnectionClose() {
+		firstWithoutID := answer.RequestID == "" && !a.reused && mismatched == 0 // No earlier request can have caused it.
+		if firstWithoutID || mismatched >= maxMismatched || body != nil || a.resp.ConnectionClose() {
 			a.outcome, a.err = outcomeIncomplete, errMismatched
 			return
 		}
--- a/internal/forward/refusal_test.go
+++ b/internal/forward/refusal_test.go
@@ -112,3 +112,17 @@
 		})
 	}
 }
+
+// An answer without an id on a new connection kept its request waiting for another until the deadline.
+func TestAnswerWithoutIDEndsAttemptAtOnce(t *testing.T) {
+	odd := startUpstream(t, func(_ int, _ *fasthttp.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 X\r\nServer-Stamp: 3e\r\nContent-Length: 4\r\n\r\nfine")
+		return err == nil
+	})
+	waiting := nonIdempotentCall
+	waiting.timeout = time.Second
+	resp, report := waiting.serveSent(t, New(newSequentialDispatcher(odd.listener.Addr().String())), "a")
+	if resp.StatusCode() != 502 {
+		t.Errorf("status %d, %+v", resp.StatusCode(), report)
+	}
+}
