A watch that fails as a resync is requested still counts as failed

A failed watch whose resync was requested in the same moment returned the request alone. The failure was not recorded, and registrations that had expired in the outage were removed at once and not after their grace period. After a failure all keys are read anyway, which is what the request is for.

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -150,10 +150,11 @@
 func (f *follower) watch(ctx context.Context, after platform.Revision) (platform.Revision, error) {
 	ctx, stop := f.interruptible(ctx)
 	at, err := f.watchOnce(ctx, after)
-	if interrupt := stop(); interrupt != nil {
+	failed := err != nil && ctx.Err() == nil
+	if interrupt := stop(); interrupt != nil && !failed {
 		return at, interrupt
 	}
-	return at, err
+	return at, err // After a failure, all keys are read in any case.
 }
 
 // interruptible returns a context that ends when a resync is requested or the role as a follower
