An instance whose registration is missing in a full read registers again

What callers would see: an instance that others do not know, so that discovery leaves it out. Its registration is deleted in an outage of which the store keeps no history; only the deletion itself was noticed, and a renewal finds an ended lease after up to 12 s, or never if the key was bound to another lease.

A full read without the instance's own registration now counts as its deletion. TestInstanceMissingInFullReadRegistersAgain failed before, after 20 s.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -46,6 +46,9 @@
 			c.members.remove(now, key)
 		}
 	}
+	if !first && !present[c.members.self] {
+		notify(c.deregistered)
+	}
 	changed = c.registry.expire(now) || changed
 	c.synced = true
 	if first {
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -278,6 +278,33 @@
 	}
 }
 
+// An instance whose registration expired in an outage of which the store keeps no history never registered
+// again while its lease was alive.
+func TestInstanceMissingInFullReadRegistersAgain(t *testing.T) {
+	fleet := newTestFleet(t)
+	in := fleet.startInstance("one", "a")
+	fleet.configure("h.example", "orders")
+	eventually(t, "ready and registered", func() bool { return in.ready(t) && fleet.store.RevisionOf("instances/one") > 0 })
+	fleet.store.SetFault(standin.Unavailable)
+	fleet.store.Delete("instances/one")
+	fleet.store.Compact()
+	fleet.store.SetFault(standin.NoFault)
+	eventually(t, "registered again", func() bool { return fleet.store.RevisionOf("instances/one") > 0 })
+}
+
+// Every other heartbeat was skipped, as the one before it had been sent a little after its tick.
+func TestHeartbeatIsSentAtEachTick(t *testing.T) {
+	settings := DefaultSettings()
+	c := newControl(&settings, slog.New(slog.DiscardHandler), nil)
+	now := time.Now()
+	lastSent := now.Add(time.Millisecond - tickInterval)
+	c.lastSent = lastSent
+	c.tick(now)
+	if c.lastSent.Equal(lastSent) {
+		t.Errorf("no heartbeat %s after the last", now.Sub(lastSent))
+	}
+}
+
 // Guards against an instance that stays behind: its request for a resend is lost while the store
 // rejects its calls, so it has to request again.
 func TestMissedChangesAreRequestedUntilReceived(t *testing.T) {
