--- /dev/null
+++ b/internal/soak/caller.go
@@ -0,0 +1,269 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	connectTimeout = time.Second
+	idleReuse      = 12 * time.Second // Four fifths of limits.idle_timeout.
+	maxRetries     = 2
+	resolveTries   = 3
+)
+
+// request is one request of a caller.
+type request struct {
+	method, host, path string
+	safe               bool
+	work, deadline     time.Duration
+	patience           time.Duration // The caller leaves after it; zero for the deadline.
+	body               int           // Bytes.
+}
+
+func newRequestID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// callerConn is a caller's connection to an instance.
+type callerConn struct {
+	net.Conn
+	br       *bufio.Reader
+	addr     string
+	machine  string
+	life     int
+	answered int
+	closes   bool
+	idle     time.Time
+}
+
+func dialInstance(f *fleet, addr string) (*callerConn, error) {
+	m := f.byCallers(addr)
+	if m == nil {
+		return nil, fmt.Errorf("no instance has the address %s", addr)
+	}
+	life := m.life()
+	c, err := net.DialTimeout("tcp4", addr, connectTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: c, br: bufio.NewReader(c), addr: addr, machine: m.name, life: life}, nil
+}
+
+// do sends requests one behind the other and reads their answers.
+func (c *callerConn) do(list []request, direct bool) []Attempt {
+	var text strings.Builder
+	out := make([]Attempt, len(list))
+	for k, r := range list {
+		out[k] = Attempt{
+			ID: newRequestID(), Host: r.host, Path: r.path, Safe: r.safe, Direct: direct,
+			Machine: c.machine, Life: c.life, Kept: c.answered > 0, Behind: k > 0, Deadline: r.deadline,
+		}
+		fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n%s: %d\r\n", r.method, r.path, r.host, out[k].ID,
+			r.deadline.Milliseconds(), headerWork, r.work.Milliseconds())
+		if r.method != http.MethodGet {
+			fmt.Fprintf(&text, "Content-Length: %d\r\n", r.body)
+		}
+		text.WriteString("\r\n" + strings.Repeat("x", r.body))
+	}
+	_, err := io.WriteString(c, text.String())
+	sent := time.Now()
+	for k := range out {
+		a := &out[k]
+		a.Sent = sent
+		if err == nil {
+			patience := a.Deadline
+			if list[k].patience > 0 {
+				patience = min(patience, list[k].patience)
+			}
+			_ = c.SetReadDeadline(sent.Add(patience))
+			err = c.read(a)
+		}
+		if err != nil {
+			a.Err, a.GaveUp = err.Error(), errors.Is(err, os.ErrDeadlineExceeded)
+			c.closes = true
+		}
+		a.Ended = time.Now()
+	}
+	c.idle = time.Now()
+	return out
+}
+
+func (c *callerConn) read(a *Attempt) error {
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	a.Status, a.Stamp = resp.StatusCode, resp.Header.Get("Server-Stamp")
+	parts := strings.SplitN(string(body), " ", 3)
+	a.Whole = len(parts) == 3 && string(body) == responseBody(parts[0], parts[1], a.ID)
+	if after := resp.Header.Get("Retry-After"); after != "" {
+		a.Err = "retry after " + after
+	}
+	c.answered++
+	c.closes = resp.Close
+	return nil
+}
+
+// caller sends requests as the pages tell: it keeps discovery answers and connections.
+type caller struct {
+	fleet     *fleet
+	recorder  *recorder
+	zone      string
+	keepTTLs  int        // How many times the TTL it keeps an answer.
+	known     []*machine // The instances that it asks where to connect; empty for any of the nearest.
+	addresses []string
+	failed    map[string]bool
+	until     time.Time
+	pool      []*callerConn
+}
+
+var control = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// resolve asks some instances for addresses if its answer is too old.
+func (c *caller) resolve(host string) {
+	if time.Now().Before(c.until) {
+		return
+	}
+	asked := c.known
+	if len(asked) == 0 {
+		asked = c.fleet.nearest(c.zone, resolveTries)
+	}
+	for _, m := range asked {
+		addresses, ttl, err := resolveAt(m.discovery, host, c.zone)
+		if err != nil || len(addresses) == 0 {
+			continue
+		}
+		c.addresses, c.failed = addresses, map[string]bool{}
+		c.until = time.Now().Add(time.Duration(c.keepTTLs) * min(ttl, 5*time.Second))
+		keep := c.pool[:0]
+		for _, conn := range c.pool {
+			if slices.Contains(addresses, conn.addr) {
+				keep = append(keep, conn)
+			} else {
+				_ = conn.Close()
+			}
+		}
+		c.pool = keep
+		return
+	}
+	c.until = time.Now().Add(500 * time.Millisecond)
+}
+
+func resolveAt(addr, host, zone string) ([]string, time.Duration, error) {
+	q := url.Values{"name": {host}, "region": {regionName}, "zone": {zone}}
+	resp, err := control.Get("http://" + addr + "/damaskcove/resolve?" + q.Encode())
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var out struct {
+		Addresses []string `json:"addresses"`
+		TTL       string   `json:"ttl"`
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, 0, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		return nil, 0, err
+	}
+	ttl, err := time.ParseDuration(out.TTL)
+	return out.Addresses, ttl, err
+}
+
+// connect returns a connection: an open one if kept is true and there is one, else a new one.
+func (c *caller) connect(host string, kept bool) *callerConn {
+	c.resolve(host)
+	for kept && len(c.pool) > 0 {
+		k := rand.IntN(len(c.pool))
+		conn := c.pool[k]
+		c.pool = slices.Delete(c.pool, k, k+1)
+		if time.Since(conn.idle) < idleReuse {
+			return conn
+		}
+		_ = conn.Close()
+	}
+	var usable []string
+	for _, addr := range c.addresses {
+		if !c.failed[addr] {
+			usable = append(usable, addr)
+		}
+	}
+	for len(usable) > 0 {
+		k := rand.IntN(len(usable))
+		conn, err := dialInstance(c.fleet, usable[k])
+		if err == nil {
+			return conn
+		}
+		c.failed[usable[k]] = true
+		usable = slices.Delete(usable, k, k+1)
+	}
+	c.failed = map[string]bool{}
+	return nil
+}
+
+// send sends requests on one connection and retries them as the pages allow.
+func (c *caller) send(ctx context.Context, list []request, kept bool) {
+	end := time.Now().Add(list[0].deadline)
+	for try := 0; try <= maxRetries && ctx.Err() == nil && len(list) > 0; try++ {
+		conn := c.connect(list[0].host, kept && try == 0)
+		if conn == nil {
+			return
+		}
+		attempts := conn.do(list, false)
+		if conn.closes || !kept {
+			_ = conn.Close()
+		} else {
+			c.pool = append(c.pool, conn)
+		}
+		var again []request
+		wait := time.Duration(0)
+		for k, a := range attempts {
+			c.recorder.attempt(a)
+			left := time.Until(end)
+			if ok, after := mayRetry(a, left); ok {
+				r := list[k]
+				r.deadline = left - after
+				again = append(again, r)
+				wait = max(wait, after)
+			}
+		}
+		list = again
+		time.Sleep(wait)
+	}
+}
+
+// mayRetry reports whether a caller sends a request once more, and after which delay.
+func mayRetry(a Attempt, left time.Duration) (bool, time.Duration) {
+	var after time.Duration
+	if text, ok := strings.CutPrefix(a.Err, "retry after "); ok {
+		if seconds, err := strconv.ParseFloat(text, 64); err == nil {
+			after = min(time.Duration(seconds*float64(time.Second)), left/3)
+		}
+	}
+	if a.GaveUp || left < 100*time.Millisecond {
+		return false, 0
+	}
+	switch a.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true, after
+	case 0, http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
+		return a.Safe, after
+	}
+	return false, 0
+}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,594 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// fault is one kind of disruption or of planned work. play returns when it is over.
+type fault struct {
+	name string
+	play func(r *run, random *rand.Rand) error
+}
+
+// faults are the kinds from which a schedule is drawn.
+var faults = []fault{
+	{"store-silent", func(r *run, random *rand.Rand) error {
+		return r.storeFault("store-silent", doorState{fault: faultSilent}, 4500*time.Millisecond, random)
+	}},
+	{"store-busy", func(r *run, random *rand.Rand) error {
+		return r.storeFault("store-busy", doorState{fault: faultBusy}, 4500*time.Millisecond, random)
+	}},
+	{"store-reset", func(r *run, random *rand.Rand) error {
+		return r.storeFault("store-reset", doorState{fault: faultReset}, 4500*time.Millisecond, random)
+	}},
+	{"store-slow", func(r *run, random *rand.Rand) error {
+		return r.storeFault("store-slow", doorState{fault: faultSlow, latency: 60 * storeLatency}, 4500*time.Millisecond, random)
+	}},
+	{"store-lost", func(r *run, random *rand.Rand) error {
+		return r.storeFault("store-lost", doorState{fault: faultLost, share: 0.35}, 4500*time.Millisecond, random)
+	}},
+	{"store-compact", storeCompact},
+	{"store-nodes", storeNodes},
+	{"store-mute", storeMute},
+	{"core-cut", coreCut},
+	{"node-cut", nodeCut},
+	{"lossy", lossy},
+	{"one-way", oneWay},
+	{"roll-term", rollTerm},
+	{"mass-term", massTerm},
+	{"node-kill", func(r *run, random *rand.Rand) error { return r.kill(r.pick(random, 1), 3500*time.Millisecond) }},
+	{"herd-kill", func(r *run, random *rand.Rand) error { return r.kill(r.share(random, 0.55), 2*time.Second) }},
+	{"after-ack-kill", func(r *run, random *rand.Rand) error {
+		if err := r.operator.randomChange(); err != nil {
+			return err
+		}
+		return r.kill(r.pick(random, 2), 3*time.Second)
+	}},
+	{"freeze", freeze},
+	{"reload", reload},
+	{"add-nodes", addNodes},
+	{"config-storm", configStorm},
+	{"big-config", bigConfig},
+	{"release", release},
+	{"scale-in", scaleIn},
+	{"scale-out", scaleOut},
+	{"reuse", reuse},
+	{"srv-crash", srvCrash},
+	{"srv-grey", srvGrey},
+	{"srv-slow", srvSlow},
+	{"answer-lost", answerLost},
+	{"burst", func(r *run, _ *rand.Rand) error {
+		r.burst.Store(true)
+		defer r.burst.Store(false)
+		time.Sleep(3 * time.Second)
+		return nil
+	}},
+	{"give-up", func(r *run, _ *rand.Rand) error {
+		r.impatient.Store(true)
+		defer r.impatient.Store(false)
+		time.Sleep(5500 * time.Millisecond)
+		return nil
+	}},
+}
+
+// scheduled is a fault with its start.
+type scheduled struct {
+	fault fault
+	at    time.Duration // After the callers' start.
+	seed  uint64
+}
+
+const (
+	minFaults, maxFaults = 3, 7
+	quietStart           = 2 * time.Second
+	quietEnd             = 10 * time.Second // What follows the last fault is judged too.
+)
+
+// schedule draws the faults of a run.
+func schedule(o Options, random *rand.Rand) ([]scheduled, error) {
+	pool := faults
+	if len(o.Faults) > 0 {
+		pool = nil
+		for _, name := range o.Faults {
+			k := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+			if k < 0 {
+				return nil, fmt.Errorf("unknown fault %q", name)
+			}
+			pool = append(pool, faults[k])
+		}
+	}
+	var list []scheduled
+	span := o.Duration - quietStart - quietEnd
+	for range minFaults + random.IntN(maxFaults-minFaults+1) {
+		list = append(list, scheduled{pool[random.IntN(len(pool))], quietStart + time.Duration(random.Int64N(int64(span))), random.Uint64()})
+	}
+	slices.SortFunc(list, func(a, b scheduled) int { return int(a.at - b.at) })
+	return list, nil
+}
+
+// pick returns n random machines.
+func (r *run) pick(random *rand.Rand, n int) []*machine {
+	list := r.fleet.all()
+	random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))]
+}
+
+func (r *run) share(random *rand.Rand, share float64) []*machine {
+	return r.pick(random, max(1, int(share*float64(len(r.fleet.all()))+0.5)))
+}
+
+// aimed changes the configuration just before or after a fault of the store, as planned work meets
+// faults by chance.
+func (r *run) aimed(random *rand.Rand, within time.Duration) error {
+	if random.IntN(2) == 0 {
+		return nil
+	}
+	if err := r.operator.randomChange(); err != nil {
+		return err
+	}
+	time.Sleep(time.Duration(random.Int64N(int64(within))))
+	return nil
+}
+
+func (r *run) setDoors(machines []*machine, state doorState) {
+	for _, m := range machines {
+		m.door.set(state)
+	}
+}
+
+// storeFault disrupts the store for all machines and the operator.
+func (r *run) storeFault(name string, state doorState, lasts time.Duration, random *rand.Rand) error {
+	r.storeBusy.Lock() // One fault of the store at a time: each sets the state of all doors.
+	defer r.storeBusy.Unlock()
+	if err := r.aimed(random, 600*time.Millisecond); err != nil {
+		return err
+	}
+	lapse := random.IntN(2) == 0
+	down := state.fault == faultSilent || state.fault == faultBusy || state.fault == faultReset
+	end := r.recorder.window(Window{What: name, Kind: WindowStore})
+	if down {
+		r.operator.setDown(true)
+		if !lapse {
+			r.fleet.store.pauseLeases(true, 0)
+		}
+	}
+	r.setDoors(r.fleet.all(), state)
+	time.Sleep(lasts)
+	r.setDoors(r.fleet.all(), doorState{})
+	if down {
+		r.operator.setDown(false)
+		if !lapse {
+			r.fleet.store.pauseLeases(false, lasts)
+		}
+	}
+	end()
+	if down && lapse {
+		r.lapse(random)
+	}
+	time.Sleep(r.terms.StableWindow + time.Duration(random.IntN(2000))*time.Millisecond)
+	return r.operator.change("a route is moved", r.operator.moveRoute)
+}
+
+// lapse removes registrations of upstreams that expired in an outage; they are back soon.
+func (r *run) lapse(random *rand.Rand) {
+	for _, u := range r.liveUpstreams() {
+		if random.IntN(3) > 0 {
+			continue
+		}
+		r.fleet.store.del("servers/" + u.id)
+		time.AfterFunc(time.Duration(random.Int64N(int64(r.terms.Heartbeat))), func() {
+			if !u.isGone() {
+				r.check(u.register())
+			}
+		})
+	}
+}
+
+func storeCompact(r *run, random *rand.Rand) error {
+	defer r.recorder.window(Window{What: "store-compact", Kind: WindowStoreSome})()
+	for range 12 {
+		r.fleet.store.compact()
+		if random.IntN(4) == 0 {
+			if err := r.operator.randomChange(); err != nil {
+				return err
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	return nil
+}
+
+// storeNodes makes the store reject some machines and serve the others.
+func storeNodes(r *run, random *rand.Rand) error {
+	r.storeBusy.Lock()
+	defer r.storeBusy.Unlock()
+	state := doorState{fault: []doorFault{faultSilent, faultBusy, faultReset}[random.IntN(3)]}
+	machines := r.share(random, 0.33)
+	end := r.recorder.window(Window{What: fmt.Sprintf("store-nodes %d", state.fault), Kind: WindowStoreSome})
+	var ends []func()
+	for _, m := range machines {
+		ends = append(ends, r.recorder.window(Window{What: "store-nodes", Machine: m.name, Kind: WindowMachine}))
+	}
+	r.setDoors(machines, state)
+	if random.IntN(2) == 0 {
+		r.fleet.store.revoke(func(key string) bool {
+			return slices.ContainsFunc(machines, func(m *machine) bool { return strings.HasSuffix(key, "/"+m.name) })
+		})
+	}
+	for range 3 {
+		time.Sleep(3 * time.Second)
+		if err := r.operator.randomChange(); err != nil {
+			return err
+		}
+	}
+	r.setDoors(machines, doorState{})
+	for _, f := range append(ends, end) {
+		f()
+	}
+	return nil
+}
+
+// storeMute makes all open connections to the store silent; new ones work.
+func storeMute(r *run, random *rand.Rand) error {
+	if err := r.aimed(random, time.Second); err != nil {
+		return err
+	}
+	end := r.recorder.window(Window{What: "store-mute", Kind: WindowStore})
+	for _, m := range r.fleet.all() {
+		m.door.mute()
+	}
+	end()
+	time.Sleep(r.terms.StableWindow + 500*time.Millisecond)
+	return r.operator.change("a route is moved", r.operator.moveRoute)
+}
+
+// coreCut cuts single machines from the store, both ways or one.
+func coreCut(r *run, random *rand.Rand) error {
+	r.storeBusy.Lock()
+	defer r.storeBusy.Unlock()
+	state := doorState{fault: []doorFault{faultSilent, faultCutOut}[random.IntN(2)]}
+	machines := r.pick(random, 1+random.IntN(3))
+	var ends []func()
+	for _, m := range machines {
+		ends = append(ends, r.recorder.window(Window{What: "core-cut", Machine: m.name, Kind: WindowMachine}))
+	}
+	r.setDoors(machines, state)
+	time.Sleep(2 * time.Second)
+	if err := r.operator.randomChange(); err != nil {
+		return err
+	}
+	time.Sleep(3500 * time.Millisecond)
+	r.setDoors(machines, doorState{})
+	for _, f := range ends {
+		f()
+	}
+	return nil
+}
+
+// linkWindow applies a link fault that concerns some machines.
+func (r *run) linkWindow(what string, machines []*machine, lasts time.Duration, rule func(from, to string) (linkFault, bool)) {
+	var ends []func()
+	for _, m := range machines {
+		ends = append(ends, r.recorder.window(Window{What: what, Machine: m.name, Kind: WindowMachine}))
+	}
+	end := r.fleet.network.add(rule)
+	time.Sleep(lasts)
+	end()
+	for _, f := range ends {
+		f()
+	}
+}
+
+func names(machines []*machine) map[string]bool {
+	out := map[string]bool{}
+	for _, m := range machines {
+		out[m.name] = true
+	}
+	return out
+}
+
+// nodeCut cuts machines from the store and from the other instances.
+func nodeCut(r *run, random *rand.Rand) error {
+	r.storeBusy.Lock()
+	defer r.storeBusy.Unlock()
+	machines := r.share(random, 0.17)
+	cut := names(machines)
+	r.setDoors(machines, doorState{fault: faultSilent})
+	r.linkWindow("node-cut", machines, 5500*time.Millisecond, func(from, to string) (linkFault, bool) {
+		return linkFault{loss: 1}, cut[from] || cut[to]
+	})
+	r.setDoors(machines, doorState{})
+	return nil
+}
+
+// lossy makes the links of a zone lose and delay datagrams.
+func lossy(r *run, random *rand.Rand) error {
+	zone := zoneNames[random.IntN(len(zoneNames))]
+	machines := slices.DeleteFunc(r.fleet.all(), func(m *machine) bool { return m.zone != zone })
+	in := names(machines)
+	r.linkWindow("lossy", machines, 5500*time.Millisecond, func(from, to string) (linkFault, bool) {
+		return linkFault{loss: 0.025 + 0.2*rand.Float64(), delay: time.Duration(rand.IntN(20)) * time.Millisecond}, in[from] || in[to]
+	})
+	return nil
+}
+
+// oneWay cuts what some machines send to the others, or what they get.
+func oneWay(r *run, random *rand.Rand) error {
+	machines := r.pick(random, 2)
+	cut := names(machines)
+	out := random.IntN(2) == 0
+	r.linkWindow("one-way", machines, 5500*time.Millisecond, func(from, to string) (linkFault, bool) {
+		return linkFault{loss: 1}, out && cut[from] || !out && cut[to]
+	})
+	return nil
+}
+
+// stop makes a planned stop and starts the process again after pause.
+func (r *run) stop(m *machine, pause time.Duration) error {
+	m.operating.Lock()
+	defer m.operating.Unlock()
+	if r.over() {
+		return nil
+	}
+	defer r.recorder.window(Window{What: "SIGTERM", Machine: m.name, Kind: WindowMachineStop})()
+	m.signal(syscall.SIGTERM, true)
+	if !m.wait(r.terms.StopWithin) {
+		r.recorder.printf("SIGKILL %s at the end of grace", m.name)
+		m.signal(syscall.SIGKILL, true)
+		m.wait(time.Second)
+	}
+	time.Sleep(pause)
+	return m.start(false)
+}
+
+// rollTerm stops machines in turn, two at a time.
+func rollTerm(r *run, random *rand.Rand) error {
+	machines := r.share(random, []float64{0.3, 0.45, 1}[random.IntN(3)])
+	gap := time.Duration(1000+random.IntN(600)) * time.Millisecond
+	var wg sync.WaitGroup
+	for len(machines) > 0 && !r.over() {
+		n := min(2, len(machines))
+		for _, m := range machines[:n] {
+			wg.Go(func() { r.check(r.stop(m, 300*time.Millisecond)) })
+		}
+		machines = machines[n:]
+		if random.IntN(2) == 0 {
+			wg.Wait() // In turn; else the next two follow after the gap alone.
+		}
+		time.Sleep(gap)
+	}
+	wg.Wait()
+	return nil
+}
+
+// massTerm stops many machines at the same moment.
+func massTerm(r *run, random *rand.Rand) error {
+	var wg sync.WaitGroup
+	for _, m := range r.share(random, []float64{0.5, 0.9, 1}[random.IntN(3)]) {
+		wg.Go(func() { r.check(r.stop(m, 500*time.Millisecond)) })
+	}
+	wg.Wait()
+	return nil
+}
+
+// kill kills processes at the same moment and starts them again.
+func (r *run) kill(machines []*machine, pause time.Duration) error {
+	var wg sync.WaitGroup
+	for _, m := range machines {
+		wg.Go(func() {
+			m.operating.Lock()
+			defer m.operating.Unlock()
+			if r.over() {
+				return
+			}
+			end := r.recorder.window(Window{What: "SIGKILL", Machine: m.name, Kind: WindowMachine})
+			m.signal(syscall.SIGKILL, true)
+			m.wait(time.Second)
+			time.Sleep(pause)
+			r.check(m.start(false))
+			end()
+		})
+	}
+	wg.Wait()
+	return nil
+}
+
+// freeze pauses processes for some seconds.
+func freeze(r *run, random *rand.Rand) error {
+	lasts := time.Duration(500+random.IntN(5000)) * time.Millisecond
+	var wg sync.WaitGroup
+	for _, m := range r.pick(random, 1+random.IntN(4)) {
+		wg.Go(func() {
+			m.operating.Lock()
+			defer m.operating.Unlock()
+			if r.over() {
+				return
+			}
+			defer r.recorder.window(Window{What: "SIGSTOP", Machine: m.name, Kind: WindowMachine})()
+			m.signal(syscall.SIGSTOP, false)
+			time.Sleep(lasts)
+			m.signal(syscall.SIGCONT, false)
+		})
+	}
+	wg.Wait()
+	return nil
+}
+
+// reload sends SIGHUP to machines in turn.
+func reload(r *run, random *rand.Rand) error {
+	for _, m := range r.share(random, 0.5) {
+		m.operating.Lock()
+		if !r.over() {
+			end := r.recorder.window(Window{What: "SIGHUP", Machine: m.name, Kind: WindowReload})
+			m.signal(syscall.SIGHUP, false)
+			end()
+		}
+		m.operating.Unlock()
+		time.Sleep(100 * time.Millisecond)
+	}
+	return nil
+}
+
+// addNodes starts a spare machine in each zone.
+func addNodes(r *run, _ *rand.Rand) error {
+	r.spares.Lock()
+	defer r.spares.Unlock()
+	for zone := range zoneNames {
+		if r.added[zone] || len(r.fleet.all()) >= maxMachines {
+			continue
+		}
+		r.added[zone] = true
+		m, err := r.fleet.add(zone, spareNumber)
+		if err != nil {
+			return err
+		}
+		end := r.recorder.window(Window{What: "added", Machine: m.name, Kind: WindowMachine})
+		err = m.start(false)
+		end()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func configStorm(r *run, random *rand.Rand) error {
+	gap, lasts := 330*time.Millisecond, 4*time.Second
+	if random.IntN(2) == 0 {
+		gap, lasts = 60*time.Millisecond, 1500*time.Millisecond
+	}
+	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(gap) {
+		if err := r.operator.randomChange(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func bigConfig(r *run, random *rand.Rand) error {
+	if err := r.operator.grow([]int{60, 150, 350, 492}[random.IntN(4)]); err != nil {
+		return err
+	}
+	time.Sleep(time.Duration(2500+random.IntN(4000)) * time.Millisecond)
+	return r.operator.shrink()
+}
+
+// pickUpstreams returns a share of the live upstreams.
+func (r *run) pickUpstreams(random *rand.Rand, share float64) []*upstream {
+	list := r.liveUpstreams()
+	random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), max(1, int(share*float64(len(list))+0.5)))]
+}
+
+// leaveTime is how long an upstream serves after it reported its leaving.
+func (r *run) leaveTime(random *rand.Rand) time.Duration {
+	return r.terms.DrainWithin + time.Duration(200+random.IntN(2500))*time.Millisecond
+}
+
+// release replaces the upstreams of a service one after the other.
+func release(r *run, random *rand.Rand) error {
+	service := serviceNames[random.IntN(len(serviceNames))]
+	var wg sync.WaitGroup
+	for _, u := range r.pickUpstreams(random, 1) {
+		if u.service != service || random.IntN(2) == 0 || r.over() {
+			continue
+		}
+		if _, err := r.addUpstream(u.service, u.zone); err != nil {
+			return err
+		}
+		serve, report := r.leaveTime(random), random.Float64() >= 0.3
+		wg.Go(func() { r.check(u.leave(report, serve)) })
+		time.Sleep(time.Second)
+	}
+	wg.Wait()
+	return nil
+}
+
+func scaleIn(r *run, random *rand.Rand) error {
+	var wg sync.WaitGroup
+	for _, u := range r.pickUpstreams(random, 0.13) {
+		serve, report := r.leaveTime(random), random.Float64() >= 0.3
+		wg.Go(func() { r.check(u.leave(report, serve)) })
+	}
+	wg.Wait()
+	return nil
+}
+
+func scaleOut(r *run, random *rand.Rand) error {
+	for range 5 {
+		if _, err := r.addUpstream(serviceNames[random.IntN(len(serviceNames))], zoneNames[random.IntN(len(zoneNames))]); err != nil {
+			return err
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	return nil
+}
+
+// reuse ends upstreams; their addresses go to upstreams of another service.
+func reuse(r *run, random *rand.Rand) error {
+	var wg sync.WaitGroup
+	for _, u := range r.pickUpstreams(random, 0.18) {
+		serve := r.leaveTime(random)
+		wg.Go(func() {
+			r.check(u.leave(true, serve))
+			time.Sleep(r.terms.ReuseAfter)
+			k := slices.Index(serviceNames, u.service)
+			_, err := r.startUpstream(serviceNames[(k+1)%len(serviceNames)], u.zone, u.addr)
+			r.check(err)
+		})
+	}
+	wg.Wait()
+	return nil
+}
+
+// srvCrash ends upstreams without a report. Their registrations expire; then they start again.
+func srvCrash(r *run, random *rand.Rand) error {
+	var wg sync.WaitGroup
+	for _, u := range r.pickUpstreams(random, 0.14) {
+		wg.Go(func() {
+			defer r.recorder.window(Window{What: "crash", Upstream: u.id, Kind: WindowUpstream})()
+			u.end()
+			time.Sleep(3 * r.terms.Heartbeat)
+			u.deregister()
+			_, err := r.startUpstream(u.service, u.zone, u.addr)
+			r.check(err)
+		})
+	}
+	wg.Wait()
+	return nil
+}
+
+// disturb changes upstreams for a time.
+func (r *run) disturb(what string, list []*upstream, lasts time.Duration, set, unset func(u *upstream)) {
+	for _, u := range list {
+		defer r.recorder.window(Window{What: what, Upstream: u.id, Kind: WindowUpstream})()
+		u.change(set)
+	}
+	time.Sleep(lasts)
+	for _, u := range list {
+		u.change(unset)
+	}
+}
+
+func srvGrey(r *run, random *rand.Rand) error {
+	how := []string{"errors", "hang", "reset"}[random.IntN(3)]
+	r.disturb("grey "+how, r.pickUpstreams(random, 0.14), 6500*time.Millisecond,
+		func(u *upstream) { u.failShare, u.failHow = 0.45, how }, func(u *upstream) { u.failShare = 0 })
+	return nil
+}
+
+func srvSlow(r *run, random *rand.Rand) error {
+	r.disturb("slow", r.pickUpstreams(random, 0.16), 6500*time.Millisecond, func(u *upstream) { u.slow = 5 }, func(u *upstream) { u.slow = 1 })
+	return nil
+}
+
+func answerLost(r *run, random *rand.Rand) error {
+	r.disturb("answer-lost", r.pickUpstreams(random, 0.45), 5500*time.Millisecond, func(u *upstream) { u.lostShare = 0.05 }, func(u *upstream) { u.lostShare = 0 })
+	return nil
+}
--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,280 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	regionName    = "qld-se"
+	callersPort   = 8548
+	readyPort     = 8542
+	discoveryPort = 8546
+	peersPort     = 7540
+	metricsPort   = 9464
+	storePort     = 8541
+	upstreamPort  = 8080
+)
+
+// Third octets of the loopback addresses: of the machines, of the sockets that relay their datagrams
+// and of their doors to the store, each by zone, and of the upstreams.
+const (
+	machineOctet  = 1
+	proxyOctet    = 101
+	doorOctet     = 201
+	upstreamOctet = 51
+)
+
+var zoneNames = [3]string{"qld-se-a", "qld-se-b", "qld-se-c"}
+
+// killTimeout bounds the time from SIGKILL to the end of a process.
+const killTimeout = 5 * time.Second
+
+// machine is one machine of the fleet with its process.
+type machine struct {
+	name, zone                string
+	zoneIndex, number         int
+	callers, ready, discovery string
+	peers, announced          netip.AddrPort
+	settings                  string
+	door                      *door
+	proxy                     *datagramProxy
+	log                       *os.File
+	recorder                  *recorder
+	gate                      string
+	isReady                   atomic.Bool
+	lives                     atomic.Int32
+	operating                 sync.Mutex // Held by an operation that stops or pauses the process.
+	mu                        sync.Mutex
+	cmd                       *exec.Cmd
+	exited                    chan struct{}
+	expected                  bool // Its end was ordered.
+	rewritten                 atomic.Int32
+}
+
+// life returns the number of the process that runs.
+func (m *machine) life() int { return int(m.lives.Load()) }
+
+// fleet is the machines with their network and store.
+type fleet struct {
+	options  Options
+	folder   string
+	store    *store
+	network  *network
+	recorder *recorder
+
+	mu       sync.Mutex
+	machines []*machine
+	byAddr   map[string]*machine
+	names    map[netip.Addr]string
+}
+
+func newFleet(o Options, r *recorder) *fleet {
+	return &fleet{options: o, folder: o.Folder, store: newStore(), network: newNetwork(o.Loss), recorder: r, byAddr: map[string]*machine{}, names: map[netip.Addr]string{}}
+}
+
+func (f *fleet) addr(octet, zone, number int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, f.options.Network, byte(octet + zone), byte(number)}), port)
+}
+
+// add prepares a machine; start runs its process.
+func (f *fleet) add(zone, number int) (*machine, error) {
+	m := &machine{
+		name: fmt.Sprintf("edge-%s-%d", zoneNames[zone], number), zone: zoneNames[zone], zoneIndex: zone, number: number,
+		callers:   f.addr(machineOctet, zone, number, callersPort).String(),
+		ready:     f.addr(machineOctet, zone, number, readyPort).String(),
+		discovery: f.addr(machineOctet, zone, number, discoveryPort).String(),
+		peers:     f.addr(machineOctet, zone, number, peersPort),
+		announced: f.addr(proxyOctet, zone, number, peersPort),
+		recorder:  f.recorder, gate: f.options.Gate,
+	}
+	m.settings = filepath.Join(f.folder, m.name+".toml")
+	var err error
+	if m.door, err = f.store.open(m.name, f.addr(doorOctet, zone, number, storePort).String()); err != nil {
+		return nil, err
+	}
+	if f.options.Relay {
+		m.door.rewrite = func(value []byte) []byte {
+			out := replaceAddr(value, m.peers, m.announced)
+			if string(out) != string(value) {
+				m.rewritten.Add(1)
+			}
+			return out
+		}
+		if m.proxy, err = f.network.open(m.name, m.announced, m.peers, f.nameOf); err != nil {
+			return nil, err
+		}
+	}
+	if m.log, err = os.Create(filepath.Join(f.folder, m.name+".log")); err != nil {
+		return nil, fmt.Errorf("create a log: %w", err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.machines = append(f.machines, m)
+	f.byAddr[m.callers] = m
+	f.names[m.peers.Addr()] = m.name
+	return m, nil
+}
+
+func (f *fleet) nameOf(addr netip.Addr) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.names[addr]
+}
+
+func (f *fleet) byCallers(addr string) *machine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byAddr[addr]
+}
+
+func (f *fleet) all() []*machine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.machines)
+}
+
+// nearest returns n random machines, those of the zone first.
+func (f *fleet) nearest(zone string, n int) []*machine {
+	list := f.all()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b *machine) int {
+		switch {
+		case a.zone == zone && b.zone != zone:
+			return -1
+		case a.zone != zone && b.zone == zone:
+			return 1
+		}
+		return 0
+	})
+	return list[:min(n, len(list))]
+}
+
+const settingsText = `[instance]
+id = %q
+zone = %q
+region = %q
+%slink_mbps = 1000.0
+[listen]
+callers = %q
+ready = %q
+discovery = %q
+peers = %q
+metrics = %q
+[store]
+address = %q
+[promises]
+apply_within = "2000ms"
+drain_within = "2000ms"
+stop_within = "6s"
+[retry]
+window = "10s"
+ratio = 0.2
+extra = 62
+[place]
+floor_share = 0.7
+`
+
+// start runs the machine's process.
+func (m *machine) start(first bool) error {
+	firstStart := ""
+	if first {
+		firstStart = "first_start = true\n"
+	}
+	metrics := netip.AddrPortFrom(m.peers.Addr(), metricsPort)
+	text := fmt.Sprintf(settingsText, m.name, m.zone, regionName, firstStart, m.callers, m.ready, m.discovery, m.peers, metrics, m.door.listener.Addr())
+	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("write the settings of %s: %w", m.name, err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	cmd := exec.Command(m.gate, "--settings", m.settings)
+	cmd.Stdout, cmd.Stderr = m.log, m.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", m.name, err)
+	}
+	m.lives.Add(1)
+	exited := make(chan struct{})
+	m.cmd, m.exited, m.expected = cmd, exited, false
+	go func() {
+		err := cmd.Wait()
+		m.mu.Lock()
+		expected := m.expected
+		m.mu.Unlock()
+		if !expected {
+			m.recorder.ownEnd(fmt.Sprintf("%s: %v", m.name, err))
+		}
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that runs. ends tells that it is to end it.
+func (m *machine) signal(s syscall.Signal, ends bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expected = m.expected || ends
+	_ = m.cmd.Process.Signal(s)
+}
+
+// wait waits for the end of the process and reports whether it came in time.
+func (m *machine) wait(within time.Duration) bool {
+	m.mu.Lock()
+	exited := m.exited
+	m.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+// poll asks the process whether it is ready.
+func (m *machine) poll() {
+	resp, err := control.Get("http://" + m.ready + "/damaskcove/readyz")
+	if err != nil {
+		m.isReady.Store(false)
+		return
+	}
+	_ = resp.Body.Close()
+	m.isReady.Store(resp.StatusCode == http.StatusOK)
+}
+
+// end kills all processes and closes the stand-ins.
+func (f *fleet) end() error {
+	var errs []error
+	for _, m := range f.all() {
+		errs = append(errs, m.end())
+	}
+	return errors.Join(errs...)
+}
+
+// end kills the process, after an operation that is under way, and closes the stand-ins of the machine.
+func (m *machine) end() error {
+	m.operating.Lock()
+	defer m.operating.Unlock()
+	if m.cmd != nil {
+		m.signal(syscall.SIGKILL, true)
+		if !m.wait(killTimeout) {
+			return fmt.Errorf("%s did not end", m.name)
+		}
+	}
+	m.door.close()
+	if m.proxy != nil {
+		m.proxy.close()
+	}
+	return m.log.Close()
+}
--- /dev/null
+++ b/internal/soak/oracle_test.go
@@ -0,0 +1,282 @@
+package soak
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// world builds records around a fixed time.
+type world struct {
+	t  *testing.T
+	t0 time.Time
+	r  Records
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, t0: time.Unix(1_800_000_000, 0)}
+	w.r = Records{Left: map[string]time.Time{}, Ended: map[string]time.Time{}}
+	w.version(1, -100, map[string]string{"/a/": "old"})
+	return w
+}
+
+func (w *world) at(seconds float64) time.Time {
+	return w.t0.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// version adds a version with routes to services, acknowledged at a time in seconds.
+func (w *world) version(number uint32, acked float64, routes map[string]string) {
+	v := Version{Number: number, Routes: map[string]Route{}, Sent: w.at(acked), Acked: w.at(acked)}
+	for prefix, service := range routes {
+		v.Routes[prefix] = Route{Host: "h", Prefix: prefix, Services: []string{service}, Safe: true, Timeout: 3 * time.Second}
+	}
+	w.r.Versions = append(w.r.Versions, v)
+}
+
+// ask adds an attempt that a service answers 100 ms later; a service "" stands for a 404.
+func (w *world) ask(sent float64, path, service string, change func(a *Attempt, run *Run)) string {
+	id := fmt.Sprintf("%016x", len(w.r.Attempts))
+	a := Attempt{ID: id, Host: "h", Path: path, Safe: true, Machine: "m", Life: 1, Sent: w.at(sent), Ended: w.at(sent + 0.1), Deadline: 4 * time.Second, Status: 200, Stamp: "stamp.u." + id, Whole: true}
+	run := Run{Request: id, Upstream: "u", Service: service, Host: "h", Path: path, Arrived: w.at(sent + 0.01), Ended: w.at(sent + 0.09), Outcome: OutcomeAnswered, Status: 200}
+	if service == "" {
+		a.Status, a.Stamp, a.Whole = 404, "", false
+	}
+	if change != nil {
+		change(&a, &run)
+	}
+	w.r.Attempts = append(w.r.Attempts, a)
+	if service != "" {
+		w.r.Runs = append(w.r.Runs, run)
+	}
+	return id
+}
+
+func (w *world) window(kind WindowKind, machine string, from, to float64) {
+	w.r.Windows = append(w.r.Windows, Window{Kind: kind, Machine: machine, From: w.at(from), To: w.at(to)})
+}
+
+// want checks the number of findings by rule.
+func (w *world) want(want map[Rule]int) {
+	w.t.Helper()
+	got := map[Rule]int{}
+	for _, f := range Judge(DefaultTerms(), w.r) {
+		got[f.Rule]++
+		w.t.Logf("%s: %s", f.Rule, f.Text)
+	}
+	for _, rule := range []Rule{RuleConfig, RuleRegress, RuleShare, RuleDenied, RuleLost, RuleOwnEnd, RuleTwice, RuleRefused, RuleUnasked, RuleRoute, RuleDrain, RuleMixed, RuleOverdue, RuleReplaced} {
+		if got[rule] != want[rule] {
+			w.t.Errorf("%s: %d findings, want %d", rule, got[rule], want[rule])
+		}
+	}
+}
+
+func TestConfigBoundIsFromTheAcknowledgement(t *testing.T) {
+	w := newWorld(t)
+	w.version(2, 0, map[string]string{"/a/": "new"})
+	w.ask(1.99, "/a/x", "old", nil)
+	w.want(nil)
+	w.ask(2.01, "/a/x", "old", nil)
+	w.want(map[Rule]int{RuleConfig: 1})
+}
+
+func TestConfigOfAddedAndRemovedRoutes(t *testing.T) {
+	w := newWorld(t)
+	w.version(2, 0, map[string]string{"/b/": "new"})
+	w.ask(3, "/b/x", "", nil)
+	w.want(map[Rule]int{RuleConfig: 1})
+	w.ask(3, "/a/x", "old", nil)
+	w.want(map[Rule]int{RuleConfig: 2})
+}
+
+func TestConfigMayBeNewerThanAcknowledged(t *testing.T) {
+	w := newWorld(t)
+	w.version(2, 5, map[string]string{"/a/": "new"})
+	w.r.Versions[1].Sent = w.at(4)
+	w.ask(4.5, "/a/x", "new", nil)
+	w.want(nil)
+}
+
+func TestConfigHoldsOnlyInTouch(t *testing.T) {
+	for _, kind := range []WindowKind{WindowStore, WindowMachine, WindowMachineStop} {
+		w := newWorld(t)
+		w.version(2, 0, map[string]string{"/a/": "new"})
+		w.window(kind, "m", 1, 4)
+		w.ask(6.9, "/a/x", "old", nil)
+		w.want(nil)
+		w.ask(7.1, "/a/x", "old", nil)
+		w.want(map[Rule]int{RuleConfig: 1})
+	}
+}
+
+func TestConfigOfOtherMachinesIsJudged(t *testing.T) {
+	w := newWorld(t)
+	w.version(2, 0, map[string]string{"/a/": "new"})
+	w.window(WindowMachine, "another", 1, 4)
+	w.ask(3, "/a/x", "old", nil)
+	w.want(map[Rule]int{RuleConfig: 1})
+}
+
+func TestConfigBoundIsStretchedByAnUnstableCore(t *testing.T) {
+	w := newWorld(t)
+	w.version(2, 0, map[string]string{"/a/": "new"})
+	w.window(WindowStoreSome, "", -1, 20)
+	w.ask(6.9, "/a/x", "old", nil)
+	w.want(nil)
+	w.ask(7.1, "/a/x", "old", nil)
+	w.want(map[Rule]int{RuleConfig: 1})
+}
+
+func TestRegressHoldsOutOfTouchAndWithinOneProcess(t *testing.T) {
+	w := newWorld(t)
+	w.version(2, 0, map[string]string{"/a/": "new"})
+	w.ask(0.5, "/a/x", "new", nil)
+	w.ask(0.7, "/a/x", "old", nil)
+	w.ask(1, "/a/x", "old", func(a *Attempt, _ *Run) { a.Life = 2 })
+	w.want(nil)
+	w.ask(1, "/a/x", "old", nil)
+	w.want(map[Rule]int{RuleRegress: 1})
+}
+
+func TestDeniedNeedsMoreThanAFew(t *testing.T) {
+	w := newWorld(t)
+	for range deniedAllowed {
+		w.ask(5, "/a/x", "", nil)
+	}
+	w.want(nil)
+	w.ask(5, "/a/x", "", nil)
+	w.want(map[Rule]int{RuleDenied: deniedAllowed + 1, RuleConfig: 0})
+}
+
+func TestShareOfAddedRoutes(t *testing.T) {
+	w := newWorld(t)
+	w.version(2, 0, map[string]string{"/a/": "old", "/b/": "new"})
+	for range shareRequests {
+		w.ask(5, "/a/x", "old", nil)
+		w.ask(5, "/b/x", "", func(a *Attempt, _ *Run) { a.Status = 503 })
+	}
+	w.want(map[Rule]int{RuleShare: 1})
+}
+
+func TestTwiceRefusedUnaskedRouteMixed(t *testing.T) {
+	w := newWorld(t)
+	id := w.ask(1, "/a/x", "old", func(a *Attempt, _ *Run) { a.Safe = false })
+	w.r.Runs = append(w.r.Runs, Run{Request: id, Upstream: "v", Service: "old", Arrived: w.at(1.05), Refused: true})
+	w.want(nil)
+	w.r.Runs = append(w.r.Runs, Run{Request: id, Upstream: "v", Service: "old", Arrived: w.at(1.05)})
+	w.want(map[Rule]int{RuleTwice: 1})
+	w.ask(1, "/a/x", "old", func(a *Attempt, _ *Run) { a.Safe, a.Status, a.Stamp = false, 503, "" })
+	w.want(map[Rule]int{RuleTwice: 1, RuleRefused: 1})
+	w.r.Runs = append(w.r.Runs, Run{Request: "none", Upstream: "u", Service: "old"})
+	w.want(map[Rule]int{RuleTwice: 1, RuleRefused: 1, RuleUnasked: 1})
+	w.ask(1, "/a/x", "third", nil)
+	w.want(map[Rule]int{RuleTwice: 1, RuleRefused: 1, RuleUnasked: 1, RuleRoute: 1})
+	w.ask(1, "/a/x", "old", func(a *Attempt, _ *Run) { a.Whole = false })
+	w.want(map[Rule]int{RuleTwice: 1, RuleRefused: 1, RuleUnasked: 1, RuleRoute: 1, RuleMixed: 1})
+}
+
+// lost makes an attempt one that ends without an answer while its upstream is at work.
+func (w *world) lost(lasted float64) func(a *Attempt, run *Run) {
+	return func(a *Attempt, run *Run) {
+		a.Status, a.Stamp, a.Whole, a.Err, a.Ended = 0, "", false, "EOF", a.Sent.Add(time.Duration(lasted*float64(time.Second)))
+		run.Outcome, run.Status, run.Ended = OutcomeDropped, 0, a.Ended
+	}
+}
+
+func TestLostAroundAPlannedStop(t *testing.T) {
+	w := newWorld(t)
+	w.window(WindowMachineStop, "m", 10, 16.5)
+	w.ask(13.1, "/a/x", "old", w.lost(2.5))
+	w.want(map[Rule]int{RuleLost: 1})
+}
+
+func TestLostAroundAPlannedStopIsExcused(t *testing.T) {
+	for name, change := range map[string]func(w *world, a *Attempt, run *Run){
+		"sent early, at work in the last sixth of grace": func(w *world, a *Attempt, run *Run) {
+			a.Sent, run.Arrived, run.Ended, a.Ended = w.at(12.9), w.at(12.9), w.at(15.1), w.at(15.1)
+		},
+		"the upstream broke off":         func(_ *world, _ *Attempt, run *Run) { run.Outcome = OutcomeBroken },
+		"the deadline is reached":        func(_ *world, a *Attempt, _ *Run) { a.Deadline = time.Second },
+		"the route's timeout is reached": func(w *world, a *Attempt, run *Run) { a.Ended = a.Sent.Add(3 * time.Second); run.Ended = a.Ended },
+		"unplanned disruption":           func(w *world, _ *Attempt, _ *Run) { w.window(WindowMachine, "m", 8, 10.5) },
+		"the caller gave up":             func(_ *world, a *Attempt, _ *Run) { a.GaveUp = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.window(WindowMachineStop, "m", 10, 16.5)
+			w.ask(13.1, "/a/x", "old", func(a *Attempt, run *Run) {
+				w.lost(2.5)(a, run)
+				change(w, a, run)
+			})
+			w.want(nil)
+		})
+	}
+}
+
+func TestLostAroundAPlannedStopIsNotExcusedByTheStore(t *testing.T) {
+	w := newWorld(t)
+	w.window(WindowMachineStop, "m", 10, 16.5)
+	w.window(WindowStore, "", 10, 15)
+	w.ask(13.1, "/a/x", "old", w.lost(2.5))
+	w.want(map[Rule]int{RuleLost: 1})
+}
+
+func TestReadAndNotAnsweredAroundAPlannedStop(t *testing.T) {
+	for reason, want := range map[string]int{"EOF": 1, "connection reset by peer": 0} {
+		w := newWorld(t)
+		w.window(WindowMachineStop, "m", 10, 16.5)
+		w.ask(13.4, "/a/x", "", func(a *Attempt, _ *Run) {
+			a.Status, a.Err, a.Ended = 0, reason, a.Sent.Add(400*time.Millisecond)
+		})
+		w.want(map[Rule]int{RuleLost: want})
+	}
+}
+
+func TestAnswerInPlaceOfAnUpstreamAtWorkAfterSIGTERM(t *testing.T) {
+	w := newWorld(t)
+	w.window(WindowMachineStop, "m", 10, 16.5)
+	w.ask(13.1, "/a/x", "old", func(a *Attempt, run *Run) {
+		w.lost(1)(a, run)
+		a.Status, a.Err = 504, ""
+	})
+	w.want(map[Rule]int{RuleReplaced: 1})
+}
+
+func TestLostOnKeptConnectionsNeedsMoreThanThree(t *testing.T) {
+	w := newWorld(t)
+	kept := func(a *Attempt, run *Run) {
+		w.lost(0.5)(a, run)
+		a.Kept = true
+	}
+	for range lostKeptAllowed {
+		w.ask(20, "/a/x", "old", kept)
+	}
+	w.want(nil)
+	w.ask(20, "/a/x", "old", kept)
+	w.want(map[Rule]int{RuleLost: lostKeptAllowed + 1})
+}
+
+func TestDrainBoundIsFromTheAcknowledgement(t *testing.T) {
+	w := newWorld(t)
+	w.r.Left["u"] = w.at(10)
+	w.ask(11.9, "/a/x", "old", nil)
+	w.want(nil)
+	w.ask(12.1, "/a/x", "old", nil)
+	w.want(map[Rule]int{RuleDrain: 1})
+	w.window(WindowStore, "", 8, 8.5)
+	w.want(nil)
+}
+
+func TestOwnEnds(t *testing.T) {
+	w := newWorld(t)
+	w.r.OwnEnds = []string{"m: exit status 1"}
+	w.want(map[Rule]int{RuleOwnEnd: 1})
+}
+
+func TestRequestsThatOutlastTheirTimeout(t *testing.T) {
+	w := newWorld(t)
+	for range overdueAllowed {
+		w.ask(5, "/a/x", "old", func(a *Attempt, _ *Run) { a.Ended = a.Sent.Add(3700 * time.Millisecond) })
+	}
+	w.want(map[Rule]int{RuleOverdue: 1})
+}
--- /dev/null
+++ b/internal/soak/record.go
@@ -0,0 +1,189 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Outcome is how a run at an upstream ended.
+type Outcome int
+
+// Outcomes of a run.
+const (
+	OutcomeRunning  Outcome = iota
+	OutcomeAnswered         // It answered.
+	OutcomeDeadline         // The deadline that it got was reached.
+	OutcomeDropped          // Its connection was closed while it was at work.
+	OutcomeBroken           // It broke off the connection itself.
+)
+
+// Run is what an upstream saw of a request.
+type Run struct {
+	Request, Upstream, Service, Host, Path string
+
+	Arrived, Ended time.Time
+	Refused        bool // It was not executed.
+	Outcome        Outcome
+	Status         int
+}
+
+// Attempt is what a caller saw of a request.
+type Attempt struct {
+	ID, Host, Path string
+	Safe           bool
+	Direct         bool   // A check of one instance, on a route that was changed.
+	Machine        string // That the caller was connected to.
+	Life           int    // Which process of the machine.
+	Kept           bool   // An earlier request was answered on the connection.
+	Behind         bool   // Sent behind another that was unanswered.
+
+	Sent     time.Time // When its last byte was sent.
+	Ended    time.Time
+	Deadline time.Duration
+	Status   int    // 0 without a complete answer.
+	Stamp    string // The upstream's signature.
+	Whole    bool   // The body is the whole body of the upstream's answer.
+	GaveUp   bool   // The caller's deadline was reached, or the caller left.
+	Err      string
+}
+
+// Route is a route of a configuration.
+type Route struct {
+	Host, Prefix string
+	Services     []string // More than one for a split.
+	Safe         bool
+	Timeout      time.Duration
+}
+
+// Version is one version of the configuration.
+type Version struct {
+	Number      uint32
+	Routes      map[string]Route // By name.
+	Sent, Acked time.Time
+}
+
+// Window is a span of a disruption or of planned work.
+type Window struct {
+	What     string
+	Machine  string // Empty for the store or an upstream.
+	Upstream string
+	Kind     WindowKind
+	From, To time.Time
+}
+
+// WindowKind tells what a window excuses.
+type WindowKind int
+
+// Kinds of windows.
+const (
+	WindowStore       WindowKind = iota // The store was down or slow or lost responses.
+	WindowStoreSome                     // The store served some machines only, or forgot its history.
+	WindowMachine                       // A machine, its process or its links were disrupted.
+	WindowMachineStop                   // SIGTERM of a machine, until it runs again.
+	WindowUpstream                      // An upstream was disrupted.
+	WindowReload                        // SIGHUP of a machine.
+)
+
+// Records is all that was seen in a run.
+type Records struct {
+	Attempts []Attempt
+	Runs     []Run
+	Versions []Version
+	Windows  []Window
+	Left     map[string]time.Time // When an upstream's leaving was first acknowledged, by its id.
+	Ended    map[string]time.Time // When an upstream ended.
+	OwnEnds  []string             // Processes that ended by themselves.
+}
+
+// recorder collects Records.
+type recorder struct {
+	mu       sync.Mutex
+	records  Records
+	runs     []*Run
+	timeline []string
+	began    time.Time
+}
+
+func newRecorder() *recorder {
+	return &recorder{records: Records{Left: map[string]time.Time{}, Ended: map[string]time.Time{}}, began: time.Now()}
+}
+
+func (r *recorder) ran(run *Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs = append(r.runs, run)
+}
+
+func (r *recorder) ended(run *Run, outcome Outcome, status int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run.Ended, run.Outcome, run.Status = time.Now(), outcome, status
+}
+
+func (r *recorder) attempt(a Attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.Attempts = append(r.records.Attempts, a)
+}
+
+func (r *recorder) left(upstream string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.records.Left[upstream]; !ok {
+		r.records.Left[upstream] = at
+	}
+}
+
+func (r *recorder) upstreamEnded(upstream string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.Ended[upstream] = at
+}
+
+func (r *recorder) version(v Version) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.Versions = append(r.records.Versions, v)
+}
+
+// window begins a window; the returned function ends it.
+func (r *recorder) window(w Window) (end func()) {
+	r.printf("begin %s %s%s", w.What, w.Machine, w.Upstream)
+	w.From, w.To = time.Now(), time.Now().Add(time.Hour)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := len(r.records.Windows)
+	r.records.Windows = append(r.records.Windows, w)
+	return func() {
+		r.printf("end %s %s%s", w.What, w.Machine, w.Upstream)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.records.Windows[k].To = time.Now()
+	}
+}
+
+func (r *recorder) ownEnd(text string) {
+	r.printf("own end: %s", text)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.OwnEnds = append(r.records.OwnEnds, text)
+}
+
+// printf adds a line to the timeline.
+func (r *recorder) printf(format string, args ...any) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.timeline = append(r.timeline, fmt.Sprintf("%s +%.3f %s", now.UTC().Format("15:04:05.000"), now.Sub(r.began).Seconds(), fmt.Sprintf(format, args...)))
+}
+
+// finish returns the records.
+func (r *recorder) finish() (Records, []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, run := range r.runs {
+		r.records.Runs = append(r.records.Runs, *run)
+	}
+	return r.records, r.timeline
+}
--- /dev/null
+++ b/internal/soak/upstream.go
@@ -0,0 +1,264 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	upstreamSlots = 4
+	upstreamQueue = 16
+	upstreamIdle  = 10 * time.Second // Idle connections are closed after it.
+	coldTime      = 3 * time.Second  // After its start an upstream takes coldFactor times as long.
+	coldFactor    = 2
+	headerWork    = "X-Work-Ms" // How long a request takes, in milliseconds.
+)
+
+// service is a service of the deployment, with its upstreams by zone.
+type service struct {
+	name   string
+	counts [3]int
+}
+
+// upstream is a stand-in of one upstream.
+type upstream struct {
+	id, service, zone, addr string
+	store                   *store
+	recorder                *recorder
+	server                  *http.Server
+	slots                   chan struct{}
+	waiting                 atomic.Int64
+	started                 time.Time
+
+	mu        sync.Mutex
+	sequence  int
+	slow      float64 // Factor of the work time.
+	failShare float64 // Share of the requests that fail.
+	failHow   string  // "errors", "hang" or "reset".
+	lostShare float64 // Share of the requests whose answer is lost.
+	leaving   bool
+	gone      bool
+}
+
+func startUpstream(s *store, r *recorder, id, service, zone, addr string) (*upstream, error) {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return nil, fmt.Errorf("start upstream %s: %w", id, err)
+	}
+	u := &upstream{
+		id: id, service: service, zone: zone, addr: addr, store: s, recorder: r,
+		slots: make(chan struct{}, upstreamSlots), started: time.Now(), slow: 1,
+	}
+	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), IdleTimeout: upstreamIdle}
+	go func() { _ = u.server.Serve(l) }()
+	return u, nil
+}
+
+// register writes the upstream's registration.
+func (u *upstream) register() error {
+	u.mu.Lock()
+	u.sequence++
+	state := "ready"
+	if u.leaving {
+		state = "draining"
+	}
+	cold := max(coldTime-time.Since(u.started), 0)
+	entry := map[string]any{
+		"service": u.service, "address": u.addr, "zone": u.zone, "version": "1", "capacity": upstreamSlots, "state": state,
+		"warmup_left": fmt.Sprintf("%dms", cold.Milliseconds()), "sequence": u.sequence, "born": u.started.UnixMilli(),
+	}
+	u.mu.Unlock()
+	at, err := u.store.put("servers/"+u.id, entry)
+	if err == nil && state == "draining" {
+		u.recorder.left(u.id, at)
+	}
+	return err
+}
+
+// deregister removes the registration.
+func (u *upstream) deregister() { u.recorder.left(u.id, u.store.del("servers/"+u.id)) }
+
+// leave stops the upstream as planned: it serves for a time after its report and exits.
+func (u *upstream) leave(report bool, serve time.Duration) error {
+	u.mu.Lock()
+	u.leaving = true
+	u.mu.Unlock()
+	if report {
+		if err := u.register(); err != nil {
+			return err
+		}
+	} else {
+		u.deregister()
+	}
+	time.Sleep(serve)
+	u.deregister()
+	u.end()
+	return nil
+}
+
+// end closes the upstream's connections at once.
+func (u *upstream) end() {
+	u.mu.Lock()
+	u.gone = true
+	u.mu.Unlock()
+	u.recorder.upstreamEnded(u.id, time.Now())
+	_ = u.server.Close()
+}
+
+func (u *upstream) isGone() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.gone || u.leaving
+}
+
+// change sets faults under the lock.
+func (u *upstream) change(set func(u *upstream)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	set(u)
+}
+
+// fate is how one request is treated.
+type fate struct {
+	slow    float64
+	fail    string
+	lost    bool
+	leaving bool
+}
+
+func (u *upstream) drawFate() fate {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	f := fate{slow: u.slow, leaving: u.leaving, lost: rand.Float64() < u.lostShare}
+	if rand.Float64() < u.failShare {
+		f.fail = u.failHow
+	}
+	if time.Since(u.started) < coldTime {
+		f.slow *= coldFactor
+	}
+	return f
+}
+
+func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	h := w.Header()
+	h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(upstreamIdle.Seconds())))
+	h.Set("Server-Load", fmt.Sprintf("%d,%d,%d", len(u.slots), u.waiting.Load(), upstreamSlots))
+	h.Set("Instance-Id", u.id)
+	f := u.drawFate()
+	if f.leaving {
+		h.Set("Connection", "close")
+	}
+	if r.URL.Path == "/healthz" {
+		if f.leaving {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	h.Set("Request-Id", id)
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != u.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body) // Only then does the request's context end with its connection.
+	left := headerMs(r, "Deadline-Ms")
+	run := &Run{Request: id, Upstream: u.id, Service: u.service, Host: r.Host, Path: r.URL.Path, Arrived: arrived}
+	deadline := time.NewTimer(left)
+	defer deadline.Stop()
+	if !u.enter(r, deadline) {
+		run.Refused = true
+		u.recorder.ran(run)
+		h.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-u.slots }()
+	u.recorder.ran(run)
+	outcome, status := u.work(r, f, deadline)
+	u.recorder.ended(run, outcome, status)
+	switch {
+	case outcome == OutcomeDropped:
+	case f.lost || f.fail == "reset":
+		abort(w)
+	default:
+		h.Set("Server-Stamp", "stamp."+u.id+"."+id)
+		body := responseBody(u.service, u.id, id)
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+// enter waits for a slot. It returns false if the request is rejected instead.
+func (u *upstream) enter(r *http.Request, deadline *time.Timer) bool {
+	if u.waiting.Add(1) > upstreamQueue {
+		u.waiting.Add(-1)
+		return false
+	}
+	defer u.waiting.Add(-1)
+	select {
+	case u.slots <- struct{}{}:
+		return true
+	case <-deadline.C:
+	case <-r.Context().Done():
+	}
+	return false
+}
+
+// work takes the request's time and returns how it ended.
+func (u *upstream) work(r *http.Request, f fate, deadline *time.Timer) (Outcome, int) {
+	takes := time.Duration(float64(headerMs(r, headerWork)) * f.slow)
+	switch f.fail {
+	case "hang":
+		takes = time.Hour
+	case "errors", "reset":
+		takes /= 4
+	}
+	done := time.NewTimer(takes)
+	defer done.Stop()
+	select {
+	case <-done.C:
+	case <-deadline.C:
+		return OutcomeDeadline, http.StatusGatewayTimeout
+	case <-r.Context().Done():
+		return OutcomeDropped, 0
+	}
+	switch {
+	case f.lost, f.fail == "reset":
+		return OutcomeBroken, 0
+	case f.fail == "errors":
+		return OutcomeAnswered, http.StatusInternalServerError
+	}
+	return OutcomeAnswered, http.StatusOK
+}
+
+func headerMs(r *http.Request, name string) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get(name))
+	if err != nil {
+		return time.Minute
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// abort resets the request's connection.
+func abort(w http.ResponseWriter) {
+	if hijacker, ok := w.(http.Hijacker); ok {
+		if c, _, err := hijacker.Hijack(); err == nil {
+			reset(c)
+		}
+	}
+}
+
+// responseBody is the body of an upstream's answer to a request.
+func responseBody(service, upstream, request string) string {
+	return strings.Join([]string{service, upstream, request, strings.Repeat(".", 300)}, " ") + "\n"
+}
