soak: answers at the deadline, callers that resolve beside their requests, short pages

Callers waited for a discovery answer before they went on with the addresses that they had. Ranges of the store have pages of 50 items, so that they change between two pages.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -23,6 +23,8 @@
 	idleReuse      = 12 * time.Second // Four fifths of limits.idle_timeout.
 	maxRetries     = 2
 	resolveTries   = 3
+	resolvePause   = 500 * time.Millisecond // After no instance has answered.
+	maxTTL         = 5 * time.Second
 )
 
 // request is one request of a caller.
@@ -128,6 +130,7 @@
 	keepTTLs  int        // How many times the TTL it keeps an answer.
 	known     []*machine // The instances that it asks where to connect; empty for any of the nearest.
 	addresses []string
+	answers   chan discovery // Of the question under way; nil for none.
 	failed    map[string]bool
 	until     time.Time
 	pool      []*callerConn
@@ -135,34 +138,57 @@
 
 var control = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// resolve asks some instances for addresses if its answer is too old.
+// discovery is an answer to where to connect.
+type discovery struct {
+	addresses []string
+	ttl       time.Duration
+}
+
+// resolve asks some instances for addresses if its answer is too old. Until there is a new one, the
+// caller goes on with those that it has.
 func (c *caller) resolve(host string) {
-	if time.Now().Before(c.until) {
+	if c.answers == nil && time.Now().After(c.until) {
+		answers := make(chan discovery, 1)
+		c.answers = answers
+		asked := c.known
+		if len(asked) == 0 {
+			asked = c.fleet.nearest(c.zone, resolveTries)
+		}
+		go func() { answers <- ask(asked, host, c.zone) }()
+	}
+	if c.answers == nil {
 		return
 	}
-	asked := c.known
-	if len(asked) == 0 {
-		asked = c.fleet.nearest(c.zone, resolveTries)
+	if len(c.addresses) > 0 && len(c.answers) == 0 {
+		return
 	}
-	for _, m := range asked {
-		addresses, ttl, err := resolveAt(m.discovery, host, c.zone)
-		if err != nil || len(addresses) == 0 {
-			continue
+	d := <-c.answers
+	c.answers = nil
+	if len(d.addresses) == 0 {
+		c.until = time.Now().Add(resolvePause)
+		return
+	}
+	c.addresses, c.failed = d.addresses, map[string]bool{}
+	c.until = time.Now().Add(time.Duration(c.keepTTLs) * min(d.ttl, maxTTL))
+	keep := c.pool[:0]
+	for _, conn := range c.pool {
+		if slices.Contains(c.addresses, conn.addr) {
+			keep = append(keep, conn)
+		} else {
+			_ = conn.Close()
 		}
-		c.addresses, c.failed = addresses, map[string]bool{}
-		c.until = time.Now().Add(time.Duration(c.keepTTLs) * min(ttl, 5*time.Second))
-		keep := c.pool[:0]
-		for _, conn := range c.pool {
-			if slices.Contains(addresses, conn.addr) {
-				keep = append(keep, conn)
-			} else {
-				_ = conn.Close()
-			}
+	}
+	c.pool = keep
+}
+
+// ask returns the first answer of some instances; it has no addresses if there is none.
+func ask(asked []*machine, host, zone string) discovery {
+	for _, m := range asked {
+		if addresses, ttl, err := resolveAt(m.discovery, host, zone); err == nil && len(addresses) > 0 {
+			return discovery{addresses, ttl}
 		}
-		c.pool = keep
-		return
 	}
-	c.until = time.Now().Add(500 * time.Millisecond)
+	return discovery{}
 }
 
 func resolveAt(addr, host, zone string) ([]string, time.Duration, error) {
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -195,8 +195,11 @@
 		"sent early, at work in the last sixth of grace": func(w *world, a *Attempt, run *Run) {
 			a.Sent, run.Arrived, run.Ended, a.Ended = w.at(12.9), w.at(12.9), w.at(15.1), w.at(15.1)
 		},
-		"the upstream broke off":         func(_ *world, _ *Attempt, run *Run) { run.Outcome = OutcomeBroken },
-		"the deadline is reached":        func(_ *world, a *Attempt, _ *Run) { a.Deadline = time.Second },
+		"the upstream broke off":  func(_ *world, _ *Attempt, run *Run) { run.Outcome = OutcomeBroken },
+		"the deadline is reached": func(_ *world, a *Attempt, _ *Run) { a.Deadline = time.Second },
+		"an own answer at the deadline": func(_ *world, a *Attempt, _ *Run) {
+			a.Status, a.Err, a.Deadline = 504, "", a.Ended.Sub(a.Sent)+15*time.Millisecond
+		},
 		"the route's timeout is reached": func(w *world, a *Attempt, run *Run) { a.Ended = a.Sent.Add(3 * time.Second); run.Ended = a.Ended },
 		"unplanned disruption":           func(w *world, _ *Attempt, _ *Run) { w.window(WindowMachine, "m", 8, 10.5) },
 		"the caller gave up":             func(_ *world, a *Attempt, _ *Run) { a.GaveUp = true },
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -22,7 +22,7 @@
 const (
 	storeLatency   = 4 * time.Millisecond // Of a call, without a fault.
 	storeHistory   = 20 * time.Second     // Age up to which changes can be watched.
-	storePage      = 500                  // Items in a reply to a range.
+	storePage      = 50                   // Items in a reply to a range; few, so that ranges have several pages.
 	readsPerSecond = 2000                 // Further calls get 429.
 )
 
