soak: spans without processor time excuse, and a process's end belongs to that process

On a busy machine the run's own timers were up to 7 s late, and so were the instances; such spans count as a slow-down of all machines.

--- a/cmd/soakrun/main.go
+++ b/cmd/soakrun/main.go
@@ -127,13 +127,19 @@
 			direct++
 		}
 	}
+	starved := 0
+	for _, w := range r.Records.Windows {
+		if w.Kind == soak.WindowStarved {
+			starved++
+		}
+	}
 	var faults []string
 	for _, line := range r.Timeline {
 		if _, name, ok := strings.Cut(line, " fault "); ok {
 			faults = append(faults, name)
 		}
 	}
-	text := fmt.Sprintf("seed %d: %d attempts (%d direct), %d served, timer lag %d ms; faults %s;", r.Seed, len(r.Records.Attempts), direct, served, r.Lag.Milliseconds(), strings.Join(faults, " "))
+	text := fmt.Sprintf("seed %d: %d attempts (%d direct), %d served, timers late %d times (up to %d ms); faults %s;", r.Seed, len(r.Records.Attempts), direct, served, starved, r.Lag.Milliseconds(), strings.Join(faults, " "))
 	if len(rules) == 0 {
 		return text + " held"
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -341,7 +341,7 @@
 	if !m.wait(r.terms.StopWithin) {
 		r.recorder.printf("SIGKILL %s at the end of grace", m.name)
 		m.signal(syscall.SIGKILL, true)
-		m.wait(time.Second)
+		m.wait(killTimeout)
 	}
 	time.Sleep(pause)
 	return m.start(false)
@@ -389,7 +389,7 @@
 			}
 			end := r.recorder.window(Window{What: "SIGKILL", Machine: m.name, Kind: WindowMachine})
 			m.signal(syscall.SIGKILL, true)
-			m.wait(time.Second)
+			m.wait(killTimeout)
 			time.Sleep(pause)
 			r.check(m.start(false))
 			end()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -55,12 +55,18 @@
 	gate                      string
 	isReady                   atomic.Bool
 	lives                     atomic.Int32
-	operating                 sync.Mutex // Held by an operation that stops or pauses the process.
-	mu                        sync.Mutex
-	cmd                       *exec.Cmd
-	exited                    chan struct{}
-	expected                  bool // Its end was ordered.
-	rewritten                 atomic.Int32
+	operating                 sync.Mutex   // Held by an operation that stops or pauses the process.
+	rewritten                 atomic.Int32 // Registrations whose address was replaced.
+
+	mu      sync.Mutex
+	process *process // The last one that was started; nil before the first.
+}
+
+// process is one process of a machine.
+type process struct {
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	ordered atomic.Bool // Its end was ordered.
 }
 
 // life returns the number of the process that runs.
@@ -197,8 +203,6 @@
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write the settings of %s: %w", m.name, err)
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	cmd := exec.Command(m.gate, "--settings", m.settings)
 	cmd.Stdout, cmd.Stderr = m.log, m.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -206,36 +210,40 @@
 		return fmt.Errorf("start %s: %w", m.name, err)
 	}
 	m.lives.Add(1)
-	exited := make(chan struct{})
-	m.cmd, m.exited, m.expected = cmd, exited, false
+	p := &process{cmd: cmd, exited: make(chan struct{})}
+	m.mu.Lock()
+	m.process = p
+	m.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
-		m.mu.Lock()
-		expected := m.expected
-		m.mu.Unlock()
-		if !expected {
-			m.recorder.ownEnd(fmt.Sprintf("%s: %v", m.name, err))
+		if !p.ordered.Load() {
+			m.recorder.ownEnd(fmt.Sprintf("%s, process %d: %v", m.name, cmd.Process.Pid, err))
 		}
-		close(exited)
+		close(p.exited)
 	}()
 	return nil
 }
 
-// signal sends a signal to the process that runs. ends tells that it is to end it.
-func (m *machine) signal(s syscall.Signal, ends bool) {
+// current returns the process that was started last, or nil.
+func (m *machine) current() *process {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.expected = m.expected || ends
-	_ = m.cmd.Process.Signal(s)
+	return m.process
+}
+
+// signal sends a signal to the process that runs. ends tells that it is to end it.
+func (m *machine) signal(s syscall.Signal, ends bool) {
+	p := m.current()
+	if ends {
+		p.ordered.Store(true)
+	}
+	_ = p.cmd.Process.Signal(s)
 }
 
 // wait waits for the end of the process and reports whether it came in time.
 func (m *machine) wait(within time.Duration) bool {
-	m.mu.Lock()
-	exited := m.exited
-	m.mu.Unlock()
 	select {
-	case <-exited:
+	case <-m.current().exited:
 		return true
 	case <-time.After(within):
 		return false
@@ -266,7 +274,7 @@
 func (m *machine) end() error {
 	m.operating.Lock()
 	defer m.operating.Unlock()
-	if m.cmd != nil {
+	if m.current() != nil {
 		m.signal(syscall.SIGKILL, true)
 		if !m.wait(killTimeout) {
 			return fmt.Errorf("%s did not end", m.name)
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -83,6 +83,7 @@
 	WindowMachineStop                   // SIGTERM of a machine, until it runs again.
 	WindowUpstream                      // An upstream was disrupted.
 	WindowReload                        // SIGHUP of a machine.
+	WindowStarved                       // The run itself got no processor time, and so perhaps no process did.
 )
 
 // Records is all that was seen in a run.
@@ -147,6 +148,14 @@
 	r.records.Versions = append(r.records.Versions, v)
 }
 
+// past adds a window that is over.
+func (r *recorder) past(w Window) {
+	r.printf("%s for %v", w.What, w.To.Sub(w.From))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.Windows = append(r.records.Windows, w)
+}
+
 // window begins a window; the returned function ends it.
 func (r *recorder) window(w Window) (end func()) {
 	r.printf("begin %s %s%s", w.What, w.Machine, w.Upstream)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -340,15 +340,15 @@
 	wg.Wait()
 }
 
-// watchLag returns the longest delay of a timer until ctx ends.
+// watchLag returns the longest delay of a timer until ctx ends. It records the longer ones as windows.
 func (r *run) watchLag(ctx context.Context) time.Duration {
 	var longest time.Duration
 	for ctx.Err() == nil {
 		began := time.Now()
 		time.Sleep(lagEvery)
 		late := time.Since(began) - lagEvery
-		if late > 200*time.Millisecond {
-			r.recorder.printf("a timer was %v late", late)
+		if late > r.terms.RevertSlack {
+			r.recorder.past(Window{What: "starved", Kind: WindowStarved, From: began, To: time.Now()})
 		}
 		longest = max(longest, late)
 	}
