--- a/cmd/soakrun/main.go
+++ b/cmd/soakrun/main.go
@@ -66,7 +66,9 @@
 		if len(report.Findings) > 0 && exit == 0 {
 			exit = 1
 		}
-		fmt.Println(summary(report))
+		if err == nil {
+			fmt.Println(summary(report))
+		}
 		if ctx.Err() != nil {
 			return 2
 		}
