--- a/internal/body/budget.go
+++ b/internal/body/budget.go
@@ -8,8 +8,8 @@
 	"github.com/damaskcove/damaskcove/coord/admission"
 )
 
-// SlowAfter is how long a body may arrive before it yields to others. A body of 64 MB takes a quarter of
-// it on a link of 1 Gbit/s.
+// SlowAfter is how long a body may arrive before it yields to others: senders on usual links are done
+// within it.
 const SlowAfter = 2 * time.Second
 
 // ErrNoRoom is returned for a body that the budget has no room for.
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -123,8 +123,8 @@
 		"store_revision":     int64(g.control.knownRevision.Load()),
 		"watches_unanswered": g.control.unansweredWatches.Load(),
 	}
-	if at := g.control.repliedAt.Load(); at != nil {
-		gauges["store_reply_age_ms"] = time.Since(*at).Milliseconds()
+	if at := g.control.respondedAt.Load(); at != nil {
+		gauges["store_response_age_ms"] = time.Since(*at).Milliseconds()
 	}
 	bodies := g.bodies.Counts()
 	gauges["bodies_bytes"], gauges["bodies_peak_bytes"], gauges["bodies_limit_bytes"] = bodies.Reserved, bodies.Peak, bodies.Limit
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -76,7 +76,7 @@
 	preferredFollower atomic.Bool   // This instance would have to follow the store if the store rejected none.
 
 	schedule          func() following.Schedule
-	repliedAt         atomic.Pointer[time.Time] // When the store last answered a watch or read; nil if never.
+	respondedAt       atomic.Pointer[time.Time] // When the store last answered a watch or read; nil if never.
 	unansweredWatches atomic.Int64              // Watches that ended without a response of the store.
 
 	brokerTimeouts atomic.Int64 // Placement requests that a broker did not answer in time.
@@ -96,7 +96,7 @@
 	handoverUntil   time.Time // Until then a Handover is requested; zero once one was received.
 	firstBehind     time.Time // When another instance first reported a later revision; zero while up to date.
 	followPolicy    *following.Machine
-	following       bool // This instance follows the store, and its last call succeeded. Others are told isFollowing.
+	following       bool // This instance follows the store, and its last call succeeded; isFollowing tells what is reported to others.
 	placement       placementClient
 	broker          *brokerState // Nil until the first placement request.
 
@@ -303,16 +303,16 @@
 	}
 }
 
-// recordStoreReply records that the store has answered a watch or a read of this instance.
-func (c *control) recordStoreReply() {
+// recordStoreResponse records that the store has answered a watch or a read of this instance.
+func (c *control) recordStoreResponse() {
 	now := time.Now()
-	c.repliedAt.Store(&now)
+	c.respondedAt.Store(&now)
 }
 
 // isFollowing reports whether this instance follows the store and its knowledge is confirmed by a
 // response of the store.
 func (c *control) isFollowing(now time.Time) bool {
-	at := c.repliedAt.Load()
+	at := c.respondedAt.Load()
 	return c.following && at != nil && c.schedule().Confirmed(now, *at)
 }
 
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// readTimeout bounds a call, or a page of a full read: many times the store's typical response time
-	// of 4 ms, and less than the 2 s in which changes must take effect.
+	// readTimeout bounds a call, or a page of a full read: many times the store's typical response time of
+	// 4 ms.
 	readTimeout = time.Second
 	// initialRetryDelay and maxRetryDelay bound the delay after a failed call; it doubles.
 	initialRetryDelay = 50 * time.Millisecond
@@ -133,7 +133,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.control.recordStoreReply()
+	f.control.recordStoreResponse()
 	f.control.post(func() {
 		f.control.pause.Refreshed(requestedAt)
 		f.control.applyFullRead(time.Now(), items, at)
@@ -194,7 +194,7 @@
 		f.recordUnanswered(ctx, err, after, time.Since(start))
 		return after, err
 	}
-	f.control.recordStoreReply()
+	f.control.recordStoreResponse()
 	if len(items) > 0 {
 		f.deliver(items, after, at, sourceWatch)
 		sleep(ctx, schedule.Batch)
@@ -247,7 +247,7 @@
 	if err != nil {
 		return after, err
 	}
-	f.control.recordStoreReply()
+	f.control.recordStoreResponse()
 	f.deliver(items, after, at, sourceMissed)
 	return max(after, at), nil
 }
