soak: busy processes beside the instances, and a command for the late SIGTERM

A hundred busy loops in the session of the run delay a SIGTERM by 0.05 s at most; as the scheduler shares the processor among sessions, 60 busy processes with a session each on two cores leave 12 instances a thirtieth of each, and a SIGTERM takes effect up to 2.8 s after it was sent.

soakrun starts such processes (-load) and pins them and the instances to some cores (-cores).

--- a/cmd/soakrun/main.go
+++ b/cmd/soakrun/main.go
@@ -36,7 +36,14 @@
 	flag.Float64Var(&o.Loss, "loss", 0.001, "share of the relayed datagrams that is always lost")
 	flag.Float64Var(&o.Rate, "rate", 120, "requests a second")
 	flag.DurationVar(&o.Direct, "direct", time.Second, "interval of the direct checks of each instance")
+	flag.IntVar(&o.Load, "load", 0, "busy processes beside the instances")
+	flag.IntVar(&o.Cores, "cores", 0, "cores for the instances and the busy processes (all)")
+	busy := flag.Bool("busy", false, "be a busy process")
 	flag.Parse()
+	if *busy {
+		soak.Burn()
+	}
+	o.Busy = []string{os.Args[0], "-busy"}
 	if *folder == "" || o.Gate == "" {
 		fmt.Fprintln(os.Stderr, "-folder and -gate are required")
 		return 2
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -53,6 +53,7 @@
 	log                       *os.File
 	recorder                  *recorder
 	gate                      string
+	cores                     int // On which its process runs; 0 for all.
 	isReady                   atomic.Bool
 	lives                     atomic.Int32
 	operating                 sync.Mutex   // Held by an operation that stops or pauses the process.
@@ -103,7 +104,7 @@
 		discovery: f.addr(machineOctet, zone, number, discoveryPort).String(),
 		peers:     f.addr(machineOctet, zone, number, peersPort),
 		announced: f.addr(proxyOctet, zone, number, peersPort),
-		recorder:  f.recorder, gate: f.options.Gate,
+		recorder:  f.recorder, gate: f.options.Gate, cores: f.options.Cores,
 	}
 	m.settings = filepath.Join(f.folder, m.name+".toml")
 	var err error
@@ -206,7 +207,7 @@
 	cmd := exec.Command(m.gate, "--settings", m.settings)
 	cmd.Stdout, cmd.Stderr = m.log, m.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	if err := startOn(m.cores, cmd); err != nil {
 		return fmt.Errorf("start %s: %w", m.name, err)
 	}
 	m.lives.Add(1)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -26,6 +26,9 @@
 	Faults    []string      // Names of the faults to draw from; all if empty.
 	Rate      float64       // Requests per second, of all callers.
 	Direct    time.Duration // Interval of the direct checks of each instance.
+	Load      int           // Busy processes beside the instances.
+	Cores     int           // Cores for the instances and the busy processes; 0 for all.
+	Busy      []string      // Command of a busy process.
 }
 
 // Report is the outcome of a run.
@@ -136,6 +139,12 @@
 		r.check(err)
 		return 0
 	}
+	endLoad, err := r.startLoad()
+	if err != nil {
+		r.check(err)
+		return 0
+	}
+	defer endLoad()
 	lasting, cancel := context.WithTimeout(ctx, leadTime+r.options.Duration)
 	defer cancel()
 	var wg sync.WaitGroup
