Planned stop: count from the time at which the signal was sent

Callers of an instance on a starved machine saw requests end without an answer: the SIGTERM took effect up to 5 s after it was sent, the stop counted from then, and the SIGKILL at the end of the true time cut off what it had taken on.

Cause: the kernel hands a signal to one thread, whose handler wakes another, which hands it to a goroutine. On a starved machine each of these waits for its turn while other threads of the process go on serving. Shown with 48 processes beside 60 busy ones on two cores: the signal arrived up to 3.7 s late, and in 36 of 48 a timer of the same process had fired in between, by up to the whole of it. So the instance's own clock shows nothing, which rules out a count from its last gap.

An instance whose own signals take no effect may be stopping without knowing, so requests that a stop since then would not admit are rejected as well (1019). Both daemons use it; damaskcove's planned stop now ends at the end of its plan, 0.7 s before stop.timeout, not after it.

dispatch.BeginStop is replaced by a hook, and TestRequestsThatOutliveAPlannedStopAreNotRun sets that; it checks the same.

--- a/cmd/damaskcove/main.go
+++ b/cmd/damaskcove/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/damaskcove/damaskcove/internal/metastore/client"
 	"github.com/damaskcove/damaskcove/internal/node"
 	"github.com/damaskcove/damaskcove/internal/settings"
+	"github.com/damaskcove/damaskcove/internal/stopsignal"
 	"github.com/damaskcove/damaskcove/internal/tracing"
 )
 
@@ -98,8 +98,8 @@
 
 // serve runs incarnations of the instance until a planned stop or an error.
 func serve(ctx context.Context, path string) error {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, stops := stopsignal.Start(ctx)
+	defer stops.Close()
 	s, err := load(path)
 	if err != nil {
 		return err
@@ -122,7 +122,7 @@
 	}
 	store := client.New(s.Platform.Address, string(s.Instance.ID))
 	defer store.Close()
-	options := node.Options{Settings: s, Store: store, List: store, Log: log, Tracer: tracer, Seed: uint64(time.Now().UnixNano())}
+	options := node.Options{Settings: s, Store: store, List: store, Log: log, Tracer: tracer, Seed: uint64(time.Now().UnixNano()), NoStopBefore: stops.NotBefore}
 	return withResultCode(node.RunIncarnations(ctx, options, func(*node.Node) {}))
 }
 
--- a/cmd/damaskgate/main.go
+++ b/cmd/damaskgate/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/internal/gateway"
+	"github.com/damaskcove/damaskcove/internal/stopsignal"
 	"github.com/damaskcove/damaskcove/internal/tomlfile"
 )
 
@@ -77,8 +78,8 @@
 
 // serve runs the instance until a planned stop or a failure.
 func serve(ctx context.Context, path string) error {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, stops := stopsignal.Start(ctx)
+	defer stops.Close()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	g, err := gateway.New(path, os.Stdout)
@@ -88,5 +89,6 @@
 	case err != nil:
 		return err
 	}
+	g.SetNoStopBefore(stops.NotBefore)
 	return g.Run(ctx, reload)
 }
--- a/coord/shutdown/shutdown.go
+++ b/coord/shutdown/shutdown.go
@@ -5,6 +5,10 @@
 // instance that stops. A request that reaches it early is passed on whatever its deadline. Later
 // ones are passed on only if they end before the instance does; the others are rejected at once, as
 // their callers can go to another instance.
+//
+// The time of a stop counts from its request, and a process that waits for processor time learns
+// of that late. Decisions about new requests therefore assume the earliest time at which the stop can
+// have been requested. Before a stop is known that is the last time at which none had been.
 package shutdown
 
 import "time"
@@ -18,37 +22,68 @@
 const (
 	// staleTTLs is the number of discovery TTLs for which callers may use a discovery answer.
 	staleTTLs = 3
-	// maxMargin is kept at both ends of a stop, as the signal was sent earlier than it took effect: in
-	// a process that waits for processor time, by half a second and more. At the end it also covers
-	// the instance's withdrawal from the store, its last log lines and its exit.
+	// maxMargin is kept at both ends of a stop, for what a process that waits for processor time does
+	// late. At the end it also covers the instance's withdrawal from the store, its last log lines
+	// and its exit.
 	maxMargin = 700 * time.Millisecond
 	// marginDivisor bounds the margin to a part of a short StopWithin.
 	marginDivisor = 6
+	// rejectionDivisor is the part of the margin that is left to write the last rejections, as a divisor.
+	rejectionDivisor = 4
 )
 
+// Requested is the span of time in which a stop was requested.
+type Requested struct {
+	After time.Time // No stop had been requested until then.
+	By    time.Time // The instance knew of the request then.
+}
+
 // Plan is the schedule of a planned stop.
 type Plan struct {
 	AcceptUntil time.Time // Connections are accepted, and idle ones kept open, until then.
+	LastArrival time.Time // Requests that have not arrived completely by then are rejected.
 	End         time.Time // Requests that have no complete answer by then are cut off.
 
 	admitAllUntil time.Time
+	endsBy        time.Time // End, if the stop was requested as early as possible.
 }
 
-// NewPlan returns the schedule of a stop that begins at a time.
-func NewPlan(begin time.Time, p Promises) Plan {
+// NewPlan returns the schedule of a stop. What the instance takes on counts from the earliest time of
+// the request, and what it completes from the latest.
+func NewPlan(r Requested, p Promises) Plan {
+	after, by := r.After, r.By
+	if after.After(by) {
+		after = by
+	}
 	margin := min(maxMargin, p.StopWithin/marginDivisor)
 	mayBeStale := staleTTLs * p.DiscoveryTTL
+	// Half a TTL is left for an answer given just before the other instances knew of the stop,
+	// and a quarter of the stop for the requests on the last connections.
+	acceptUntil := earlier(by.Add(mayBeStale+p.DiscoveryTTL/2), after.Add(p.StopWithin*3/4))
 	return Plan{
-		// Half a TTL is left for an answer given just before the other instances knew of the stop,
-		// and a quarter of the stop for the requests on the last connections.
-		AcceptUntil: begin.Add(min(mayBeStale+p.DiscoveryTTL/2, p.StopWithin*3/4)),
-		End:         begin.Add(p.StopWithin - margin),
+		AcceptUntil: acceptUntil,
+		LastArrival: after.Add(p.StopWithin - margin - margin/rejectionDivisor),
+		End:         by.Add(p.StopWithin - margin),
 		// A request has at least half of StopWithin.
-		admitAllUntil: begin.Add(min(mayBeStale, p.StopWithin/2-margin)),
+		admitAllUntil: after.Add(min(mayBeStale, p.StopWithin/2-margin)),
+		endsBy:        after.Add(p.StopWithin - margin),
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Admits reports whether a request that has to end by a deadline may be passed on at a time.
 func (p Plan) Admits(now, deadline time.Time) bool {
-	return now.Before(p.admitAllUntil) || !deadline.After(p.End)
+	return now.Before(p.admitAllUntil) || !deadline.After(p.endsBy)
+}
+
+// AdmitsUnaware reports whether an instance that knows of no stop may pass on a request at a time. None had
+// been requested until notBefore: if that is long ago, a request to stop may have been made since.
+func AdmitsUnaware(notBefore, now, deadline time.Time, p Promises) bool {
+	return NewPlan(Requested{After: notBefore, By: now}, p).Admits(now, deadline)
 }
--- a/coord/shutdown/shutdown_test.go
+++ b/coord/shutdown/shutdown_test.go
@@ -21,7 +21,7 @@
 		"long stop":                           {Promises{30 * time.Second, time.Second}, 3500 * time.Millisecond, 29300 * time.Millisecond, 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := NewPlan(begin, tc.promises)
+			p := NewPlan(Requested{begin, begin}, tc.promises)
 			if got := p.AcceptUntil.Sub(begin); got != tc.acceptUntil {
 				t.Errorf("accepts connections until %s, want %s", got, tc.acceptUntil)
 			}
@@ -46,7 +46,7 @@
 	begin := time.Now()
 	for _, stopWithin := range []time.Duration{10 * time.Millisecond, time.Second, 2 * time.Second, 6 * time.Second, 30 * time.Second, time.Hour} {
 		for _, ttl := range []time.Duration{10 * time.Millisecond, time.Second, 5 * time.Second, time.Hour} {
-			p := NewPlan(begin, Promises{stopWithin, ttl})
+			p := NewPlan(Requested{begin, begin}, Promises{stopWithin, ttl})
 			if p.AcceptUntil.After(p.End) || p.End.After(begin.Add(stopWithin)) || p.AcceptUntil.Before(begin) {
 				t.Errorf("stop_within %s, discovery_ttl %s: accepts until %s, ends at %s", stopWithin, ttl, p.AcceptUntil.Sub(begin), p.End.Sub(begin))
 			}
@@ -62,3 +62,41 @@
 		}
 	}
 }
+
+// Requests taken on after a signal that took effect late were cut off by the SIGKILL that counts from its sending.
+func TestPlanOfLateSignalCountsFromItsSending(t *testing.T) {
+	sent := time.Now()
+	p := Promises{6 * time.Second, time.Second}
+	for late := time.Duration(0); late <= 8*time.Second; late += 100 * time.Millisecond {
+		by := sent.Add(late)
+		plan := NewPlan(Requested{After: sent, By: by}, p)
+		onTime := NewPlan(Requested{After: sent, By: sent}, p)
+		if plan.LastArrival != onTime.LastArrival || plan.endsBy != onTime.endsBy || plan.admitAllUntil != onTime.admitAllUntil {
+			t.Errorf("%s late: requests arrive until %s, are all admitted until %s and end by %s", late, plan.LastArrival.Sub(sent), plan.admitAllUntil.Sub(sent), plan.endsBy.Sub(sent))
+		}
+		if !plan.LastArrival.Before(plan.End) {
+			t.Errorf("%s late: no time is left for the last rejections", late)
+		}
+		if plan.AcceptUntil.After(sent.Add(p.StopWithin * 3 / 4)) {
+			t.Errorf("%s late: accepts until %s after the sending", late, plan.AcceptUntil.Sub(sent))
+		}
+		if plan.End != by.Add(onTime.End.Sub(sent)) {
+			t.Errorf("%s late: ends %s after the signal took effect", late, plan.End.Sub(by))
+		}
+	}
+}
+
+// A signal may have been sent since the last time at which there was none for certain.
+func TestUnawareInstanceAdmitsWhatAnyStopSinceWouldAdmit(t *testing.T) {
+	clear := time.Now()
+	p := Promises{6 * time.Second, time.Second}
+	plan := NewPlan(Requested{After: clear, By: clear}, p)
+	for at := time.Duration(0); at < 10*time.Second; at += 100 * time.Millisecond {
+		for left := time.Duration(0); left < 6*time.Second; left += 500 * time.Millisecond {
+			now := clear.Add(at)
+			if got, want := AdmitsUnaware(clear, now, now.Add(left), p), plan.Admits(now, now.Add(left)); got != want {
+				t.Fatalf("%s after, %s left: admitted %v", at, left, got)
+			}
+		}
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -10,7 +10,6 @@
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/coord/routing"
-	"github.com/damaskcove/damaskcove/coord/shutdown"
 	"github.com/damaskcove/damaskcove/internal/exchange"
 )
 
@@ -22,7 +21,6 @@
 	mu       sync.RWMutex
 	services map[fleet.Service]*service
 	stopping bool
-	stop     *shutdown.Plan // Nil until BeginStop.
 	pending  sync.WaitGroup // Running calls of Execute.
 }
 
@@ -61,14 +59,6 @@
 	return countAnswer(s.execute(ctx, r))
 }
 
-// BeginStop makes Execute reject the requests that may not end before a planned stop does. Those with a
-// key are executed: a rejection would settle the key as not run, also for later requests with it.
-func (d *Dispatcher) BeginStop(plan shutdown.Plan) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.stop = &plan
-}
-
 // Drain rejects new requests, waits for the running ones and closes the connections. It
 // returns ctx's error if ctx ends first.
 func (d *Dispatcher) Drain(ctx context.Context) error {
@@ -90,12 +80,12 @@
 }
 
 // admit adds a request to pending and returns its service, or a rejection if the service is
-// unknown or the dispatcher is stopping.
+// unknown or the instance is stopping.
 func (d *Dispatcher) admit(r exchange.Request) (*service, exchange.Answer) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	outlivesStop := d.stop != nil && r.Key == "" && !d.stop.Admits(time.Now(), r.Deadline)
-	if d.stopping || outlivesStop {
+	mayOutliveStop := r.Key == "" && d.hooks.MayStart != nil && !d.hooks.MayStart(time.Now(), r.Deadline)
+	if d.stopping || mayOutliveStop {
 		return nil, exchange.Rejection(result.CodeStopping, "")
 	}
 	s := d.services[r.Service]
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -356,9 +356,11 @@
 // A stop whose callers never fall silent lasts for all of its time, and what is in flight then is cut off.
 func TestRequestsThatOutliveAPlannedStopAreNotRun(t *testing.T) {
 	u := newRawUpstream(t, always(ok("whole")))
-	d := testDispatcher(t, newRecorder(), targetsOf(1, u.endpoint()))
 	const timeout, passed = 60 * time.Second, 40 * time.Second
-	d.BeginStop(shutdown.NewPlan(time.Now().Add(-passed), shutdown.Promises{StopWithin: timeout, DiscoveryTTL: timeout}))
+	requested := time.Now().Add(-passed)
+	plan := shutdown.NewPlan(shutdown.Requested{After: requested, By: requested}, shutdown.Promises{StopWithin: timeout, DiscoveryTTL: timeout})
+	d := testDispatcher(t, newRecorder(), targetsOf(1, u.endpoint()))
+	d.hooks.MayStart = plan.Admits
 	long := get("/")
 	long.Deadline = time.Now().Add(timeout - passed)
 	if a := d.Execute(context.Background(), long); a.Code != result.CodeStopping || a.Execution != result.NotRun || u.count() != 0 {
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -36,6 +36,9 @@
 	Observe func(service fleet.Service, a health.Attempt)
 	// Draining is called when an answer says that its endpoint is draining.
 	Draining func(service fleet.Service, endpoint fleet.Endpoint)
+	// MayStart reports whether a request with a deadline may start. It is not asked about requests with
+	// a key: a rejection would settle the key as not run, also for later requests with it.
+	MayStart func(now, deadline time.Time) bool
 }
 
 func (s Settings) withDefaults() Settings {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	reassembler      reassembler // Owned by the goroutine that receives datagrams.
 	leaving          atomic.Bool
 	started          time.Time
+	noStopBefore     func() time.Time // A time until which no stop had been requested.
 }
 
 // New reads the settings file at path and opens the listeners. Logs are written to out.
@@ -52,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{path: path, settingsModified: settingsModified, started: time.Now(), metrics: newMetrics()}
+	g := &Gateway{path: path, settingsModified: settingsModified, started: time.Now(), metrics: newMetrics(), noStopBefore: time.Now}
 	g.settings.Store(s)
 	if err := g.listen(s, out); err != nil {
 		g.close()
@@ -74,7 +75,7 @@
 	g.forwarder = forward.New(g.control)
 	g.bodies = body.NewBudget(bodyBudget(s.Instance.MemoryMB))
 	g.acceptFailures = accept.NewFailures(g.log)
-	g.handler = &handler{control: g.control, forwarder: g.forwarder, metrics: g.metrics, log: g.log, logAll: func() bool { return g.current().Log.Requests == LogAll }}
+	g.handler = &handler{control: g.control, forwarder: g.forwarder, metrics: g.metrics, log: g.log, logAll: func() bool { return g.current().Log.Requests == LogAll }, mayStart: g.mayStart}
 	if g.server, err = callers.Listen(s.Listen.Callers, g.handler, callers.Options{
 		ObserveAccept: g.acceptFailures.Observe, Descriptors: descriptorLimit(s.Instance.MaxFDs), Use: g.otherConnections, Bodies: g.bodies,
 	}); err != nil {
@@ -136,6 +137,12 @@
 	return g.control.snapshot.Load().router != nil && !g.leaving.Load()
 }
 
+// SetNoStopBefore sets the source of a time until which no stop had been requested. It is called before Run;
+// without it a stop counts from the end of Run's context.
+func (g *Gateway) SetNoStopBefore(source func() time.Time) {
+	g.noStopBefore = source
+}
+
 // Run serves until ctx ends or a listener fails. When ctx ends it makes a planned stop. A value
 // from reload makes it reread the settings file.
 func (g *Gateway) Run(ctx context.Context, reload <-chan os.Signal) error {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -29,10 +29,11 @@
 	instances []*instance
 	version   int
 
-	memoryMB     int           // instance.memory_mb of the instances; 0 for none.
-	brokersFrom  int           // place.brokers_from of the instances; 0 for the default.
-	stopWithin   time.Duration // promises.stop_within of the instances; 0 for 4 s.
-	discoveryTTL time.Duration // promises.discovery_ttl of the instances; 0 for 200 ms.
+	memoryMB     int              // instance.memory_mb of the instances; 0 for none.
+	brokersFrom  int              // place.brokers_from of the instances; 0 for the default.
+	stopWithin   time.Duration    // promises.stop_within of the instances; 0 for 4 s.
+	discoveryTTL time.Duration    // promises.discovery_ttl of the instances; 0 for 200 ms.
+	noStopBefore func() time.Time // Nil: a stop counts from its signal's effect.
 }
 
 type instance struct {
@@ -148,6 +149,9 @@
 		fleet.t.Fatal(err)
 	}
 	in.gateway = g
+	if fleet.noStopBefore != nil {
+		g.SetNoStopBefore(fleet.noStopBefore)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	in.stop = cancel
 	go func() { in.done <- g.Run(ctx, make(chan os.Signal)) }()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -34,12 +34,7 @@
 	log       *slog.Logger
 	logAll    func() bool
 	stop      atomic.Pointer[shutdown.Plan] // Nil until a planned stop begins.
-}
-
-// mayStart reports whether an attempt of a request with a deadline may start.
-func (h *handler) mayStart(now, deadline time.Time) bool {
-	plan := h.stop.Load()
-	return plan == nil || plan.Admits(now, deadline)
+	mayStart  func(now, deadline time.Time) bool
 }
 
 // Limits implements callers.Handler.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -21,12 +21,13 @@
 // promises.stop_within is nearly over.
 func (g *Gateway) stop() error {
 	began := time.Now()
-	promises := g.current().Promises
-	plan := shutdown.NewPlan(began, shutdown.Promises{StopWithin: promises.StopWithin, DiscoveryTTL: promises.DiscoveryTTL})
+	requested := shutdown.Requested{After: g.noStopBefore(), By: began}
+	plan := shutdown.NewPlan(requested, g.stopPromises())
 	g.handler.stop.Store(&plan)
 	g.leaving.Store(true)
-	g.log.Info("planned stop started; serving callers that still connect", "in_flight", g.server.InFlight())
 	g.server.Drain()
+	g.log.Info("planned stop started; serving callers that still connect", "in_flight", g.server.InFlight(),
+		"requested_at_most_ms_ago", began.Sub(requested.After).Milliseconds())
 	for range leaveRepeats {
 		g.control.post(func() { g.control.leaving = true; g.control.sendReports() })
 		time.Sleep(leaveInterval)
@@ -45,6 +46,20 @@
 	return nil
 }
 
+// stopPromises returns what callers and the platform rely on in a planned stop.
+func (g *Gateway) stopPromises() shutdown.Promises {
+	p := g.current().Promises
+	return shutdown.Promises{StopWithin: p.StopWithin, DiscoveryTTL: p.DiscoveryTTL}
+}
+
+// mayStart reports whether an attempt of a request with a deadline may start.
+func (g *Gateway) mayStart(now, deadline time.Time) bool {
+	if plan := g.handler.stop.Load(); plan != nil {
+		return plan.Admits(now, deadline)
+	}
+	return shutdown.AdmitsUnaware(g.noStopBefore(), now, deadline, g.stopPromises())
+}
+
 // maxCutOffLogged bounds the requests that are logged one by one at the end of a planned stop.
 const maxCutOffLogged = 20
 
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -168,3 +169,49 @@
 		t.Errorf("stopped after %s: %v", took, err)
 	}
 }
+
+// A signal that took effect late left less time than the stop assumed: its last requests were killed with the process.
+func TestStopOfLateSignalTakesOnNoRequestPastItsTime(t *testing.T) {
+	fleet := newTestFleet(t)
+	fleet.stopWithin, fleet.discoveryTTL = 6*time.Second, time.Second
+	const late = 3 * time.Second
+	var lateness atomic.Int64
+	fleet.noStopBefore = func() time.Time { return time.Now().Add(-time.Duration(lateness.Load())) }
+	in, u := fleet.startServing()
+	lateness.Store(int64(late))
+	in.stop()
+	eventually(t, "the stop begins", func() bool { return in.logLine("planned stop started; serving callers that still connect") != nil })
+	before := u.requests.Load()
+	c := in.dial(t)
+	c.request(t, "long", "/x", 4*time.Second)
+	if resp, err := c.answer(); err != nil || resp.StatusCode() != 503 || u.requests.Load() != before {
+		t.Errorf("a request that outlasts what is left: status %d, %v", resp.StatusCode(), err)
+	}
+	c = in.dial(t)
+	c.request(t, "short", "/x", time.Second)
+	if resp, err := c.answer(); err != nil || resp.StatusCode() != 200 {
+		t.Errorf("a request that fits into what is left: status %d, %v", resp.StatusCode(), err)
+	}
+}
+
+// An instance whose signals take no effect may be stopping: it passed on requests until it was killed.
+func TestInstanceThatMayBeStoppingTakesOnNoRequestPastItsTime(t *testing.T) {
+	fleet := newTestFleet(t)
+	fleet.stopWithin, fleet.discoveryTTL = 6*time.Second, time.Second
+	var age atomic.Int64
+	fleet.noStopBefore = func() time.Time { return time.Now().Add(-time.Duration(age.Load())) }
+	in, u := fleet.startServing()
+	age.Store(int64(3 * time.Second))
+	before := u.requests.Load()
+	c := in.dial(t)
+	c.request(t, "long", "/x", 4*time.Second)
+	if resp, err := c.answer(); err != nil || resp.StatusCode() != 503 || !strings.Contains(string(resp.Body()), "1019") || u.requests.Load() != before {
+		t.Errorf("while signals take no effect: status %d, %v", resp.StatusCode(), err)
+	}
+	age.Store(int64(300 * time.Millisecond))
+	c = in.dial(t)
+	c.request(t, "again", "/x", 4*time.Second)
+	if resp, err := c.answer(); err != nil || resp.StatusCode() != 200 {
+		t.Errorf("after one took effect: status %d, %v", resp.StatusCode(), err)
+	}
+}
--- a/internal/node/components.go
+++ b/internal/node/components.go
@@ -87,7 +87,7 @@
 		IdleTimeout:    s.Limits.UpstreamIdle,
 		SourceIP:       s.Listen.Outgoing,
 		Seed:           n.opts.Seed,
-	}, dispatch.Hooks{Observe: n.endpoints.Observe, Draining: n.onUpstreamDraining})
+	}, dispatch.Hooks{Observe: n.endpoints.Observe, Draining: n.onUpstreamDraining, MayStart: n.mayStart})
 	n.claims = claims.New(claims.Options{
 		Fleet:    s.Instance.Fleet,
 		Self:     n.self,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/coord/shutdown"
 	"github.com/damaskcove/damaskcove/internal/claims"
 	"github.com/damaskcove/damaskcove/internal/config"
 	"github.com/damaskcove/damaskcove/internal/control"
@@ -48,6 +49,9 @@
 	Log         *slog.Logger
 	Tracer      trace.Tracer
 	Seed        uint64 // Seeds the random choices.
+	// NoStopBefore returns a time until which no planned stop had been requested. Nil: a stop counts from the end
+	// of Run's context.
+	NoStopBefore func() time.Time
 	// Inject faults in tests and the demo; may be nil.
 	LinkBlocked        func(to fleet.Ref) bool         // Reports whether the link to a peer drops every message.
 	WrapCallerListener func(net.Listener) net.Listener // Wraps the listener for callers.
@@ -78,6 +82,7 @@
 	appliedAt atomic.Pointer[time.Time]
 	weights   map[fleet.Service]map[fleet.Account]int // Of the active configuration. Used by the control goroutine only.
 	stopping  atomic.Bool
+	plan      atomic.Pointer[shutdown.Plan] // Nil until a planned stop begins.
 	started   time.Time
 	fatal     chan error
 	rejected  expvar.Map // Messages that components rejected, by kind.
@@ -86,6 +91,9 @@
 // New listens on the instance's addresses and creates its components. ctx bounds the
 // instance's calls to the platform.
 func New(ctx context.Context, o Options) (*Node, error) {
+	if o.NoStopBefore == nil {
+		o.NoStopBefore = time.Now
+	}
 	storeMonitor := storecall.NewMonitor(o.Store, time.Now)
 	o.Store = storeMonitor
 	n := &Node{opts: o, storeMonitor: storeMonitor, log: o.Log, started: time.Now(), fatal: make(chan error, 1)}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -104,10 +104,10 @@
 func (n *Node) stop(cause error) {
 	n.stopping.Store(true)
 	n.log.Info("planned stop started", "incarnation", n.self.Ref.Incarnation, "in_flight", n.entry.InFlight())
-	timeout := n.opts.Settings.Stop.Timeout
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	plan := shutdown.NewPlan(shutdown.Requested{After: n.opts.NoStopBefore(), By: time.Now()}, n.stopPromises())
+	n.plan.Store(&plan)
+	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
-	n.dispatcher.BeginStop(shutdown.NewPlan(time.Now(), shutdown.Promises{StopWithin: timeout, DiscoveryTTL: n.opts.Settings.Fleet.DiscoveryMaxAge}))
 	if cause == nil {
 		n.onLoop(ctx, n.members.Leave)
 	}
@@ -126,6 +126,20 @@
 	time.Sleep(finalSendDelay)
 }
 
+// stopPromises returns what callers and the platform rely on in a planned stop.
+func (n *Node) stopPromises() shutdown.Promises {
+	s := n.opts.Settings
+	return shutdown.Promises{StopWithin: s.Stop.Timeout, DiscoveryTTL: s.Fleet.DiscoveryMaxAge}
+}
+
+// mayStart reports whether a request with a deadline may start: it ends before a planned stop does.
+func (n *Node) mayStart(now, deadline time.Time) bool {
+	if plan := n.plan.Load(); plan != nil {
+		return plan.Admits(now, deadline)
+	}
+	return shutdown.AdmitsUnaware(n.opts.NoStopBefore(), now, deadline, n.stopPromises())
+}
+
 func (n *Node) logStop(step string, err error) {
 	if err != nil {
 		n.log.Warn("planned stop step failed; continuing", "step", step, "error", err.Error())
