Claims: a key that outlives the planned stop of its home runs at the witness

Claims now refuses a new key whose deadline is past the end of the stop, before anything is claimed. The refusal holds for this instance alone, so the witness runs it. Keys that are in the table are answered as before. TestKeyThatOutlivesThePlannedStopOfItsHomeRunsAtTheWitness failed before: 2 of 2 such orders were run at the home.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -25,7 +25,7 @@
 	Execute(ctx context.Context, r exchange.Request) exchange.Answer
 }
 
-// Options configure Claims. All fields but Limits and Log are required.
+// Options configure Claims. All fields but Limits, Log and MayStart are required.
 type Options struct {
 	Fleet    string
 	Self     fleet.Instance
@@ -36,6 +36,9 @@
 	Keys     *claim.Keyring
 	Limits   claim.Limits // Zero fields take their defaults.
 	Log      *slog.Logger // slog.Default when nil.
+	// MayStart reports whether a new key whose request has a deadline may be accepted; nil: always. A key that is
+	// refused can still run at the other instance of its ticket.
+	MayStart func(now, deadline time.Time) bool
 }
 
 // Claims is the control.Component that runs keyed requests.
@@ -55,6 +58,7 @@
 
 	// Owned by the control goroutine.
 	machine  *claim.Machine
+	mayStart func(now, deadline time.Time) bool
 	pending  map[claim.Key]*pendingRequest
 	lookups  map[uint64]*pendingLookup
 	lookupID uint64
@@ -82,6 +86,10 @@
 		machine:       claim.NewMachine(o.Self.Ref, o.Limits),
 		pending:       make(map[claim.Key]*pendingRequest),
 		lookups:       make(map[uint64]*pendingLookup),
+		mayStart:      func(time.Time, time.Time) bool { return true },
+	}
+	if o.MayStart != nil {
+		c.mayStart = o.MayStart
 	}
 	if c.log == nil {
 		c.log = slog.Default()
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -306,6 +306,24 @@
 	})
 }
 
+// A key that reached its home late in a planned stop was run there and cut off, though its witness could have run it.
+func TestKeyThatOutlivesThePlannedStopOfItsHomeRunsAtTheWitness(t *testing.T) {
+	inFleet(t, claim.Limits{}, func(f *testFleet) {
+		end := time.Now().Add(2 * time.Second)
+		f.nodes[home].claims.mayStart = func(_, deadline time.Time) bool { return !deadline.After(end) }
+		f.expect("order at its home", f.do(home, f.request("a")), result.CodeAnswered, result.Ran)
+		f.expect("relayed order", f.do(third, f.request("b")), result.CodeAnswered, result.Ran)
+		f.expectRuns(2)
+		f.expectRunsAt(home, 0)
+		short := f.request("c")
+		short.Deadline = end
+		f.expect("order that ends in time", f.nodes[home].claims.Do(context.Background(), short), result.CodeAnswered, result.Ran)
+		f.expectRunsAt(home, 1)
+		f.expect("retry of it", f.do(home, short), result.CodeAnswered, result.Ran)
+		f.expectRuns(3)
+	})
+}
+
 func TestStopIsBoundedByItsContext(t *testing.T) {
 	inFleet(t, claim.Limits{}, func(f *testFleet) {
 		f.do(home, f.request("a"))
--- a/internal/claims/fleet_test.go
+++ b/internal/claims/fleet_test.go
@@ -41,6 +41,7 @@
 	loop   *control.Loop
 	claims *Claims
 	end    context.CancelFunc
+	runs   int // Requests executed here.
 }
 
 var (
@@ -186,6 +187,7 @@
 func (n *testNode) Execute(ctx context.Context, r exchange.Request) exchange.Answer {
 	n.f.mu.Lock()
 	n.f.runs = append(n.f.runs, string(r.Body))
+	n.runs++
 	run := n.f.run
 	n.f.mu.Unlock()
 	return run(ctx, r)
@@ -232,6 +234,15 @@
 	}
 }
 
+func (f *testFleet) expectRunsAt(ref fleet.Ref, n int) {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if got := f.nodes[ref].runs; got != n {
+		f.t.Errorf("executed %d requests at %s, expected %d", got, ref, n)
+	}
+}
+
 func (f *testFleet) expectRuns(n int) {
 	f.t.Helper()
 	f.mu.Lock()
--- a/internal/claims/local.go
+++ b/internal/claims/local.go
@@ -75,6 +75,10 @@
 		w.outcome <- claim.Outcome{Result: claim.ResultRefused, Reason: claim.ReasonPeerUnreachable}
 		return
 	}
+	if !c.machine.Contains(s.Key) && !c.mayStart(now, s.Deadline) {
+		w.outcome <- claim.Outcome{Result: claim.ResultRefused, Reason: claim.ReasonStopping}
+		return
+	}
 	effects := c.machine.Submit(now, role, s)
 	for _, effect := range effects {
 		if refusal, ok := effect.(claim.Refusal); ok {
--- a/internal/node/components.go
+++ b/internal/node/components.go
@@ -97,6 +97,7 @@
 		Executor: n.dispatcher,
 		Keys:     keyring,
 		Limits:   claim.Limits{MaxKeys: s.Limits.ClaimTableKeys},
+		MayStart: n.mayStart,
 		Log:      n.log,
 	})
 	n.loop.Add(n.members)
