Planned stop: requests that are still arriving are told at its end

Callers whose head or body was still on its way at the end of a planned stop saw their connection close without an answer, and callers that sent a large order late had to send all of it before they were turned away.

A request without time left is now rejected by its head, before its body is read. Shortly before the end of the stop all requests that are incomplete are rejected with 1019, which is true: they have not run.

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -39,6 +39,8 @@
 
 func (e *echoHandler) Limits() Limits { return e.limits }
 
+func (e *echoHandler) Expects(*fasthttp.RequestHeader) bool { return true }
+
 func (e *echoHandler) Reject(code result.Code, _ string, resp *fasthttp.Response) {
 	entry, _ := result.Lookup(code)
 	resp.SetStatusCode(entry.Status)
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -57,6 +57,7 @@
 
 	mu        sync.Mutex
 	receiving bool // At least one byte of a request has arrived.
+	reading   bool // A request has begun to arrive and is not complete.
 	retired   bool // To be closed as soon as it has no request, to make room.
 }
 
@@ -81,8 +82,7 @@
 		return false
 	}
 	limits := c.server.handler.Limits()
-	firstByteAt := time.Now()
-	_ = c.nc.SetReadDeadline(firstByteAt.Add(limits.HeadTimeout))
+	c.beginReading(limits.HeadTimeout)
 	head, err := peekHead(c.br, limits.HeadBytes)
 	if errors.Is(err, bufio.ErrBufferFull) && c.growBuffer(limits.HeadBytes) {
 		head, err = peekHead(c.br, limits.HeadBytes)
@@ -99,6 +99,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	payload, ok := c.readRequest(req, limits)
+	c.endReading()
 	if !ok {
 		return false
 	}
@@ -172,6 +173,44 @@
 	}
 }
 
+// beginReading allows a request that has begun to arrive a time for its head.
+func (c *conn) beginReading(headTimeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	c.setReadTimeout(headTimeout)
+}
+
+// awaitBody allows the body of a request a time.
+func (c *conn) awaitBody(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setReadTimeout(timeout)
+}
+
+// setReadTimeout bounds the time to read on; mu is held. At the end of a planned stop there is none.
+func (c *conn) setReadTimeout(timeout time.Duration) {
+	if c.server.ending.Load() {
+		timeout = 0
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(timeout))
+}
+
+func (c *conn) endReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+}
+
+// interruptArriving ends the reading of a request that is incomplete.
+func (c *conn) interruptArriving() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		c.setReadTimeout(0)
+	}
+}
+
 func (c *conn) isRetired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -197,6 +236,8 @@
 		c.reject(result.CodeHeadTooLarge, errHeadTooLarge.Error())
 	case errors.Is(err, errBareLineFeed):
 		c.reject(result.CodeMalformedRequest, err.Error())
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.server.ending.Load():
+		c.reject(result.CodeStopping, "")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.reject(result.CodeRequestTimedOut, "the head did not arrive in time")
 	}
@@ -212,7 +253,11 @@
 		c.reject(result.CodeBodyTooLarge, body.ErrTooLarge.Error())
 		return nil, false
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if req.Header.ContentLength() != 0 && !c.server.handler.Expects(&req.Header) {
+		c.reject(result.CodeStopping, "")
+		return nil, false
+	}
+	c.awaitBody(bodyTimeout)
 	payload, err := c.readBody(req, max(limits.BodyBytes, 1))
 	switch {
 	case err == nil:
@@ -221,6 +266,8 @@
 		c.reject(result.CodeBodiesFull, err.Error())
 	case errors.Is(err, body.ErrTooLarge):
 		c.reject(result.CodeBodyTooLarge, err.Error())
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.server.ending.Load():
+		c.reject(result.CodeStopping, "")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.reject(result.CodeRequestTimedOut, "the body did not arrive in time")
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -57,6 +57,8 @@
 	Serve(ctx context.Context, r Request, resp *fasthttp.Response)
 	// Reject fills in the answer to a request that could not be read.
 	Reject(code result.Code, detail string, resp *fasthttp.Response)
+	// Expects reports whether a request whose body has not arrived may still be served, by its head.
+	Expects(head *fasthttp.RequestHeader) bool
 	// Limits returns the active limits.
 	Limits() Limits
 }
@@ -69,6 +71,7 @@
 	acceptDone chan struct{} // Closed when Run accepts no more connections.
 	draining   atomic.Bool
 	closing    atomic.Bool
+	ending     atomic.Bool // Requests that have not arrived completely are rejected.
 	inFlight   atomic.Int64
 
 	crowded atomic.Bool   // No more connections are accepted, as all open ones have requests.
@@ -208,6 +211,17 @@
 	s.draining.Store(true)
 }
 
+// RejectIncomplete rejects the requests that have begun to arrive and are incomplete, and those that
+// begin to arrive from now on.
+func (s *Server) RejectIncomplete() {
+	s.ending.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.interruptArriving()
+	}
+}
+
 // Shutdown stops accepting connections, closes idle ones, and answers the requests of all connections
 // that were made, including those in the backlog. It returns when all are answered or ctx ends. Run
 // must have been called.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -135,7 +135,7 @@
 	var rejected *Rejected
 	switch {
 	case errors.Is(cause, errStopping):
-		return &rejection{code: result.CodeStopping, detail: errStopping.Error(), retryAfter: stoppingRetryAfter}
+		return &rejection{code: result.CodeStopping, detail: errStopping.Error(), retryAfter: StoppingRetryAfter}
 	case errors.As(cause, &rejected) && rejected.Reason == dispatch.NoEndpoint:
 		return &rejection{code: result.CodeNoEndpoint, retryAfter: rejected.RetryAfter}
 	case errors.As(cause, &rejected) && rejected.Reason == dispatch.Overloaded:
@@ -151,9 +151,9 @@
 // errStopping is the reason for which no attempt starts.
 var errStopping = errors.New("the request may not end before the instance does")
 
-// stoppingRetryAfter is the Retry-After of a request that a stopping instance does not pass on. It is
+// StoppingRetryAfter is the Retry-After of a request that a stopping instance does not pass on. It is
 // short, as the caller can go to another instance.
-const stoppingRetryAfter = 100 * time.Millisecond
+const StoppingRetryAfter = 100 * time.Millisecond
 
 // rejectedRetryAfter is the Retry-After of a request that no endpoint accepted: about the
 // duration of one request.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -37,6 +37,14 @@
 	mayStart  func(now, deadline time.Time) bool
 }
 
+// Expects implements callers.Handler. A request that a planned stop leaves no time for is rejected before its
+// body arrives, so that its caller can go to another instance.
+func (h *handler) Expects(head *fasthttp.RequestHeader) bool {
+	left, ok := platform.TimeLeft(head)
+	now := time.Now()
+	return !ok || h.mayStart(now, now.Add(left))
+}
+
 // Limits implements callers.Handler.
 func (h *handler) Limits() callers.Limits {
 	return h.control.snapshot.Load().limits
@@ -45,8 +53,11 @@
 // Reject implements callers.Handler.
 func (h *handler) Reject(code result.Code, detail string, resp *fasthttp.Response) {
 	var retryAfter time.Duration
-	if code == result.CodeBodiesFull {
+	switch code {
+	case result.CodeBodiesFull:
 		retryAfter = bodiesFullRetryAfter
+	case result.CodeStopping:
+		retryAfter = forward.StoppingRetryAfter
 	}
 	forward.Reject(resp, "", code, detail, retryAfter)
 	h.metrics.recordAnswer(code, 0)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -32,6 +32,8 @@
 		g.control.post(func() { g.control.leaving = true; g.control.sendReports() })
 		time.Sleep(leaveInterval)
 	}
+	lastArrival := time.AfterFunc(time.Until(plan.LastArrival), g.server.RejectIncomplete)
+	defer lastArrival.Stop()
 	time.Sleep(time.Until(plan.AcceptUntil))
 	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -215,3 +215,64 @@
 		t.Errorf("after one took effect: status %d, %v", resp.StatusCode(), err)
 	}
 }
+
+// The body of an order that could not be passed on was awaited before its caller could go elsewhere.
+func TestOrderTooLateInPlannedStopIsRejectedBeforeItsBodyArrives(t *testing.T) {
+	fleet := newTestFleet(t)
+	fleet.stopWithin, fleet.discoveryTTL = 4*time.Second, time.Second
+	in, _ := fleet.startServing()
+	in.stop()
+	time.Sleep(fleet.stopWithin / 2)
+	c := in.dial(t)
+	if _, err := c.Write([]byte("POST /x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\nDeadline-Ms: 4000\r\nContent-Length: 10\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := c.answer()
+	if err != nil || resp.StatusCode() != 503 || !strings.Contains(string(resp.Body()), "1019") {
+		t.Errorf("%s%s%v", &resp.Header, resp.Body(), err)
+	}
+	if in.logLine("instance stopped") != nil {
+		t.Error("rejected only at the end of the stop")
+	}
+}
+
+// Requests that were still arriving at the end of a stop got a closed connection, which tells their callers nothing.
+func TestRequestsThatArriveAtTheEndOfPlannedStopAreRejected(t *testing.T) {
+	fleet := newTestFleet(t)
+	fleet.stopWithin = 2 * time.Second
+	in, u := fleet.startServing()
+	before := u.requests.Load()
+	parts := map[string]string{
+		"half of a head":   "POST /x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\n",
+		"half of a body":   "POST /x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-2\r\nDeadline-Ms: 5000\r\nContent-Length: 10\r\n\r\nhalf",
+		"half of a chunk":  "POST /x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-3\r\nTransfer-Encoding: chunked\r\n\r\na\r\nhalf",
+		"an order to send": "POST /x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-4\r\nExpect: 100-continue\r\nContent-Length: 10\r\n\r\n",
+	}
+	conns := map[string]*callerConn{}
+	for name, part := range parts {
+		conns[name] = in.dial(t)
+		if _, err := conns[name].Write([]byte(part)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if line, err := conns["an order to send"].br.ReadString('\n'); err != nil || !strings.Contains(line, "100") {
+		t.Fatalf("%q, %v", line, err)
+	}
+	if _, err := conns["an order to send"].br.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	in.stop()
+	for name, c := range conns {
+		resp, err := c.answer()
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if resp.StatusCode() != 503 || !strings.Contains(string(resp.Body()), "1019") || len(resp.Header.Peek("Retry-After")) == 0 {
+			t.Errorf("%s: %s%s", name, &resp.Header, resp.Body())
+		}
+	}
+	if got := u.requests.Load(); got != before {
+		t.Errorf("%d requests were passed on", got-before)
+	}
+}
