Planned stop: a starved instance closes its door at once

An instance whose signal took effect later than the margin now closes its idle connections and its listener with the beginning of the stop. A request that crosses a close was not read, so its caller may repeat it elsewhere; what is in flight has its time as before. TestStarvedInstanceClosesItsDoorWithTheStop failed before: the idle connection stayed open.

--- a/coord/shutdown/shutdown.go
+++ b/coord/shutdown/shutdown.go
@@ -60,6 +60,9 @@
 	// Half a TTL is left for an answer given just before the other instances knew of the stop,
 	// and a quarter of the stop for the requests on the last connections.
 	acceptUntil := earlier(by.Add(mayBeStale+p.DiscoveryTTL/2), after.Add(p.StopWithin*3/4))
+	if by.Sub(after) > margin {
+		acceptUntil = by // So starved an instance may not get to answer what it reads.
+	}
 	return Plan{
 		AcceptUntil: acceptUntil,
 		LastArrival: after.Add(p.StopWithin - margin - margin/rejectionDivisor),
