damaskctl soak: seeded fault runs of real processes, with a report and shrinking

cmd/soakrun becomes a command of the operators' tool. Flags are checked with a clear error. New: a series of stops, reloads and changes of few machines that overlap (term-series), callers that never get new addresses and go on with their open connections until the process is gone (--stale), requests as long as their kind allows (--long).

Still in one process: the stand-ins, the callers and the operator; only the instances are processes of their own. The stand-ins of demo, tests and review are not yet one set.

--- a/cmd/damaskctl/root.go
+++ b/cmd/damaskctl/root.go
@@ -22,7 +22,7 @@
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError(err) })
-	root.AddCommand(newCheck(), newDiff(), newApply(), newStatus(), newExplain(), newLoad(), newDemo(), newStandin())
+	root.AddCommand(newCheck(), newDiff(), newApply(), newStatus(), newExplain(), newLoad(), newDemo(), newSoak(), newStandin())
 	return root
 }
 
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -128,6 +128,7 @@
 	recorder  *recorder
 	zone      string
 	keepTTLs  int        // How many times the TTL it keeps an answer.
+	stale     bool       // It gets no addresses after the first.
 	known     []*machine // The instances that it asks where to connect; empty for any of the nearest.
 	addresses []string
 	answers   chan discovery // Of the question under way; nil for none.
@@ -147,6 +148,9 @@
 // resolve asks some instances for addresses if its answer is too old. Until there is a new one, the
 // caller goes on with those that it has.
 func (c *caller) resolve(host string) {
+	if c.stale && len(c.addresses) > 0 {
+		return
+	}
 	if c.answers == nil && time.Now().After(c.until) {
 		answers := make(chan discovery, 1)
 		c.answers = answers
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -42,6 +42,7 @@
 	{"one-way", oneWay},
 	{"roll-term", rollTerm},
 	{"mass-term", massTerm},
+	{"term-series", termSeries},
 	{"node-kill", func(r *run, random *rand.Rand) error { return r.kill(r.pick(random, 1), 3500*time.Millisecond) }},
 	{"herd-kill", func(r *run, random *rand.Rand) error { return r.kill(r.share(random, 0.55), 2*time.Second) }},
 	{"after-ack-kill", func(r *run, random *rand.Rand) error {
@@ -90,18 +91,36 @@
 	quietEnd             = 10 * time.Second // What follows the last fault is judged too.
 )
 
+// FaultNames returns the names of all faults.
+func FaultNames() []string {
+	var names []string
+	for _, f := range faults {
+		names = append(names, f.name)
+	}
+	return names
+}
+
+// pool returns the faults of some names, all if there are none.
+func pool(names []string) ([]fault, error) {
+	if len(names) == 0 {
+		return faults, nil
+	}
+	var list []fault
+	for _, name := range names {
+		k := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		if k < 0 {
+			return nil, fmt.Errorf("there is no fault %q; there are %s", name, strings.Join(FaultNames(), ", "))
+		}
+		list = append(list, faults[k])
+	}
+	return list, nil
+}
+
 // schedule draws the faults of a run.
 func schedule(o Options, random *rand.Rand) ([]scheduled, error) {
-	pool := faults
-	if len(o.Faults) > 0 {
-		pool = nil
-		for _, name := range o.Faults {
-			k := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
-			if k < 0 {
-				return nil, fmt.Errorf("unknown fault %q", name)
-			}
-			pool = append(pool, faults[k])
-		}
+	pool, err := pool(o.Faults)
+	if err != nil {
+		return nil, err
 	}
 	var list []scheduled
 	span := o.Duration - quietStart - quietEnd
@@ -377,6 +396,33 @@
 	return nil
 }
 
+// termSeries stops, reloads and changes in quick succession: a few machines again and again, each as soon as it
+// runs, with SIGHUPs and configurations before and during the stops.
+func termSeries(r *run, random *rand.Rand) error {
+	machines := r.pick(random, 2+random.IntN(2))
+	var wg sync.WaitGroup
+	for range 2 + random.IntN(2) {
+		for _, m := range machines {
+			if r.over() {
+				break
+			}
+			hangUp, pause := random.IntN(2) == 0, time.Duration(random.IntN(400))*time.Millisecond
+			wg.Go(func() {
+				if hangUp {
+					r.hangUp(m)
+				}
+				r.check(r.stop(m, pause))
+			})
+			time.Sleep(time.Duration(random.IntN(900)) * time.Millisecond)
+			if err := r.operator.randomChange(); err != nil {
+				return err
+			}
+		}
+	}
+	wg.Wait()
+	return nil
+}
+
 // kill kills processes at the same moment and starts them again.
 func (r *run) kill(machines []*machine, pause time.Duration) error {
 	var wg sync.WaitGroup
@@ -423,18 +469,23 @@
 // reload sends SIGHUP to machines in turn.
 func reload(r *run, random *rand.Rand) error {
 	for _, m := range r.share(random, 0.5) {
-		m.operating.Lock()
-		if !r.over() {
-			end := r.recorder.window(Window{What: "SIGHUP", Machine: m.name, Kind: WindowReload})
-			m.signal(syscall.SIGHUP, false)
-			end()
-		}
-		m.operating.Unlock()
+		r.hangUp(m)
 		time.Sleep(100 * time.Millisecond)
 	}
 	return nil
 }
 
+// hangUp sends SIGHUP to a machine's process.
+func (r *run) hangUp(m *machine) {
+	m.operating.Lock()
+	defer m.operating.Unlock()
+	if r.over() {
+		return
+	}
+	defer r.recorder.window(Window{What: "SIGHUP", Machine: m.name, Kind: WindowReload})()
+	m.signal(syscall.SIGHUP, false)
+}
+
 // addNodes starts a spare machine in each zone.
 func addNodes(r *run, _ *rand.Rand) error {
 	r.spares.Lock()
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -38,6 +38,7 @@
 	Request string
 	Machine string
 	At      time.Time
+	Took    time.Duration // From At to the end of what was seen, where it lasted.
 	Beyond  time.Duration
 }
 
@@ -398,7 +399,7 @@
 		a := &j.Attempts[k]
 		run, passedOn := j.lastRun(a)
 		if a.Status == 0 && !a.GaveUp && passedOn {
-			f := Finding{Rule: RuleLost, Request: a.ID, Machine: a.Machine, At: a.Sent}
+			f := Finding{Rule: RuleLost, Request: a.ID, Machine: a.Machine, At: a.Sent, Took: a.Ended.Sub(a.Sent)}
 			if stop, ok := j.planned(a, WindowMachineStop); ok {
 				if j.excused(a, run, stop) {
 					continue
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -95,6 +95,7 @@
 	Left     map[string]time.Time // When an upstream's leaving was first acknowledged, by its id.
 	Ended    map[string]time.Time // When an upstream ended.
 	OwnEnds  []string             // Processes that ended by themselves.
+	Logs     map[string][]string  `json:"-"` // Lines that an instance logged, by machine.
 }
 
 // recorder collects Records.
@@ -107,7 +108,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{records: Records{Left: map[string]time.Time{}, Ended: map[string]time.Time{}}, began: time.Now()}
+	return &recorder{records: Records{Left: map[string]time.Time{}, Ended: map[string]time.Time{}, Logs: map[string][]string{}}, began: time.Now()}
 }
 
 func (r *recorder) ran(run *Run) {
@@ -179,12 +180,22 @@
 	r.records.OwnEnds = append(r.records.OwnEnds, text)
 }
 
+// timeFormat is the format of the times in a report.
+const timeFormat = "15:04:05.000"
+
+// logs adds what an instance logged.
+func (r *recorder) logs(machine string, lines []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.Logs[machine] = lines
+}
+
 // printf adds a line to the timeline.
 func (r *recorder) printf(format string, args ...any) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.timeline = append(r.timeline, fmt.Sprintf("%s +%.3f %s", now.UTC().Format("15:04:05.000"), now.Sub(r.began).Seconds(), fmt.Sprintf(format, args...)))
+	r.timeline = append(r.timeline, fmt.Sprintf("%s +%.3f %s", now.UTC().Format(timeFormat), now.Sub(r.began).Seconds(), fmt.Sprintf(format, args...)))
 }
 
 // finish returns the records.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,20 +26,58 @@
 	Relay     bool          // Datagrams between instances pass a relay that can lose them.
 	Loss      float64       // Share of the datagrams that the relay always loses.
 	Faults    []string      // Names of the faults to draw from; all if empty.
+	Only      []int         // Numbers of the drawn faults that are played; all if nil.
 	Rate      float64       // Requests per second, of all callers.
 	Direct    time.Duration // Interval of the direct checks of each instance.
+	Long      float64       // Share of the requests that take as long as their kind ever does.
+	Stale     float64       // Share of the callers that get no new addresses after the first.
 	Load      int           // Busy processes beside the instances.
 	Cores     int           // Cores for the instances and the busy processes; 0 for all.
 	Busy      []string      // Command of a busy process.
 }
 
-// Report is the outcome of a run.
-type Report struct {
-	Seed     uint64
-	Findings []Finding
-	Records  Records
-	Timeline []string
-	Lag      time.Duration // Longest delay of a timer of the run itself: a measure of the machine's load.
+// BusyCommand is the argument that makes a program run Burn.
+const BusyCommand = "busy"
+
+// Bounds of Options.
+const (
+	// MinNetwork and MaxNetwork bound the second octet of the addresses; the first ones are in use by the system.
+	MinNetwork, MaxNetwork = 2, 254
+	// MinDuration leaves room for the faults and for what follows the last one.
+	MinDuration = quietStart + quietEnd + time.Second
+
+	maxInstances = 250 // Their addresses differ in the last octet.
+)
+
+// DefaultOptions returns the options of a usual run.
+func DefaultOptions() Options {
+	return Options{
+		Seed: 1, Instances: 12, Duration: 45 * time.Second, Network: 77, Relay: true, Loss: 0.001, Rate: 120,
+		Direct: time.Second, Long: 0.05, Stale: 0.3,
+	}
+}
+
+// Check returns an error that names the option that is not valid.
+func (o Options) Check() error {
+	switch {
+	case o.Instances < 1 || o.Instances > maxInstances:
+		return fmt.Errorf("%d processes; there must be 1 to %d", o.Instances, maxInstances)
+	case o.Duration < MinDuration:
+		return fmt.Errorf("a duration of %s; it must be at least %s", o.Duration, MinDuration)
+	case o.Rate <= 0:
+		return fmt.Errorf("a rate of %g requests a second; it must be positive", o.Rate)
+	case o.Direct <= 0:
+		return fmt.Errorf("an interval of %s between direct checks; it must be positive", o.Direct)
+	case o.Load < 0 || o.Cores < 0:
+		return fmt.Errorf("%d busy processes on %d cores; neither may be negative", o.Load, o.Cores)
+	}
+	for name, share := range map[string]float64{"long requests": o.Long, "callers without new addresses": o.Stale, "lost datagrams": o.Loss} {
+		if share < 0 || share > 1 {
+			return fmt.Errorf("a share of %g of %s; it must be 0 to 1", share, name)
+		}
+	}
+	_, err := pool(o.Faults)
+	return err
 }
 
 const (
@@ -110,6 +150,9 @@
 	}
 }
 
+// plays reports whether the drawn fault of a number is played.
+func (o Options) plays(k int) bool { return o.Only == nil || slices.Contains(o.Only, k) }
+
 // Play plays a run and judges it. An error means that it could not be played as intended.
 func Play(ctx context.Context, o Options) (*Report, error) {
 	if err := os.MkdirAll(o.Folder, 0o755); err != nil {
@@ -125,11 +168,18 @@
 	}
 	lag := r.play(ctx, plan, random)
 	r.check(r.fleet.end())
+	r.check(r.readLogs())
 	for _, u := range r.liveUpstreams() {
 		u.end()
 	}
 	records, timeline := rec.finish()
 	report := &Report{Seed: o.Seed, Findings: Judge(r.terms, records), Records: records, Timeline: timeline, Lag: lag}
+	for k, s := range plan {
+		report.Faults = append(report.Faults, s.fault.name)
+		if o.plays(k) {
+			report.Played = append(report.Played, k)
+		}
+	}
 	return report, errors.Join(r.errs...)
 }
 
@@ -170,13 +220,16 @@
 		}
 	})
 	began := time.Now()
-	for _, s := range plan {
+	for k, s := range plan {
+		if !r.options.plays(k) {
+			continue
+		}
 		wg.Go(func() {
 			sleep(lasting, time.Until(began.Add(s.at)))
 			if lasting.Err() != nil {
 				return
 			}
-			r.recorder.printf("fault %s", s.fault.name)
+			r.recorder.printf("fault %d:%s", k, s.fault.name)
 			r.check(s.fault.play(r, rand.New(rand.NewPCG(s.seed, 5))))
 		})
 	}
@@ -191,6 +244,18 @@
 	return lag
 }
 
+// readLogs adds the instances' logs to the records.
+func (r *run) readLogs() error {
+	for _, m := range r.fleet.all() {
+		data, err := os.ReadFile(m.log.Name())
+		if err != nil {
+			return fmt.Errorf("read the log of %s: %w", m.name, err)
+		}
+		r.recorder.logs(m.name, strings.Split(strings.TrimSpace(string(data)), "\n"))
+	}
+	return nil
+}
+
 // prepare starts the upstreams, writes the first configuration and starts the instances.
 func (r *run) prepare(random *rand.Rand) error {
 	for _, s := range services {
@@ -277,6 +342,7 @@
 	if random.IntN(2) == 0 {
 		c.known = r.fleet.nearest(zone, resolveTries)
 	}
+	c.stale = random.Float64() < r.options.Stale
 	mean := float64(3*callersZone) / r.options.Rate
 	var shares float64
 	for _, k := range kinds {
@@ -307,6 +373,9 @@
 			if random.IntN(100) == 0 {
 				work *= 5
 			}
+			if random.Float64() < r.options.Long {
+				work = float64(kinds[k].longest)
+			}
 			q.work = min(time.Duration(work), kinds[k].longest)
 			if r.impatient.Load() && random.Float64() < impatientShare {
 				q.patience = time.Duration(random.Int64N(int64(time.Second)))
