--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,7 +135,7 @@
 		return err
 	}
 	n.self.EntryAddr = advertised(s.Listen.EntryAdvertised, n.entry.Addr())
-	n.operator, err = operator.New(s.Listen.Operator, s.Operator.Token, n)
+	n.operator, err = operator.New(s.Listen.Operator, s.Operator.Token, n, n.log)
 	if err != nil {
 		return err
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -12,6 +12,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -19,6 +20,7 @@
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/accept"
 	"github.com/damaskcove/damaskcove/internal/operator/api"
 )
 
@@ -38,15 +40,16 @@
 	token    [sha256.Size]byte
 	listener net.Listener
 	server   *http.Server
+	log      *slog.Logger
 }
 
-// New returns a server that listens on address, an IP address and port.
-func New(address, token string, source Source) (*Server, error) {
+// New returns a server that listens on address, an IP address and port. Failed accepts are logged to log.
+func New(address, token string, source Source, log *slog.Logger) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for operators on %q: %w", address, err)
 	}
-	s := &Server{source: source, token: sha256.Sum256([]byte(token)), listener: listener}
+	s := &Server{source: source, token: sha256.Sum256([]byte(token)), listener: listener, log: log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+api.PathHealth, s.health)
 	mux.HandleFunc("GET "+api.PathStatus, s.requireToken(s.status))
@@ -71,7 +74,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
-	err := s.server.Serve(s.listener)
+	err := s.server.Serve(accept.Retry(s.listener, accept.NewFailures(s.log).Observe))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/accept"
 	"github.com/damaskcove/damaskcove/internal/wire"
 )
 
@@ -137,10 +138,11 @@
 }
 
 func (l *Links) serve(server *http.Server) error {
+	listener := accept.Retry(l.listener, accept.NewFailures(l.cfg.Log).Observe)
 	if l.credentials != nil {
-		return server.ServeTLS(l.listener, "", "")
+		return server.ServeTLS(listener, "", "")
 	}
-	return server.Serve(l.listener)
+	return server.Serve(listener)
 }
 
 // Addr returns the listening address.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -11,9 +11,12 @@
 	"errors"
 	"log/slog"
 	"math/big"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -45,6 +48,19 @@
 	r.byID[in.Ref] = in
 }
 
+// failingListener fails once, as a machine without memory for another socket does.
+type failingListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failed.CompareAndSwap(false, true) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.ENOBUFS)}
+	}
+	return l.Listener.Accept()
+}
+
 // startLinks runs the links of an instance until the test ends. The channel receives the
 // senders of delivered messages.
 func startLinks(t *testing.T, b *registry, id fleet.InstanceID, change func(*Config)) (*Links, chan fleet.Ref) {
@@ -66,6 +82,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	l.listener = &failingListener{Listener: l.listener}
 	b.add(fleet.Instance{Ref: ref, Zone: "z1", PeerAddr: l.Addr()})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
