soak: garbled answers, entries of another writer, large bodies

Upstreams that end an answer within its head or body, send bytes after it, send it again where the next one is due, or refuse twice; ten odd registrations that come and go beside changes; bodies of 2 MB.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -64,6 +64,17 @@
 	{"srv-grey", srvGrey},
 	{"srv-slow", srvSlow},
 	{"answer-lost", answerLost},
+	{"srv-garble", func(r *run, random *rand.Rand) error {
+		r.disturb("garble", r.pickUpstreams(random, 0.3), 6500*time.Millisecond, func(u *upstream) { u.garbled = 0.2 }, func(u *upstream) { u.garbled = 0 })
+		return nil
+	}},
+	{"odd-entries", oddEntries},
+	{"big-bodies", func(r *run, _ *rand.Rand) error {
+		r.large.Store(true)
+		defer r.large.Store(false)
+		time.Sleep(5 * time.Second)
+		return nil
+	}},
 	{"burst", func(r *run, _ *rand.Rand) error {
 		r.burst.Store(true)
 		defer r.burst.Store(false)
@@ -509,6 +520,33 @@
 	return nil
 }
 
+// oddEntries writes what another writer might leave among the registrations, and removes it again.
+func oddEntries(r *run, random *rand.Rand) error {
+	live := r.pickUpstreams(random, 0.1)[0]
+	odd := []any{
+		"not an object", 7, nil, []int{1}, map[string]any{}, map[string]any{"service": serviceNames[0]},
+		map[string]any{"service": serviceNames[0], "address": "nowhere", "zone": zoneNames[0], "capacity": upstreamSlots, "state": "ready", "sequence": 1},
+		map[string]any{"service": serviceNames[0], "address": live.addr, "zone": zoneNames[0], "capacity": "many", "state": "ready", "sequence": 1},
+		map[string]any{"service": "absent", "address": live.addr, "zone": zoneNames[0], "capacity": upstreamSlots, "state": "resting", "sequence": -1},
+		map[string]any{"service": serviceNames[0], "note": strings.Repeat("x", 200<<10)},
+	}
+	for k, value := range odd {
+		key := fmt.Sprintf("servers/odd-%d", k)
+		if _, err := r.fleet.store.put(key, value); err != nil {
+			return err
+		}
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+		if err := r.operator.randomChange(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(2 * time.Second)
+	for k := range odd {
+		r.fleet.store.del(fmt.Sprintf("servers/odd-%d", k))
+	}
+	return nil
+}
+
 func configStorm(r *run, random *rand.Rand) error {
 	gap, lasts := 330*time.Millisecond, 4*time.Second
 	if random.IntN(2) == 0 {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -93,6 +93,8 @@
 
 	burstFactor    = 1.7
 	impatientShare = 0.2
+	largeBody      = 2 << 20 // Bytes.
+	largeShare     = 0.1
 )
 
 var services = []service{
@@ -128,6 +130,7 @@
 
 	burst     atomic.Bool // Callers send burstFactor times as many requests.
 	impatient atomic.Bool // Some callers leave early.
+	large     atomic.Bool // Some bodies are largeBody long.
 	storeBusy sync.Mutex
 	spares    sync.Mutex
 	added     [3]bool
@@ -380,6 +383,9 @@
 			if r.impatient.Load() && random.Float64() < impatientShare {
 				q.patience = time.Duration(random.Int64N(int64(time.Second)))
 			}
+			if q.body > 0 && r.large.Load() && random.Float64() < largeShare {
+				q.body = largeBody
+			}
 			q.path += fmt.Sprintf("%x", random.Uint32())
 			list = append(list, q)
 		}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -44,6 +44,7 @@
 	failShare float64 // Share of the requests that fail.
 	failHow   string  // "errors", "hang" or "reset".
 	lostShare float64 // Share of the requests whose answer is lost.
+	garbled   float64 // Share of the answers that are garbled.
 	leaving   bool
 	gone      bool
 }
@@ -130,6 +131,7 @@
 type fate struct {
 	slow    float64
 	fail    string
+	garble  string // Empty for a whole answer.
 	lost    bool
 	leaving bool
 }
@@ -141,6 +143,9 @@
 	if rand.Float64() < u.failShare {
 		f.fail = u.failHow
 	}
+	if rand.Float64() < u.garbled {
+		f.garble = garbles[rand.IntN(len(garbles))]
+	}
 	if time.Since(u.started) < coldTime {
 		f.slow *= coldFactor
 	}
@@ -178,12 +183,19 @@
 		run.Refused = true
 		u.recorder.ran(run)
 		h.Set("Not-Executed", "1")
+		if f.garble == garbleTwice {
+			writeGarbled(w, f.garble, http.StatusServiceUnavailable, h, "")
+			return
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer func() { <-u.slots }()
 	u.recorder.ran(run)
 	outcome, status := u.work(r, f, deadline)
+	if outcome == OutcomeAnswered && (f.garble == garbleBody || f.garble == garbleHead) {
+		outcome = OutcomeBroken
+	}
 	u.recorder.ended(run, outcome, status)
 	switch {
 	case outcome == OutcomeDropped:
@@ -192,6 +204,10 @@
 	default:
 		h.Set("Server-Stamp", "stamp."+u.id+"."+id)
 		body := responseBody(u.service, u.id, id)
+		if f.garble != "" && f.garble != garbleTwice {
+			writeGarbled(w, f.garble, status, h, body)
+			return
+		}
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 		w.WriteHeader(status)
 		_, _ = w.Write([]byte(body))
