soak: links of upstreams, and bodies that arrive slowly

Each upstream's listener is wrapped in a link that can be cut one way or both, made slow, reset, or silenced for the connections that are open; callers can send bodies in parts over half of their deadline.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -34,6 +34,7 @@
 	work, deadline     time.Duration
 	patience           time.Duration // The caller leaves after it; zero for the deadline.
 	body               int           // Bytes.
+	sendTime           time.Duration // From the head to the end of the body.
 }
 
 func newRequestID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -77,9 +78,15 @@
 		if r.method != http.MethodGet {
 			fmt.Fprintf(&text, "Content-Length: %d\r\n", r.body)
 		}
-		text.WriteString("\r\n" + strings.Repeat("x", r.body))
+		text.WriteString("\r\n")
+		if r.sendTime == 0 {
+			text.WriteString(strings.Repeat("x", r.body))
+		}
 	}
 	_, err := io.WriteString(c, text.String())
+	if last := list[len(list)-1]; err == nil && last.sendTime > 0 {
+		err = c.sendSlowly(last)
+	}
 	sent := time.Now()
 	for k := range out {
 		a := &out[k]
@@ -102,6 +109,24 @@
 	return out
 }
 
+// sendParts is the number of parts in which a slow body is sent.
+const sendParts = 5
+
+// sendSlowly sends the body of a request in parts, until an answer arrives.
+func (c *callerConn) sendSlowly(r request) error {
+	for part := range sendParts {
+		_ = c.SetReadDeadline(time.Now().Add(r.sendTime / sendParts))
+		if _, err := c.br.Peek(1); err == nil {
+			return nil
+		}
+		from, to := r.body*part/sendParts, r.body*(part+1)/sendParts
+		if _, err := io.WriteString(c, strings.Repeat("x", to-from)); err != nil {
+			return fmt.Errorf("send a body: %w", err)
+		}
+	}
+	return nil
+}
+
 func (c *callerConn) read(a *Attempt) error {
 	resp, err := http.ReadResponse(c.br, nil)
 	if err != nil {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -68,6 +68,30 @@
 		r.disturb("garble", r.pickUpstreams(random, 0.3), 6500*time.Millisecond, func(u *upstream) { u.garbled = 0.2 }, func(u *upstream) { u.garbled = 0 })
 		return nil
 	}},
+	{"srv-cut", srvCut},
+	{"srv-mute", func(r *run, random *rand.Rand) error {
+		r.disturb("mute", r.pickUpstreams(random, 0.4), 0, func(u *upstream) { u.link.mute() }, func(*upstream) {})
+		return nil
+	}},
+	{"srv-reset", func(r *run, random *rand.Rand) error {
+		for range 4 {
+			r.disturb("reset", r.pickUpstreams(random, 0.3), 100*time.Millisecond, func(u *upstream) { u.link.reset() }, func(*upstream) {})
+			time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+		}
+		return nil
+	}},
+	{"srv-delay", func(r *run, random *rand.Rand) error {
+		delay := time.Duration(20+random.IntN(400)) * time.Millisecond
+		r.disturb("delay", r.pickUpstreams(random, 0.3), 6*time.Second,
+			func(u *upstream) { u.link.set(linkState{delay: delay}) }, func(u *upstream) { u.link.set(linkState{}) })
+		return nil
+	}},
+	{"slow-bodies", func(r *run, _ *rand.Rand) error {
+		r.slowBodies.Store(true)
+		defer r.slowBodies.Store(false)
+		time.Sleep(8 * time.Second)
+		return nil
+	}},
 	{"odd-entries", oddEntries},
 	{"big-bodies", func(r *run, _ *rand.Rand) error {
 		r.large.Store(true)
@@ -677,6 +701,15 @@
 	return nil
 }
 
+// srvCut cuts the links of upstreams, one way or both. What was sent meanwhile arrives afterwards, if the
+// connection still stands.
+func srvCut(r *run, random *rand.Rand) error {
+	state := []linkState{{cutIn: true}, {cutOut: true}, {cutIn: true, cutOut: true}}[random.IntN(3)]
+	r.disturb("cut", r.pickUpstreams(random, 0.2), time.Duration(500+random.IntN(5000))*time.Millisecond,
+		func(u *upstream) { u.link.set(state) }, func(u *upstream) { u.link.set(linkState{}) })
+	return nil
+}
+
 func answerLost(r *run, random *rand.Rand) error {
 	r.disturb("answer-lost", r.pickUpstreams(random, 0.45), 5500*time.Millisecond, func(u *upstream) { u.lostShare = 0.05 }, func(u *upstream) { u.lostShare = 0 })
 	return nil
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -131,9 +131,11 @@
 	burst     atomic.Bool // Callers send burstFactor times as many requests.
 	impatient atomic.Bool // Some callers leave early.
 	large     atomic.Bool // Some bodies are largeBody long.
-	storeBusy sync.Mutex
-	spares    sync.Mutex
-	added     [3]bool
+
+	slowBodies atomic.Bool // Some bodies take a while to be sent.
+	storeBusy  sync.Mutex
+	spares     sync.Mutex
+	added      [3]bool
 
 	mu        sync.Mutex
 	upstreams []*upstream
@@ -386,6 +388,9 @@
 			if q.body > 0 && r.large.Load() && random.Float64() < largeShare {
 				q.body = largeBody
 			}
+			if q.body > 0 && r.slowBodies.Load() && random.Float64() < largeShare {
+				q.sendTime = time.Duration(random.Int64N(int64(q.deadline) / 2))
+			}
 			q.path += fmt.Sprintf("%x", random.Uint32())
 			list = append(list, q)
 		}
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -152,7 +152,11 @@
 
 // reset closes a connection with a reset.
 func reset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	under := c
+	if linked, ok := c.(*linkConn); ok {
+		under = linked.Conn
+	}
+	if tcp, ok := under.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Close()
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -34,6 +34,7 @@
 	store                   *store
 	recorder                *recorder
 	server                  *http.Server
+	link                    *link
 	slots                   chan struct{}
 	waiting                 atomic.Int64
 	started                 time.Time
@@ -56,10 +57,10 @@
 	}
 	u := &upstream{
 		id: id, service: service, zone: zone, addr: addr, store: s, recorder: r,
-		slots: make(chan struct{}, upstreamSlots), started: time.Now(), slow: 1,
+		slots: make(chan struct{}, upstreamSlots), started: time.Now(), slow: 1, link: newLink(l),
 	}
 	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), IdleTimeout: upstreamIdle}
-	go func() { _ = u.server.Serve(l) }()
+	go func() { _ = u.server.Serve(u.link) }()
 	return u, nil
 }
 
