One stand-in of the platform's store, for tests and the soak

Tests had platform/standin, the soak one of its own, with other faults each. platform/standin now has doors: addresses with faults of their own, so that a fault can concern some instances, and all faults of both.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 // fault is one kind of disruption or of planned work. play returns when it is over.
@@ -19,19 +21,19 @@
 // faults are the kinds from which a schedule is drawn.
 var faults = []fault{
 	{"store-silent", func(r *run, random *rand.Rand) error {
-		return r.storeFault("store-silent", doorState{fault: faultSilent}, 4500*time.Millisecond, random)
+		return r.storeFault("store-silent", standin.State{Fault: standin.Silent}, 4500*time.Millisecond, random)
 	}},
 	{"store-busy", func(r *run, random *rand.Rand) error {
-		return r.storeFault("store-busy", doorState{fault: faultBusy}, 4500*time.Millisecond, random)
+		return r.storeFault("store-busy", standin.State{Fault: standin.Unavailable}, 4500*time.Millisecond, random)
 	}},
 	{"store-reset", func(r *run, random *rand.Rand) error {
-		return r.storeFault("store-reset", doorState{fault: faultReset}, 4500*time.Millisecond, random)
+		return r.storeFault("store-reset", standin.State{Fault: standin.Reset}, 4500*time.Millisecond, random)
 	}},
 	{"store-slow", func(r *run, random *rand.Rand) error {
-		return r.storeFault("store-slow", doorState{fault: faultSlow, latency: 60 * storeLatency}, 4500*time.Millisecond, random)
+		return r.storeFault("store-slow", standin.State{Fault: standin.Slow, Latency: 60 * storeLatency}, 4500*time.Millisecond, random)
 	}},
 	{"store-lost", func(r *run, random *rand.Rand) error {
-		return r.storeFault("store-lost", doorState{fault: faultLost, share: 0.35}, 4500*time.Millisecond, random)
+		return r.storeFault("store-lost", standin.State{Fault: standin.Lossy, Share: 0.35}, 4500*time.Millisecond, random)
 	}},
 	{"store-compact", storeCompact},
 	{"store-nodes", storeNodes},
@@ -190,35 +192,35 @@
 	return nil
 }
 
-func (r *run) setDoors(machines []*machine, state doorState) {
+func (r *run) setDoors(machines []*machine, state standin.State) {
 	for _, m := range machines {
-		m.door.set(state)
+		m.door.Set(state)
 	}
 }
 
 // storeFault disrupts the store for all machines and the operator.
-func (r *run) storeFault(name string, state doorState, lasts time.Duration, random *rand.Rand) error {
+func (r *run) storeFault(name string, state standin.State, lasts time.Duration, random *rand.Rand) error {
 	r.storeBusy.Lock() // One fault of the store at a time: each sets the state of all doors.
 	defer r.storeBusy.Unlock()
 	if err := r.aimed(random, 600*time.Millisecond); err != nil {
 		return err
 	}
 	lapse := random.IntN(2) == 0
-	down := state.fault == faultSilent || state.fault == faultBusy || state.fault == faultReset
+	down := state.Fault == standin.Silent || state.Fault == standin.Unavailable || state.Fault == standin.Reset
 	end := r.recorder.window(Window{What: name, Kind: WindowStore})
 	if down {
 		r.operator.setDown(true)
 		if !lapse {
-			r.fleet.store.pauseLeases(true, 0)
+			r.fleet.store.PauseLeases(true, 0)
 		}
 	}
 	r.setDoors(r.fleet.all(), state)
 	time.Sleep(lasts)
-	r.setDoors(r.fleet.all(), doorState{})
+	r.setDoors(r.fleet.all(), standin.State{})
 	if down {
 		r.operator.setDown(false)
 		if !lapse {
-			r.fleet.store.pauseLeases(false, lasts)
+			r.fleet.store.PauseLeases(false, lasts)
 		}
 	}
 	end()
@@ -235,7 +237,7 @@
 		if random.IntN(3) > 0 {
 			continue
 		}
-		r.fleet.store.del("servers/" + u.id)
+		r.fleet.store.Delete("servers/" + u.id)
 		time.AfterFunc(time.Duration(random.Int64N(int64(r.terms.Heartbeat))), func() {
 			if !u.isGone() {
 				r.check(u.register())
@@ -247,7 +249,7 @@
 func storeCompact(r *run, random *rand.Rand) error {
 	defer r.recorder.window(Window{What: "store-compact", Kind: WindowStoreSome})()
 	for range 12 {
-		r.fleet.store.compact()
+		r.fleet.store.Compact()
 		if random.IntN(4) == 0 {
 			if err := r.operator.randomChange(); err != nil {
 				return err
@@ -262,16 +264,16 @@
 func storeNodes(r *run, random *rand.Rand) error {
 	r.storeBusy.Lock()
 	defer r.storeBusy.Unlock()
-	state := doorState{fault: []doorFault{faultSilent, faultBusy, faultReset}[random.IntN(3)]}
+	state := standin.State{Fault: []standin.Fault{standin.Silent, standin.Unavailable, standin.Reset}[random.IntN(3)]}
 	machines := r.share(random, 0.33)
-	end := r.recorder.window(Window{What: fmt.Sprintf("store-nodes %d", state.fault), Kind: WindowStoreSome})
+	end := r.recorder.window(Window{What: fmt.Sprintf("store-nodes %d", state.Fault), Kind: WindowStoreSome})
 	var ends []func()
 	for _, m := range machines {
 		ends = append(ends, r.recorder.window(Window{What: "store-nodes", Machine: m.name, Kind: WindowMachine}))
 	}
 	r.setDoors(machines, state)
 	if random.IntN(2) == 0 {
-		r.fleet.store.revoke(func(key string) bool {
+		r.fleet.store.Revoke(func(key string) bool {
 			return slices.ContainsFunc(machines, func(m *machine) bool { return strings.HasSuffix(key, "/"+m.name) })
 		})
 	}
@@ -281,7 +283,7 @@
 			return err
 		}
 	}
-	r.setDoors(machines, doorState{})
+	r.setDoors(machines, standin.State{})
 	for _, f := range append(ends, end) {
 		f()
 	}
@@ -295,7 +297,7 @@
 	}
 	end := r.recorder.window(Window{What: "store-mute", Kind: WindowStore})
 	for _, m := range r.fleet.all() {
-		m.door.mute()
+		m.door.Mute()
 	}
 	end()
 	time.Sleep(r.terms.StableWindow + 500*time.Millisecond)
@@ -306,7 +308,7 @@
 func coreCut(r *run, random *rand.Rand) error {
 	r.storeBusy.Lock()
 	defer r.storeBusy.Unlock()
-	state := doorState{fault: []doorFault{faultSilent, faultCutOut}[random.IntN(2)]}
+	state := standin.State{Fault: []standin.Fault{standin.Silent, standin.CutOut}[random.IntN(2)]}
 	machines := r.pick(random, 1+random.IntN(3))
 	var ends []func()
 	for _, m := range machines {
@@ -318,7 +320,7 @@
 		return err
 	}
 	time.Sleep(3500 * time.Millisecond)
-	r.setDoors(machines, doorState{})
+	r.setDoors(machines, standin.State{})
 	for _, f := range ends {
 		f()
 	}
@@ -353,11 +355,11 @@
 	defer r.storeBusy.Unlock()
 	machines := r.share(random, 0.17)
 	cut := names(machines)
-	r.setDoors(machines, doorState{fault: faultSilent})
+	r.setDoors(machines, standin.State{Fault: standin.Silent})
 	r.linkWindow("node-cut", machines, 5500*time.Millisecond, func(from, to string) (linkFault, bool) {
 		return linkFault{loss: 1}, cut[from] || cut[to]
 	})
-	r.setDoors(machines, doorState{})
+	r.setDoors(machines, standin.State{})
 	return nil
 }
 
@@ -556,7 +558,7 @@
 	}
 	for k, value := range odd {
 		key := fmt.Sprintf("servers/odd-%d", k)
-		if _, err := r.fleet.store.put(key, value); err != nil {
+		if _, err := r.fleet.store.PutJSON(key, value); err != nil {
 			return err
 		}
 		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
@@ -566,7 +568,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	for k := range odd {
-		r.fleet.store.del(fmt.Sprintf("servers/odd-%d", k))
+		r.fleet.store.Delete(fmt.Sprintf("servers/odd-%d", k))
 	}
 	return nil
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 const (
@@ -38,6 +40,14 @@
 
 var zoneNames = [3]string{"qld-se-a", "qld-se-b", "qld-se-c"}
 
+// Figures of the store.
+const (
+	storeLatency   = 4 * time.Millisecond // Of a call, without a fault.
+	storeHistory   = 20 * time.Second     // Age up to which changes can be watched.
+	storePage      = 50                   // Items in a reply to a range; few, so that ranges have several pages.
+	readsPerSecond = 2000
+)
+
 // killTimeout bounds the time from SIGKILL to the end of a process.
 const killTimeout = 5 * time.Second
 
@@ -48,7 +58,7 @@
 	callers, ready, discovery string
 	peers, announced          netip.AddrPort
 	settings                  string
-	door                      *door
+	door                      *standin.Door
 	proxy                     *datagramProxy
 	log                       *os.File
 	recorder                  *recorder
@@ -77,7 +87,7 @@
 type fleet struct {
 	options  Options
 	folder   string
-	store    *store
+	store    *standin.Store
 	network  *network
 	recorder *recorder
 
@@ -88,7 +98,7 @@
 }
 
 func newFleet(o Options, r *recorder) *fleet {
-	return &fleet{options: o, folder: o.Folder, store: newStore(), network: newNetwork(o.Loss), recorder: r, byAddr: map[string]*machine{}, names: map[netip.Addr]string{}}
+	return &fleet{options: o, folder: o.Folder, store: standin.New(standin.Options{Latency: storeLatency, History: storeHistory, PageItems: storePage, ReadsPerSecond: readsPerSecond}), network: newNetwork(o.Loss), recorder: r, byAddr: map[string]*machine{}, names: map[netip.Addr]string{}}
 }
 
 func (f *fleet) addr(octet, zone, number int, port uint16) netip.AddrPort {
@@ -108,17 +118,10 @@
 	}
 	m.settings = filepath.Join(f.folder, m.name+".toml")
 	var err error
-	if m.door, err = f.store.open(m.name, f.addr(doorOctet, zone, number, storePort).String()); err != nil {
-		return nil, err
+	if m.door, err = f.store.OpenRewriting(f.addr(doorOctet, zone, number, storePort).String(), m.rewrite); err != nil {
+		return nil, fmt.Errorf("the store of %s: %w", m.name, err)
 	}
 	if f.options.Relay {
-		m.door.rewrite = func(value []byte) []byte {
-			out := replaceAddr(value, m.peers, m.announced)
-			if string(out) != string(value) {
-				m.rewritten.Add(1)
-			}
-			return out
-		}
 		if m.proxy, err = f.network.open(m.name, m.announced, m.peers, f.nameOf); err != nil {
 			return nil, err
 		}
@@ -134,6 +137,18 @@
 	return m, nil
 }
 
+// rewrite replaces the address at which the other instances reach this one by that of the relay.
+func (m *machine) rewrite(value []byte) []byte {
+	if m.proxy == nil {
+		return value
+	}
+	out := replaceAddr(value, m.peers, m.announced)
+	if string(out) != string(value) {
+		m.rewritten.Add(1)
+	}
+	return out
+}
+
 func (f *fleet) nameOf(addr netip.Addr) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -200,7 +215,7 @@
 		firstStart = "first_start = true\n"
 	}
 	metrics := netip.AddrPortFrom(m.peers.Addr(), metricsPort)
-	text := fmt.Sprintf(settingsText, m.name, m.zone, regionName, firstStart, m.callers, m.ready, m.discovery, m.peers, metrics, m.door.listener.Addr())
+	text := fmt.Sprintf(settingsText, m.name, m.zone, regionName, firstStart, m.callers, m.ready, m.discovery, m.peers, metrics, m.door.Addr())
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write the settings of %s: %w", m.name, err)
 	}
@@ -264,6 +279,7 @@
 
 // end kills all processes and closes the stand-ins.
 func (f *fleet) end() error {
+	defer f.store.Close()
 	var errs []error
 	for _, m := range f.all() {
 		errs = append(errs, m.end())
@@ -281,7 +297,7 @@
 			return fmt.Errorf("%s did not end", m.name)
 		}
 	}
-	m.door.close()
+	m.door.Close()
 	if m.proxy != nil {
 		m.proxy.close()
 	}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -117,3 +117,15 @@
 	}
 	return !c.closed
 }
+
+// reset closes a connection with a reset.
+func reset(c net.Conn) {
+	under := c
+	if linked, ok := c.(*linkConn); ok {
+		under = linked.Conn
+	}
+	if tcp, ok := under.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 const (
@@ -26,7 +28,7 @@
 
 // operator writes configurations to the store.
 type operator struct {
-	store    *store
+	store    *standin.Store
 	recorder *recorder
 
 	mu      sync.Mutex
@@ -39,7 +41,7 @@
 	cond    *sync.Cond
 }
 
-func newOperator(s *store, r *recorder, random *rand.Rand) *operator {
+func newOperator(s *standin.Store, r *recorder, random *rand.Rand) *operator {
 	o := &operator{store: s, recorder: r, random: random, routes: map[string]Route{
 		"lookup": {Host: mainHost, Prefix: lookupPrefix, Services: []string{"lotbook"}, Safe: true, Timeout: 4 * time.Second},
 		"order":  {Host: mainHost, Prefix: orderPrefix, Services: []string{"orderhive"}, Timeout: 5 * time.Second},
@@ -72,7 +74,7 @@
 	}
 	o.number += 1 + uint32(o.random.IntN(6))
 	v := Version{Number: o.number, Routes: maps.Clone(o.routes), Sent: time.Now()}
-	acked, err := o.store.put("op/config", o.encode())
+	acked, err := o.store.PutJSON("op/config", o.encode())
 	if err != nil {
 		return err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -87,7 +87,6 @@
 	maxMachines = 48
 	callersZone = 40 // Callers in each zone.
 	pollEvery   = time.Second
-	sweepEvery  = 100 * time.Millisecond
 	lagEvery    = 20 * time.Millisecond
 	checkWork   = 2 * time.Millisecond
 
@@ -205,7 +204,6 @@
 	var wg sync.WaitGroup
 	var lag time.Duration
 	wg.Go(func() { lag = r.watchLag(lasting) })
-	wg.Go(func() { every(lasting, sweepEvery, func() { r.fleet.store.sweep(time.Now()) }) })
 	wg.Go(func() { every(lasting, pollEvery, r.poll) })
 	sleep(lasting, leadTime)
 	for zone := range zoneNames {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
 const (
@@ -31,7 +33,7 @@
 // upstream is a stand-in of one upstream.
 type upstream struct {
 	id, service, zone, addr string
-	store                   *store
+	store                   *standin.Store
 	recorder                *recorder
 	server                  *http.Server
 	link                    *link
@@ -50,7 +52,7 @@
 	gone      bool
 }
 
-func startUpstream(s *store, r *recorder, id, service, zone, addr string) (*upstream, error) {
+func startUpstream(s *standin.Store, r *recorder, id, service, zone, addr string) (*upstream, error) {
 	l, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return nil, fmt.Errorf("start upstream %s: %w", id, err)
@@ -78,7 +80,7 @@
 		"warmup_left": fmt.Sprintf("%dms", cold.Milliseconds()), "sequence": u.sequence, "born": u.started.UnixMilli(),
 	}
 	u.mu.Unlock()
-	at, err := u.store.put("servers/"+u.id, entry)
+	at, err := u.store.PutJSON("servers/"+u.id, entry)
 	if err == nil && state == "draining" {
 		u.recorder.left(u.id, at)
 	}
@@ -86,7 +88,7 @@
 }
 
 // deregister removes the registration.
-func (u *upstream) deregister() { u.recorder.left(u.id, u.store.del("servers/"+u.id)) }
+func (u *upstream) deregister() { u.recorder.left(u.id, u.store.Delete("servers/"+u.id)) }
 
 // leave stops the upstream as planned: it serves for a time after its report and exits.
 func (u *upstream) leave(report bool, serve time.Duration) error {
