soak: a disrupted link to an upstream excuses what it swallowed

The check knew the upstream only from a run there. Faults of links have windows of their own now, which excuse a request without a run near them; what ran at an upstream is judged as before.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -72,20 +72,20 @@
 	}},
 	{"srv-cut", srvCut},
 	{"srv-mute", func(r *run, random *rand.Rand) error {
-		r.disturb("mute", r.pickUpstreams(random, 0.4), 0, func(u *upstream) { u.link.mute() }, func(*upstream) {})
+		r.disturbLinks("mute", r.pickUpstreams(random, 0.4), 0, (*link).mute, func(*link) {})
 		return nil
 	}},
 	{"srv-reset", func(r *run, random *rand.Rand) error {
 		for range 4 {
-			r.disturb("reset", r.pickUpstreams(random, 0.3), 100*time.Millisecond, func(u *upstream) { u.link.reset() }, func(*upstream) {})
+			r.disturbLinks("reset", r.pickUpstreams(random, 0.3), 100*time.Millisecond, (*link).reset, func(*link) {})
 			time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
 		}
 		return nil
 	}},
 	{"srv-delay", func(r *run, random *rand.Rand) error {
 		delay := time.Duration(20+random.IntN(400)) * time.Millisecond
-		r.disturb("delay", r.pickUpstreams(random, 0.3), 6*time.Second,
-			func(u *upstream) { u.link.set(linkState{delay: delay}) }, func(u *upstream) { u.link.set(linkState{}) })
+		r.disturbLinks("delay", r.pickUpstreams(random, 0.3), 6*time.Second,
+			func(l *link) { l.set(linkState{delay: delay}) }, func(l *link) { l.set(linkState{}) })
 		return nil
 	}},
 	{"slow-bodies", func(r *run, _ *rand.Rand) error {
@@ -681,8 +681,17 @@
 
 // disturb changes upstreams for a time.
 func (r *run) disturb(what string, list []*upstream, lasts time.Duration, set, unset func(u *upstream)) {
+	r.disturbAs(WindowUpstream, what, list, lasts, set, unset)
+}
+
+// disturbLinks changes the links of upstreams for a time.
+func (r *run) disturbLinks(what string, list []*upstream, lasts time.Duration, set, unset func(l *link)) {
+	r.disturbAs(WindowLink, what, list, lasts, func(u *upstream) { set(u.link) }, func(u *upstream) { unset(u.link) })
+}
+
+func (r *run) disturbAs(kind WindowKind, what string, list []*upstream, lasts time.Duration, set, unset func(u *upstream)) {
 	for _, u := range list {
-		defer r.recorder.window(Window{What: what, Upstream: u.id, Kind: WindowUpstream})()
+		defer r.recorder.window(Window{What: what, Upstream: u.id, Kind: kind})()
 		u.change(set)
 	}
 	time.Sleep(lasts)
@@ -707,8 +716,8 @@
 // connection still stands.
 func srvCut(r *run, random *rand.Rand) error {
 	state := []linkState{{cutIn: true}, {cutOut: true}, {cutIn: true, cutOut: true}}[random.IntN(3)]
-	r.disturb("cut", r.pickUpstreams(random, 0.2), time.Duration(500+random.IntN(5000))*time.Millisecond,
-		func(u *upstream) { u.link.set(state) }, func(u *upstream) { u.link.set(linkState{}) })
+	r.disturbLinks("cut", r.pickUpstreams(random, 0.2), time.Duration(500+random.IntN(5000))*time.Millisecond,
+		func(l *link) { l.set(state) }, func(l *link) { l.set(linkState{}) })
 	return nil
 }
 
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -236,6 +236,31 @@
 	}
 }
 
+// A request on a connection that has fallen silent never reaches its upstream; the rules count that as a reset of the
+// connections of all machines.
+func TestReadAndNotAnsweredBehindADisruptedLinkIsExcused(t *testing.T) {
+	for name, c := range map[string]struct {
+		from, to float64 // Of the disruption; the request is sent at 1 s, and its connection ends at 4 s.
+		want     int
+	}{
+		"before":          {0.5, 0.5, 0},
+		"while it waits":  {2, 2, 0},
+		"long before":     {-3, -2.5, 1},
+		"after its close": {4.5, 5, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.window(WindowMachineStop, "m", 0, 10)
+			w.r.Windows = append(w.r.Windows, Window{Kind: WindowLink, Upstream: "u", From: w.at(c.from), To: w.at(c.to)})
+			w.ask(1, "/a/x", "old", func(a *Attempt, run *Run) {
+				a.Status, a.Stamp, a.Whole, a.Err, a.Ended = 0, "", false, "unexpected EOF", w.at(4)
+				run.Refused = true
+			})
+			w.want(map[Rule]int{RuleLost: c.want})
+		})
+	}
+}
+
 func TestAnswerInPlaceOfAnUpstreamAtWorkAfterSIGTERM(t *testing.T) {
 	w := newWorld(t)
 	w.window(WindowMachineStop, "m", 10, 16.5)
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -83,6 +83,7 @@
 	WindowMachineStop                   // SIGTERM of a machine, until it runs again.
 	WindowUpstream                      // An upstream was disrupted.
 	WindowReload                        // SIGHUP of a machine.
+	WindowLink                          // The links of an upstream were disrupted.
 	WindowStarved                       // The run itself got no processor time, and so perhaps no process did.
 )
 
