soak: the operators' tool builds on other systems than Linux again

damaskctl had built on them until it got the soak command, which ends processes with itself and keeps them on some cores by means that only Linux has.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -221,7 +221,7 @@
 	}
 	cmd := exec.Command(m.gate, "--settings", m.settings)
 	cmd.Stdout, cmd.Stderr = m.log, m.log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	cmd.SysProcAttr = attributes(false)
 	if err := startOn(m.cores, cmd); err != nil {
 		return fmt.Errorf("start %s: %w", m.name, err)
 	}
--- /dev/null
+++ b/internal/soak/load_test.go
@@ -0,0 +1,34 @@
+package soak
+
+import (
+	"bytes"
+	"os/exec"
+	"runtime"
+	"strings"
+	"testing"
+)
+
+func TestProcessesKeepToTheirCores(t *testing.T) {
+	if runtime.GOOS != "linux" {
+		t.Skip("only Linux can keep processes on some cores")
+	}
+	count := func(cores int) string {
+		var out bytes.Buffer
+		cmd := exec.Command("nproc")
+		cmd.Stdout = &out
+		if err := startOn(cores, cmd); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Wait(); err != nil {
+			t.Fatal(err)
+		}
+		return strings.TrimSpace(out.String())
+	}
+	all := count(0)
+	if got := count(1); got != "1" {
+		t.Errorf("on one core a process has %s", got)
+	}
+	if got := count(0); got != all {
+		t.Errorf("later processes have %s cores, the first had %s", got, all)
+	}
+}
