--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -233,7 +233,7 @@
 	go func() {
 		err := cmd.Wait()
 		if !p.ordered.Load() {
-			m.recorder.ownEnd(fmt.Sprintf("%s, process %d: %v", m.name, cmd.Process.Pid, err))
+			m.recorder.ownEnd(m.name, fmt.Sprintf("process %d: %v", cmd.Process.Pid, err))
 		}
 		close(p.exited)
 	}()
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -87,6 +87,13 @@
 	WindowStarved                       // The run itself got no processor time, and so perhaps no process did.
 )
 
+// OwnEnd is the end of a process that nobody ordered.
+type OwnEnd struct {
+	Machine string
+	At      time.Time
+	Text    string
+}
+
 // Records is all that was seen in a run.
 type Records struct {
 	Attempts []Attempt
@@ -95,7 +102,7 @@
 	Windows  []Window
 	Left     map[string]time.Time // When an upstream's leaving was first acknowledged, by its id.
 	Ended    map[string]time.Time // When an upstream ended.
-	OwnEnds  []string             // Processes that ended by themselves.
+	OwnEnds  []OwnEnd             // Processes that ended by themselves.
 	Logs     map[string][]string  `json:"-"` // Lines that an instance logged, by machine.
 }
 
@@ -174,11 +181,11 @@
 	}
 }
 
-func (r *recorder) ownEnd(text string) {
-	r.printf("own end: %s", text)
+func (r *recorder) ownEnd(machine, text string) {
+	r.printf("own end: %s, %s", machine, text)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.records.OwnEnds = append(r.records.OwnEnds, text)
+	r.records.OwnEnds = append(r.records.OwnEnds, OwnEnd{machine, time.Now(), text})
 }
 
 // timeFormat is the format of the times in a report.
