The test of the handover waits until both upstreams are registered

Traced with what is handed over printed: only the good upstream was, as the first instance did not yet know of the other's registration.

--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -23,7 +23,8 @@
 	for try := range tries {
 		eventually(t, "the first instance knows", func() bool {
 			first.send(t, "h.example", "/x")
-			return chance(first, bad.id) < 0.3 && chance(first, good.id) > 0.8
+			failing := chance(first, bad.id) // 0 while it is not registered.
+			return failing > 0 && failing < 0.3 && chance(first, good.id) > 0.8
 		})
 		before := bad.requests.Load()
 		second := fleet.startInstance(fmt.Sprint("second-", try), "b")
