--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -456,8 +456,9 @@
 	return last, last.Request != ""
 }
 
-// planned returns the planned work at the request's machine around which it was lost.
-func (j *judge) planned(a *Attempt, kind WindowKind) (Window, bool) {
+// planned returns the planned work at the request's machine around which it was lost: the last that began before
+// its end, as a machine may be stopped again soon after it has started.
+func (j *judge) planned(a *Attempt, kind WindowKind) (last Window, ok bool) {
 	for _, w := range j.Windows {
 		if w.Kind != kind || w.Machine != a.Machine {
 			continue
@@ -466,11 +467,11 @@
 		if kind == WindowReload {
 			until = w.From.Add(j.terms.ApplyWithin)
 		}
-		if a.Ended.After(w.From) && a.Sent.Before(until) {
-			return w, true
+		if a.Ended.After(w.From) && a.Sent.Before(until) && (!ok || w.From.After(last.From)) {
+			last, ok = w, true
 		}
 	}
-	return Window{}, false
+	return last, ok
 }
 
 // excused reports whether a request that was lost around a SIGTERM doesn't count.
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -217,6 +217,21 @@
 	}
 }
 
+// A request that the second of two stops cut off in the last sixth of its grace was judged by the first.
+func TestLostAroundTheSecondOfTwoStopsIsJudgedByIt(t *testing.T) {
+	for sent, want := range map[float64]int{14.2: 0, 15.2: 1} { // At 2.2 and 3.2 s of the second stop.
+		w := newWorld(t)
+		w.window(WindowMachineStop, "m", 9, 11.9)
+		w.window(WindowMachineStop, "m", 12, 18)
+		w.ask(sent, "/a/x", "old", func(a *Attempt, run *Run) {
+			a.Status, a.Stamp, a.Whole, a.Err = 0, "", false, "unexpected EOF"
+			a.Deadline, a.Ended = 10*time.Second, w.at(17.1)
+			run.Outcome, run.Ended = OutcomeDropped, w.at(17.1)
+		})
+		w.want(map[Rule]int{RuleLost: want})
+	}
+}
+
 func TestLostAroundAPlannedStopIsNotExcusedByTheStore(t *testing.T) {
 	w := newWorld(t)
 	w.window(WindowMachineStop, "m", 10, 16.5)
