--- a/cmd/damaskctl/soak.go
+++ b/cmd/damaskctl/soak.go
@@ -113,17 +113,17 @@
 	if writeErr := r.Save(o.Folder); writeErr != nil {
 		return writeErr
 	}
+	if err != nil {
+		return fmt.Errorf("seed %d could not be played as intended: %w", o.Seed, err)
+	}
 	write := r.WriteText
 	if f.report == "json" {
 		write = r.WriteJSON
 	}
-	if writeErr := write(c.OutOrStdout()); writeErr != nil {
-		return writeErr
+	if err := write(c.OutOrStdout()); err != nil {
+		return err
 	}
-	switch {
-	case err != nil:
-		return fmt.Errorf("seed %d could not be played as intended: %w", o.Seed, err)
-	case r.Held():
+	if r.Held() {
 		return nil
 	}
 	if f.shrink {
