Announcements of upstreams are read, counted and logged

Nothing showed whether an answer had said that its upstream is leaving (Server-Leaving). platform reads the header into a typed value; invalid or contradictory values are ignored. The request log has it by attempt, /metrics counts answers that announce (upstream_leaving) and invalid announcements (upstream_invalid). An answer to another request, an invalid or cut answer, and one of another endpoint at the address (421) announce nothing. No decision depends on it yet.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -39,7 +39,9 @@
 	started time.Time
 	elapsed time.Duration
 	outcome outcome
-	reused  bool // An idle connection was reused.
+	reused  bool     // An idle connection was reused.
+	leaving bool     // The endpoint announced in its answer that it is leaving.
+	ignored []string // Invalid announcements in its answer.
 	err     error
 	resp    *fasthttp.Response  // Nil if no answer arrived.
 	stream  *stream             // The answer's body, if it is streamed.
@@ -142,6 +144,7 @@
 		a.resp.SetConnectionClose()
 	}
 	a.outcome, a.err = classify(a.resp.StatusCode(), answer)
+	f.readAnnouncement(a)
 	if body == nil {
 		return
 	}
@@ -157,6 +160,22 @@
 	}
 }
 
+// readAnnouncement reads what the endpoint says of itself in an answer to the attempt's request. An
+// invalid answer announces nothing, nor does one of another endpoint at the same address.
+func (f *Forwarder) readAnnouncement(a *attempt) {
+	if a.outcome == outcomeIncomplete || a.resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
+		return
+	}
+	announced := platform.ReadAnnouncement(&a.resp.Header)
+	a.leaving, a.ignored = announced.Leaving, announced.Ignored
+	if a.leaving {
+		f.metrics.leaving.Add(1)
+	}
+	if len(a.ignored) > 0 {
+		f.metrics.invalidAnnouncements.Add(1)
+	}
+}
+
 // Errors of an attempt. All but errPaused are written into the answer to the caller.
 var (
 	errPaused     = errors.New("the process was paused after the endpoint was chosen; the request was not sent")
@@ -228,7 +247,7 @@
 func (a *attempt) logRecord() Attempt {
 	out := Attempt{
 		Upstream: a.grant.Endpoint.Name, Outcome: a.outcome.String(), Millis: a.elapsed.Milliseconds(),
-		Chance: a.grant.Chance, InFlight: a.grant.InFlight, Reused: a.reused,
+		Chance: a.grant.Chance, InFlight: a.grant.InFlight, Reused: a.reused, Leaving: a.leaving, Ignored: a.ignored,
 	}
 	if a.err != nil {
 		out.Error = a.err.Error()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -67,7 +67,10 @@
 	Chance   float64 `json:"chance"`
 	InFlight int     `json:"in_flight"`
 	Reused   bool    `json:"reused,omitempty"`
-	Error    string  `json:"error,omitempty"`
+
+	Leaving bool     `json:"leaving,omitempty"` // The upstream announced in its answer that it is leaving.
+	Ignored []string `json:"ignored,omitempty"` // Invalid announcements in its answer.
+	Error   string   `json:"error,omitempty"`
 }
 
 // Forwarder sends requests to upstreams.
@@ -79,7 +82,7 @@
 }
 
 type metrics struct {
-	dials, mismatched, brokenStreams atomic.Int64
+	dials, mismatched, brokenStreams, leaving, invalidAnnouncements atomic.Int64
 }
 
 // New returns a Forwarder.
@@ -92,10 +95,16 @@
 	Dials             int64 // Connections opened to upstreams.
 	MismatchedAnswers int64 // Answers that carried another request's ID and were skipped.
 	BrokenStreams     int64 // Answers that were truncated while they were streamed to the caller.
+	LeavingAnswers    int64 // Answers in which an upstream announced that it is leaving.
+
+	InvalidAnnouncements int64 // Answers in which an upstream's announcement had an invalid value, which was ignored.
 }
 
 func (f *Forwarder) Counts() Counts {
-	return Counts{Dials: f.metrics.dials.Load(), MismatchedAnswers: f.metrics.mismatched.Load(), BrokenStreams: f.metrics.brokenStreams.Load()}
+	return Counts{
+		Dials: f.metrics.dials.Load(), MismatchedAnswers: f.metrics.mismatched.Load(), BrokenStreams: f.metrics.brokenStreams.Load(),
+		LeavingAnswers: f.metrics.leaving.Load(), InvalidAnnouncements: f.metrics.invalidAnnouncements.Load(),
+	}
 }
 
 // Sweep closes upstream connections that are past their idle timeout.
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -107,6 +107,8 @@
 		"upstream_dials":     counts.Dials,
 		"upstream_strays":    counts.MismatchedAnswers,
 		"streams_broken":     counts.BrokenStreams,
+		"upstream_leaving":   counts.LeavingAnswers,
+		"upstream_invalid":   counts.InvalidAnnouncements,
 		"requests_cut_off":   g.metrics.cutOff.Load(),
 		"log_lines_dropped":  g.logs.dropped.Load(),
 		"accept_failures":    g.acceptFailures.Count(),
