soak: upstreams announce their leaving, and the oracle holds the instances to it

Upstreams that leave say so in all their answers. New faults: upstreams leave while the store is silent for all or for some machines; upstreams leave that cannot reach the store, whose registrations expire and may come back as a late write; upstreams restart under their id and address. The oracle counts, in touch or not, a request that a caller sent later than drain_within after an answer through the same process had announced that its upstream leaves; a freeze since then excuses it, a restart is another process.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	a.Status, a.Stamp = resp.StatusCode, resp.Header.Get("Server-Stamp")
+	a.Status, a.Stamp, a.Leaving = resp.StatusCode, resp.Header.Get("Server-Stamp"), resp.Header.Get(headerLeaving) == "1"
 	parts := strings.SplitN(string(body), " ", 3)
 	a.Whole = len(parts) == 3 && string(body) == responseBody(parts[0], parts[1], a.ID)
 	if after := resp.Header.Get("Retry-After"); after != "" {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -60,6 +60,9 @@
 	{"big-config", bigConfig},
 	{"release", release},
 	{"scale-in", scaleIn},
+	{"leave-unheard", leaveUnheard},
+	{"leave-cut-off", leaveCutOff},
+	{"leave-and-return", leaveAndReturn},
 	{"scale-out", scaleOut},
 	{"reuse", reuse},
 	{"srv-crash", srvCrash},
@@ -493,7 +496,7 @@
 			if r.over() {
 				return
 			}
-			defer r.recorder.window(Window{What: "SIGSTOP", Machine: m.name, Kind: WindowMachine})()
+			defer r.recorder.window(Window{What: "SIGSTOP", Machine: m.name, Frozen: true, Kind: WindowMachine})()
 			m.signal(syscall.SIGSTOP, false)
 			time.Sleep(lasts)
 			m.signal(syscall.SIGCONT, false)
@@ -635,6 +638,73 @@
 	return nil
 }
 
+// leaveUnheard lets upstreams leave while the store is silent, or serves some machines only: the others hear of it
+// from answers alone.
+func leaveUnheard(r *run, random *rand.Rand) error {
+	r.storeBusy.Lock()
+	defer r.storeBusy.Unlock()
+	machines, kind := r.fleet.all(), WindowStore
+	if random.IntN(2) == 0 {
+		machines, kind = r.share(random, 0.5), WindowStoreSome
+	}
+	end := r.recorder.window(Window{What: "store-silent, upstreams leave", Kind: kind})
+	var ends []func()
+	for _, m := range machines {
+		ends = append(ends, r.recorder.window(Window{What: "store-silent", Machine: m.name, Kind: WindowMachine}))
+	}
+	r.setDoors(machines, standin.State{Fault: standin.Silent})
+	var wg sync.WaitGroup
+	for _, u := range r.pickUpstreams(random, 0.2) {
+		serve, report := r.leaveTime(random)+time.Duration(random.IntN(4000))*time.Millisecond, random.Float64() >= 0.3
+		wg.Go(func() { r.check(u.leave(report, serve)) })
+	}
+	wg.Wait()
+	r.setDoors(machines, standin.State{})
+	for _, f := range append(ends, end) {
+		f()
+	}
+	return nil
+}
+
+// leaveCutOff lets upstreams leave that cannot reach the store. Their registrations expire, and may be back for a
+// while: as a write that has its effect late.
+func leaveCutOff(r *run, random *rand.Rand) error {
+	var wg sync.WaitGroup
+	for _, u := range r.pickUpstreams(random, 0.13) {
+		returns, serve := random.IntN(2) == 0, r.leaveTime(random)
+		wg.Go(func() {
+			defer r.recorder.window(Window{What: "cut off from the store", Upstream: u.name, Kind: WindowUpstream})()
+			if returns {
+				late := u.entry()
+				time.AfterFunc(4*r.terms.Heartbeat, func() {
+					_, err := u.store.PutJSON("servers/"+u.id, late)
+					r.check(err)
+					time.AfterFunc(3*r.terms.Heartbeat, u.deregister)
+				})
+			}
+			u.leaveCutOff(3*r.terms.Heartbeat, serve)
+		})
+	}
+	wg.Wait()
+	return nil
+}
+
+// leaveAndReturn restarts upstreams as planned: each leaves, ends, and starts again under its id and address.
+func leaveAndReturn(r *run, random *rand.Rand) error {
+	var wg sync.WaitGroup
+	for _, u := range r.pickUpstreams(random, 0.2) {
+		serve, pause := r.leaveTime(random), time.Duration(100+random.IntN(2000))*time.Millisecond
+		wg.Go(func() {
+			r.check(u.leave(true, serve))
+			time.Sleep(pause)
+			_, err := r.startAgain(u)
+			r.check(err)
+		})
+	}
+	wg.Wait()
+	return nil
+}
+
 func scaleOut(r *run, random *rand.Rand) error {
 	for range 5 {
 		if _, err := r.addUpstream(serviceNames[random.IntN(len(serviceNames))], zoneNames[random.IntN(len(zoneNames))]); err != nil {
@@ -667,7 +737,7 @@
 	var wg sync.WaitGroup
 	for _, u := range r.pickUpstreams(random, 0.14) {
 		wg.Go(func() {
-			defer r.recorder.window(Window{What: "crash", Upstream: u.id, Kind: WindowUpstream})()
+			defer r.recorder.window(Window{What: "crash", Upstream: u.name, Kind: WindowUpstream})()
 			u.end()
 			time.Sleep(3 * r.terms.Heartbeat)
 			u.deregister()
@@ -691,7 +761,7 @@
 
 func (r *run) disturbAs(kind WindowKind, what string, list []*upstream, lasts time.Duration, set, unset func(u *upstream)) {
 	for _, u := range list {
-		defer r.recorder.window(Window{What: what, Upstream: u.id, Kind: kind})()
+		defer r.recorder.window(Window{What: what, Upstream: u.name, Kind: kind})()
 		u.change(set)
 	}
 	time.Sleep(lasts)
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -24,7 +24,7 @@
 	RuleRefused  Rule = "REFUSED"  // A request was answered "not run" and ran.
 	RuleUnasked  Rule = "UNASKED"  // A request ran that no caller sent.
 	RuleRoute    Rule = "ROUTE"    // A request ran at a service to which no configuration allowed it to go.
-	RuleDrain    Rule = "DRAIN"    // A request reached an upstream that had left.
+	RuleDrain    Rule = "DRAIN"    // A request reached an upstream that had left, or had announced it.
 	RuleMixed    Rule = "MIXED"    // An answer isn't the upstream's.
 	RuleOverdue  Rule = "OVERDUE"  // Requests outlast their route's timeout.
 	RuleReplaced Rule = "REPLACED" // During a planned stop an upstream at work was given up for an answer of the fleet's own.
@@ -83,6 +83,7 @@
 	j.judgeAnswers()
 	j.judgeLost()
 	j.judgeDrain()
+	j.judgeAnnounced()
 	j.judgeOwnEnds()
 	slices.SortStableFunc(j.findings, func(a, b Finding) int {
 		return cmp.Or(strings.Compare(string(a.Rule), string(b.Rule)), a.At.Compare(b.At))
@@ -245,17 +246,13 @@
 
 // judgeRegress looks for processes that went back to an older version.
 func (j *judge) judgeRegress() {
-	type process struct {
-		machine string
-		life    int
-	}
 	type effect struct {
 		at      time.Time
 		version int
 	}
-	byProcess := map[process][]*Attempt{}
+	byProcess := map[processID][]*Attempt{}
 	for k := range j.Attempts {
-		p := process{j.Attempts[k].Machine, j.Attempts[k].Life}
+		p := processID{j.Attempts[k].Machine, j.Attempts[k].Life}
 		byProcess[p] = append(byProcess[p], &j.Attempts[k])
 	}
 	for p, attempts := range byProcess {
@@ -554,3 +551,51 @@
 		})
 	}
 }
+
+// processID identifies one process of a machine.
+type processID struct {
+	machine string
+	life    int
+}
+
+// judgeAnnounced looks for requests that reached an upstream after an answer that the same process had passed on
+// had said that the upstream is leaving.
+func (j *judge) judgeAnnounced() {
+	type teller struct {
+		processID
+		upstream string
+	}
+	told := map[teller]time.Time{}
+	for k := range j.Attempts {
+		a := &j.Attempts[k]
+		if !a.Leaving {
+			continue
+		}
+		for _, run := range j.runs[a.ID] {
+			key := teller{processID{a.Machine, a.Life}, run.Upstream}
+			if at, ok := told[key]; strings.HasSuffix(a.Stamp, "."+run.Upstream+"."+a.ID) && (!ok || a.Ended.Before(at)) {
+				told[key] = a.Ended
+			}
+		}
+	}
+	for k := range j.Attempts {
+		a := &j.Attempts[k]
+		for _, run := range j.runs[a.ID] {
+			at, ok := told[teller{processID{a.Machine, a.Life}, run.Upstream}]
+			if !ok || !a.Sent.After(at.Add(j.terms.DrainWithin)) || j.frozen(a.Machine, at, run.Arrived) {
+				continue
+			}
+			j.add(Finding{
+				Rule: RuleDrain, Request: run.Request, Machine: a.Machine, At: a.Sent, Beyond: a.Sent.Sub(at.Add(j.terms.DrainWithin)),
+				Text: fmt.Sprintf("reached %s, sent %.3f s after an answer through the same process had said that it leaves", run.Upstream, a.Sent.Sub(at).Seconds()),
+			})
+		}
+	}
+}
+
+// frozen reports whether a machine's process stood still during a span.
+func (j *judge) frozen(machine string, from, to time.Time) bool {
+	return slices.ContainsFunc(j.Windows, func(w Window) bool {
+		return w.Frozen && w.Machine == machine && w.From.Before(to) && w.To.After(from)
+	})
+}
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -343,3 +343,40 @@
 	}
 	w.want(map[Rule]int{RuleOverdue: 1})
 }
+
+// An announcement binds the process that passed it on, whatever the store and the links do, and no other.
+func TestDrainBoundIsFromAnAnnouncement(t *testing.T) {
+	for name, c := range map[string]struct {
+		sent   float64 // The answer that announces arrives at 10.1 s; the bound is 2 s.
+		change func(w *world, a *Attempt, run *Run)
+		want   int
+	}{
+		"within the bound":    {12.05, nil, 0},
+		"beyond the bound":    {12.15, nil, 1},
+		"refused there":       {12.15, func(_ *world, _ *Attempt, run *Run) { run.Refused = true }, 1},
+		"the store is silent": {12.15, func(w *world, _ *Attempt, _ *Run) { w.window(WindowStore, "", 8, 14) }, 1},
+		"the machine is cut off": {12.15, func(w *world, _ *Attempt, _ *Run) {
+			w.window(WindowMachine, "m", 8, 14)
+		}, 1},
+		"the process was frozen": {12.15, func(w *world, _ *Attempt, _ *Run) {
+			w.r.Windows = append(w.r.Windows, Window{Kind: WindowMachine, Machine: "m", Frozen: true, From: w.at(11), To: w.at(11.5)})
+		}, 0},
+		"it was frozen before": {12.15, func(w *world, _ *Attempt, _ *Run) {
+			w.r.Windows = append(w.r.Windows, Window{Kind: WindowMachine, Machine: "m", Frozen: true, From: w.at(9), To: w.at(9.5)})
+		}, 1},
+		"another process":  {12.15, func(_ *world, a *Attempt, _ *Run) { a.Life = 2 }, 0},
+		"another machine":  {12.15, func(_ *world, a *Attempt, _ *Run) { a.Machine = "n" }, 0},
+		"another upstream": {12.15, func(_ *world, a *Attempt, run *Run) { run.Upstream, a.Stamp = "v", "stamp.v."+a.ID }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.ask(10, "/a/x", "old", func(a *Attempt, _ *Run) { a.Leaving = true })
+			w.ask(c.sent, "/a/x", "old", func(a *Attempt, run *Run) {
+				if c.change != nil {
+					c.change(w, a, run)
+				}
+			})
+			w.want(map[Rule]int{RuleDrain: c.want})
+		})
+	}
+}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -44,6 +44,7 @@
 	Status   int    // 0 without a complete answer.
 	Stamp    string // The upstream's signature.
 	Whole    bool   // The body is the whole body of the upstream's answer.
+	Leaving  bool   // The answer says that the upstream is leaving.
 	GaveUp   bool   // The caller's deadline was reached, or the caller left.
 	Err      string
 }
@@ -68,6 +69,7 @@
 	What     string
 	Machine  string // Empty for the store or an upstream.
 	Upstream string
+	Frozen   bool // The machine's process stood still.
 	Kind     WindowKind
 	From, To time.Time
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -309,7 +309,21 @@
 		addr = r.fleet.addr(upstreamOctet, 0, r.created, upstreamPort).String()
 	}
 	r.mu.Unlock()
-	u, err := startUpstream(r.fleet.store, r.recorder, id, service, zone, addr)
+	return r.startIncarnation(id, id, service, zone, addr)
+}
+
+// startAgain starts an upstream that has ended again, under its id and address.
+func (r *run) startAgain(u *upstream) (*upstream, error) {
+	r.mu.Lock()
+	r.created++
+	name := fmt.Sprintf("%s-again-%d", u.id, r.created)
+	r.mu.Unlock()
+	return r.startIncarnation(u.id, name, u.service, u.zone, u.addr)
+}
+
+// startIncarnation starts an upstream and registers it.
+func (r *run) startIncarnation(id, name, service, zone, addr string) (*upstream, error) {
+	u, err := startUpstream(r.fleet.store, r.recorder, id, name, service, zone, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -22,6 +22,7 @@
 	coldTime      = 3 * time.Second  // After its start an upstream takes coldFactor times as long.
 	coldFactor    = 2
 	headerWork    = "X-Work-Ms" // How long a request takes, in milliseconds.
+	headerLeaving = "Server-Leaving"
 )
 
 // service is a service of the deployment, with its upstreams by zone.
@@ -33,6 +34,7 @@
 // upstream is a stand-in of one upstream.
 type upstream struct {
 	id, service, zone, addr string
+	name                    string // Of this incarnation: the id, but for an upstream that started again under its id.
 	store                   *standin.Store
 	recorder                *recorder
 	server                  *http.Server
@@ -52,13 +54,13 @@
 	gone      bool
 }
 
-func startUpstream(s *standin.Store, r *recorder, id, service, zone, addr string) (*upstream, error) {
+func startUpstream(s *standin.Store, r *recorder, id, name, service, zone, addr string) (*upstream, error) {
 	l, err := net.Listen("tcp4", addr)
 	if err != nil {
-		return nil, fmt.Errorf("start upstream %s: %w", id, err)
+		return nil, fmt.Errorf("start upstream %s: %w", name, err)
 	}
 	u := &upstream{
-		id: id, service: service, zone: zone, addr: addr, store: s, recorder: r,
+		id: id, name: name, service: service, zone: zone, addr: addr, store: s, recorder: r,
 		slots: make(chan struct{}, upstreamSlots), started: time.Now(), slow: 1, link: newLink(l),
 	}
 	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), IdleTimeout: upstreamIdle}
@@ -68,33 +70,36 @@
 
 // register writes the upstream's registration.
 func (u *upstream) register() error {
+	entry := u.entry()
+	at, err := u.store.PutJSON("servers/"+u.id, entry)
+	if err == nil && entry["state"] == "draining" {
+		u.recorder.left(u.name, at)
+	}
+	return err
+}
+
+// entry returns the upstream's next registration.
+func (u *upstream) entry() map[string]any {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.sequence++
 	state := "ready"
 	if u.leaving {
 		state = "draining"
 	}
 	cold := max(coldTime-time.Since(u.started), 0)
-	entry := map[string]any{
+	return map[string]any{
 		"service": u.service, "address": u.addr, "zone": u.zone, "version": "1", "capacity": upstreamSlots, "state": state,
 		"warmup_left": fmt.Sprintf("%dms", cold.Milliseconds()), "sequence": u.sequence, "born": u.started.UnixMilli(),
 	}
-	u.mu.Unlock()
-	at, err := u.store.PutJSON("servers/"+u.id, entry)
-	if err == nil && state == "draining" {
-		u.recorder.left(u.id, at)
-	}
-	return err
 }
 
 // deregister removes the registration.
-func (u *upstream) deregister() { u.recorder.left(u.id, u.store.Delete("servers/"+u.id)) }
+func (u *upstream) deregister() { u.recorder.left(u.name, u.store.Delete("servers/"+u.id)) }
 
 // leave stops the upstream as planned: it serves for a time after its report and exits.
 func (u *upstream) leave(report bool, serve time.Duration) error {
-	u.mu.Lock()
-	u.leaving = true
-	u.mu.Unlock()
+	u.announce()
 	if report {
 		if err := u.register(); err != nil {
 			return err
@@ -108,12 +113,28 @@
 	return nil
 }
 
+// announce makes the upstream say in all its answers that it is leaving.
+func (u *upstream) announce() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = true
+}
+
+// leaveCutOff stops an upstream that cannot reach the store: its registration stays as it was until it expires.
+func (u *upstream) leaveCutOff(expires, serve time.Duration) {
+	u.announce()
+	time.Sleep(expires)
+	u.deregister()
+	time.Sleep(serve)
+	u.end()
+}
+
 // end closes the upstream's connections at once.
 func (u *upstream) end() {
 	u.mu.Lock()
 	u.gone = true
 	u.mu.Unlock()
-	u.recorder.upstreamEnded(u.id, time.Now())
+	u.recorder.upstreamEnded(u.name, time.Now())
 	_ = u.server.Close()
 }
 
@@ -164,6 +185,7 @@
 	f := u.drawFate()
 	if f.leaving {
 		h.Set("Connection", "close")
+		h.Set(headerLeaving, "1")
 	}
 	if r.URL.Path == "/healthz" {
 		if f.leaving {
@@ -179,7 +201,7 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body) // Only then does the request's context end with its connection.
 	left := headerMs(r, "Deadline-Ms")
-	run := &Run{Request: id, Upstream: u.id, Service: u.service, Host: r.Host, Path: r.URL.Path, Arrived: arrived}
+	run := &Run{Request: id, Upstream: u.name, Service: u.service, Host: r.Host, Path: r.URL.Path, Arrived: arrived}
 	deadline := time.NewTimer(left)
 	defer deadline.Stop()
 	if !u.enter(r, deadline) {
@@ -205,8 +227,8 @@
 	case f.lost || f.fail == "reset":
 		abort(w)
 	default:
-		h.Set("Server-Stamp", "stamp."+u.id+"."+id)
-		body := responseBody(u.service, u.id, id)
+		h.Set("Server-Stamp", "stamp."+u.name+"."+id)
+		body := responseBody(u.service, u.name, id)
 		if f.garble != "" && f.garble != garbleTwice {
 			writeGarbled(w, f.garble, status, h, body)
 			return
