--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -196,6 +196,8 @@
 	addr     string
 	requests atomic.Int64
 	failing  atomic.Bool
+	leaving  atomic.Bool // It says so in its answers.
+	born     int64       // Unix milliseconds of its start, for its registration; 0 for none.
 	hold     atomic.Pointer[chan struct{}]
 }
 
@@ -215,8 +217,12 @@
 }
 
 func (fleet *testFleet) register(u *upstream, service, state string) {
+	born := ""
+	if u.born != 0 {
+		born = fmt.Sprintf(`,"born":%d`, u.born)
+	}
 	fleet.store.Put("servers/"+u.id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"a","version":"v1","capacity":4,"state":%q,"warmup_left":"0ms","sequence":4}`, service, u.addr, state))
+		`{"service":%q,"address":%q,"zone":"a","version":"v1","capacity":4,"state":%q,"warmup_left":"0ms","sequence":4%s}`, service, u.addr, state, born))
 }
 
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -230,6 +236,9 @@
 	}
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Server-Stamp", "3e."+u.id)
+	if u.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if u.failing.Load() {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
