Requests no longer reach an upstream that has announced its leaving

Callers saw: requests reached an upstream long after its answers through the same instance had said that it leaves, for as long as the store went on listing it. Cause: Server-Leaving was not read, and a leaving was known from the store alone, so that what an upstream says of itself depended on a third party.

An answer's announcement is a mark in coord/dispatch now, apart from the list of endpoints, so it outlives a store that is silent, a registration that lapses and returns, and an older list. It belongs to the incarnations that had started when the request was sent: not to a later start under the id nor to the next endpoint at the address. One gate, accepts, is passed by first attempts, retries, hedges, requests that are spread or probe, and by what a broker granted; brokers are asked to leave the endpoint out. The mark is set before the answer is passed on.

Other instances hear of it as one more event in their reports, and brokers with the grant. To them the endpoint is a last resort: it still serves, so a report alone never empties a service.

--- a/coord/dispatch/doc.go
+++ b/coord/dispatch/doc.go
@@ -15,6 +15,7 @@
 // Guarantees:
 //
 //   - Each Request gets a Grant or a Rejection at once.
-//   - No Grant names an endpoint that is draining or that the Request has tried already.
+//   - No Grant names an endpoint that is draining, that has announced to this instance that it is
+//     leaving, or that the Request has tried already.
 //   - A retry is granted only within the service's retry budget.
 package dispatch
--- a/coord/dispatch/endpoint.go
+++ b/coord/dispatch/endpoint.go
@@ -19,6 +19,12 @@
 	lastUsed     time.Time           // Last start by any instance; zero before the first.
 	lastFailed   time.Time           // Last failure reported by any instance.
 	reach        reachability
+	leaving      leavingSource // What it announced; Draining is what its registration says.
+}
+
+// accepts reports whether the endpoint takes new requests from this instance.
+func (e *endpointState) accepts() bool {
+	return !e.Draining && e.leaving != leavingAnnounced
 }
 
 // reachability is whether this instance itself can reach an endpoint.
--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -20,7 +20,9 @@
 	peerStates    map[PeerID]peerState
 	responseKB    map[string]*ewma[float64] // Size of response bodies, by class.
 	events        []Event                   // Not yet taken.
-	urgent        bool                      // One of events is a failure, an overdue request, a retry, or a request to an unproven endpoint.
+	urgent        bool                      // One of events is a failure, an overdue request, a retry, an announcement, or a request to an unproven endpoint.
+	leaving       map[string]leavingMark    // By the id under which an endpoint registered.
+	notices       []Notice                  // Not yet taken.
 
 	peerCount   int // Other instances in the fleet.
 	peersByZone map[string]int
@@ -42,6 +44,7 @@
 		endpoints:     make(map[EndpointID]*endpointState),
 		peerStates:    make(map[PeerID]peerState),
 		responseKB:    make(map[string]*ewma[float64]),
+		leaving:       make(map[string]leavingMark),
 	}
 }
 
@@ -73,12 +76,14 @@
 		if state == nil || state.Service != e.Service || state.Address != e.Address || !state.Started.Equal(e.Started) {
 			state = &endpointState{addedAt: now, peerInFlight: make(map[PeerID]int), estimate: outlook.New(m.service(e.Service).health, now)}
 		}
-		state.Endpoint = e
+		m.noticeRestart(state.Endpoint, e)
+		state.Endpoint, state.leaving = e, m.leavingOf(e)
 		next[e.ID] = state
 		s := m.service(e.Service)
 		s.endpoints = append(s.endpoints, state)
 	}
 	m.endpoints = next
+	m.forgetLeaving(now)
 }
 
 func (m *Machine) service(name string) *service {
@@ -104,7 +109,7 @@
 	case !ok && r.Hedge:
 		return Grant{}, &Rejection{Reason: NoSpareSlot, TimeLeft: timeLeft}
 	case !ok:
-		return Grant{}, &Rejection{Reason: NoEndpoint, RetryAfter: s.baselineLatency(), TimeLeft: timeLeft}
+		return Grant{}, &Rejection{Reason: NoEndpoint, RetryAfter: s.baselineLatency(), TimeLeft: timeLeft, Leaving: s.leaving()}
 	case r.MinScore > 0 && c.score < r.MinScore:
 		return Grant{}, &Rejection{Reason: ScoreTooLow, BestScore: c.score, TimeLeft: timeLeft}
 	case c.tooUnlikely(timeLeft, r.Idempotent):
@@ -171,7 +176,7 @@
 		return
 	}
 	m.events = append(m.events, Event{Endpoint: e.ID, InFlight: e.own, Kind: kind, LatencyMillis: int(latency.Milliseconds())})
-	m.urgent = m.urgent || kind == EndedFailed || kind == EndedBroken || kind == Overdue
+	m.urgent = m.urgent || kind == EndedFailed || kind == EndedBroken || kind == Overdue || kind == Leaving
 }
 
 // Ended records the end of a request that this instance granted to itself.
@@ -222,22 +227,22 @@
 	}
 }
 
-// UnreachableEndpoints returns the endpoints of a service that this instance cannot reach, at
-// most limit of them.
-func (m *Machine) UnreachableEndpoints(now time.Time, service string, limit int) []EndpointID {
+// ExcludedEndpoints returns the endpoints of a service to which this instance alone sends nothing: it
+// cannot reach them, or they have announced to it that they are leaving. There are at most limit of them.
+func (m *Machine) ExcludedEndpoints(now time.Time, service string, limit int) []EndpointID {
 	var out []EndpointID
 	for _, e := range m.service(service).endpoints {
-		if now.Before(e.reach.backoffUntil) && len(out) < limit {
+		if (now.Before(e.reach.backoffUntil) || e.leaving == leavingAnnounced) && len(out) < limit {
 			out = append(out, e.ID)
 		}
 	}
 	return out
 }
 
-// Endpoint returns the endpoint with an ID; ok is false if there is none or it is draining.
+// Endpoint returns the endpoint with an ID; ok is false if there is none or it takes no new requests.
 func (m *Machine) Endpoint(id EndpointID) (_ Endpoint, ok bool) {
 	e := m.endpoints[id]
-	if e == nil || e.Draining {
+	if e == nil || !e.accepts() {
 		return Endpoint{}, false
 	}
 	return e.Endpoint, true
@@ -295,6 +300,8 @@
 			s := m.service(e.Service)
 			e.started(s, now)
 			s.sent(now, ev.Kind == Retried)
+		case Leaving:
+			m.ReportedLeaving(now, ev.Endpoint, time.Duration(ev.LatencyMillis)*time.Millisecond)
 		default:
 			m.observe(now, e, ev.Kind, time.Duration(ev.LatencyMillis)*time.Millisecond)
 		}
--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -72,7 +72,8 @@
 	score           float64       // Expected credit.
 }
 
-// choose returns the best endpoint for a request; ok is false if none is usable.
+// choose returns the best endpoint for a request; ok is false if none is usable. An endpoint of which only
+// other instances know that it is leaving is chosen if there is no other: it still serves for a while.
 func (m *Machine) choose(now time.Time, s *service, r *Request) (best candidate, ok bool) {
 	highUnserved := s.highUnserved(now)
 	// Requests that can be retried probe endpoints however many are in use, so that the share in use
@@ -82,7 +83,7 @@
 	// Requests that can be retried also confirm that endpoints are healthy, so that the others, which
 	// have one attempt, know where to go. Where failing endpoints hang, they would be late.
 	scouts := r.retryable && s.health.FailsEarly()
-	var due, scout candidate
+	var due, scout, leaving candidate
 	f := s.figures()
 	for _, e := range s.endpoints {
 		if !m.usable(now, e, r) {
@@ -92,6 +93,12 @@
 		if r.Hedge && !c.mayHedge() {
 			continue
 		}
+		if e.leaving == leavingReported {
+			if leaving.endpoint == nil || c.score > leaving.score {
+				leaving = c
+			}
+			continue
+		}
 		if !ok || c.score > best.score {
 			best, ok = c, true
 		}
@@ -108,6 +115,9 @@
 	if due.endpoint != nil && due.expectedLatency < r.Deadline.Sub(now) {
 		return due, true
 	}
+	if !ok && leaving.endpoint != nil {
+		return leaving, true
+	}
 	return best, ok
 }
 
@@ -160,7 +170,7 @@
 func (s *service) inUseShare(now time.Time) float64 {
 	used, total := 0, 0
 	for _, e := range s.endpoints {
-		if e.Draining || now.Sub(e.lastFailed) <= failureBackoff {
+		if e.Draining || e.leaving != notLeaving || now.Sub(e.lastFailed) <= failureBackoff {
 			continue
 		}
 		total++
@@ -173,7 +183,7 @@
 
 // usable reports whether a request may go to an endpoint at all.
 func (m *Machine) usable(now time.Time, e *endpointState, r *Request) bool {
-	return !e.Draining && !now.Before(e.reach.backoffUntil) && !slices.Contains(r.Tried, e.ID)
+	return e.accepts() && !now.Before(e.reach.backoffUntil) && !slices.Contains(r.Tried, e.ID)
 }
 
 // evaluate scores an endpoint for a request. Load and queue costs scale the expected credit, so
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -72,6 +72,7 @@
 	ExpectedLatency time.Duration // Set for Overloaded: latency at the best endpoint.
 	TimeLeft        time.Duration // Time to the deadline.
 	BestScore       float64       // Set for ScoreTooLow: score of the best endpoint.
+	Leaving         int           // Set for NoEndpoint: endpoints that take no new requests because they are leaving.
 }
 
 // Event is what an instance reports to the others about one endpoint.
@@ -96,6 +97,7 @@
 	EndedRefused
 	EndedUnknown // No evidence about the endpoint: the caller left, or this instance could not reach the endpoint.
 	Overdue
+	Leaving // A response said that the endpoint is leaving; the latency is the time since its request was sent.
 )
 
 // outcomes maps the kinds that are evidence of an endpoint's health.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -26,6 +26,9 @@
 	RecordResponseSize(class string, bytes int)
 	// Overdue records that a granted request has had no answer for a multiple of the baseline latency.
 	Overdue(g dispatch.Grant)
+	// AnnouncedLeaving records that the endpoint of a granted request, which was sent at a time, said in its
+	// answer that it is leaving. No request that is acquired after the call is granted that endpoint.
+	AnnouncedLeaving(g dispatch.Grant, sent time.Time)
 }
 
 // Rejected is the error of a request that is granted no endpoint.
@@ -234,6 +237,9 @@
 	f.send(f.attemptContext(ctx, r), r, req, a)
 	overdue.Stop()
 	a.elapsed = time.Since(a.started)
+	if a.leaving { // Before the answer is passed on, as that is when the endpoint must get no more requests.
+		f.dispatcher.AnnouncedLeaving(grant, a.started)
+	}
 	if a.outcome == outcomeServed {
 		f.dispatcher.RecordResponseSize(r.Route.Name, a.bodySize())
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -94,6 +94,7 @@
 
 	mu      sync.Mutex
 	events  []dispatch.EventKind
+	leaving []string // Names of the endpoints that announced it.
 	running int
 }
 
@@ -132,6 +133,12 @@
 
 func (d *sequentialDispatcher) Overdue(dispatch.Grant) {}
 
+func (d *sequentialDispatcher) AnnouncedLeaving(g dispatch.Grant, _ time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leaving = append(d.leaving, g.Endpoint.Name)
+}
+
 func (d *sequentialDispatcher) RecordResponseSize(string, int) {}
 
 // unusedAddress returns an address that refuses connections.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -137,7 +137,7 @@
 	case errors.Is(cause, errStopping):
 		return &rejection{code: result.CodeStopping, detail: errStopping.Error(), retryAfter: StoppingRetryAfter}
 	case errors.As(cause, &rejected) && rejected.Reason == dispatch.NoEndpoint:
-		return &rejection{code: result.CodeNoEndpoint, retryAfter: rejected.RetryAfter}
+		return &rejection{code: result.CodeNoEndpoint, detail: noEndpointDetail(rejected), retryAfter: rejected.RetryAfter}
 	case errors.As(cause, &rejected) && rejected.Reason == dispatch.Overloaded:
 		detail := fmt.Sprintf("an answer is expected in %s, %s are left", rejected.ExpectedLatency, rejected.TimeLeft)
 		return &rejection{code: result.CodeShedQueueFull, detail: detail, retryAfter: rejected.RetryAfter}
@@ -148,6 +148,14 @@
 	}
 }
 
+// noEndpointDetail tells whether the service has endpoints that take no new requests.
+func noEndpointDetail(r *Rejected) string {
+	if r.Leaving == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d endpoints of the service are leaving", r.Leaving)
+}
+
 // errStopping is the reason for which no attempt starts.
 var errStopping = errors.New("the request may not end before the instance does")
 
--- a/internal/gateway/announcement_test.go
+++ b/internal/gateway/announcement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,3 +63,73 @@
 func (in *instance) chance(u *upstream) float64 {
 	return inControl(in, func(c *control) float64 { return c.machine.Chance(time.Now(), endpointID(u.id)) })
 }
+
+// An upstream that has started again under its id is used again, and so is the next upstream at its address.
+func TestAnnouncedLeavingEndsWithTheIncarnation(t *testing.T) {
+	fleet := newTestFleet(t)
+	in := fleet.startInstance("one", "a")
+	fleet.configure("h.example", "orders")
+	leaves := fleet.startUpstream("i-leaves", "orders")
+	leaves.leaving.Store(true)
+	eventually(t, "an answer announces the leaving", func() bool { _, body, _ := in.send(t, "h.example", "/x"); return body == leaves.id })
+	if status, body, _ := in.send(t, "h.example", "/x"); status != http.StatusServiceUnavailable || !strings.Contains(body, "1 endpoints of the service are leaving") {
+		t.Errorf("while the only upstream leaves: status %d, %s", status, body)
+	}
+	leaves.leaving.Store(false)
+	leaves.born = time.Now().UnixMilli()
+	fleet.register(leaves, "orders", "ready")
+	eventually(t, "its next start is used", func() bool { _, body, _ := in.send(t, "h.example", "/x"); return body == leaves.id })
+	leaves.leaving.Store(true)
+	eventually(t, "it announces its leaving again", func() bool { status, _, _ := in.send(t, "h.example", "/x"); return status != http.StatusOK })
+	fleet.store.Delete("servers/" + leaves.id)
+	next := fleet.startUpstreamAt("i-next", "orders", leaves)
+	eventually(t, "the next upstream at the address is used", func() bool { _, body, _ := in.send(t, "h.example", "/x"); return body == next.id })
+	for _, line := range []string{"upstream announced that it is leaving", "upstream that was leaving has started again"} {
+		if !strings.Contains(in.logs.String(), line) {
+			t.Errorf("the log lacks %q", line)
+		}
+	}
+}
+
+// Instances that have had no answer from an upstream that is leaving hear of it from another one, also through a
+// broker, and the one that has had such an answer does not let a broker send it there.
+func TestOtherInstancesHearOfAnnouncedLeaving(t *testing.T) {
+	for name, brokersFrom := range map[string]int{"reports": 150, "brokers": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet := newTestFleet(t)
+			fleet.brokersFrom = brokersFrom
+			var all []*instance
+			for _, id := range []string{"one", "two", "three"} {
+				all = append(all, fleet.startInstance(id, "a"))
+			}
+			fleet.configure("h.example", "orders")
+			leaves, stays := fleet.startUpstream("i-leaves", "orders"), fleet.startUpstream("i-stays", "orders")
+			for _, in := range all {
+				eventually(t, "all know each other and both upstreams", func() bool {
+					_, _, _ = in.send(t, "h.example", "/x")
+					return leaves.requests.Load() > 0 && stays.requests.Load() > 0 && len(in.gateway.control.snapshot.Load().alive) == len(all)-1
+				})
+			}
+			fleet.store.SetFault(standin.Silent)
+			leaves.leaving.Store(true)
+			eventually(t, "an answer announces the leaving", func() bool {
+				_, body, _ := all[0].send(t, "h.example", "/x")
+				return body == leaves.id
+			})
+			quiet := func() bool {
+				before := leaves.requests.Load()
+				for range 8 {
+					for _, in := range all {
+						_, _, _ = in.send(t, "h.example", "/x")
+					}
+				}
+				return leaves.requests.Load() == before
+			}
+			eventually(t, "no instance uses the upstream", quiet)
+			if !quiet() {
+				t.Error("an instance uses the upstream again")
+			}
+		})
+	}
+}
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -103,12 +103,15 @@
 // gauges returns the metrics other than those of answers, by name.
 func (g *Gateway) gauges() map[string]int64 {
 	counts := g.forwarder.Counts()
+	leaving := g.control.snapshot.Load().leaving
 	gauges := map[string]int64{
 		"upstream_dials":     counts.Dials,
 		"upstream_strays":    counts.MismatchedAnswers,
 		"streams_broken":     counts.BrokenStreams,
 		"upstream_leaving":   counts.LeavingAnswers,
 		"upstream_invalid":   counts.InvalidAnnouncements,
+		"leaving_announced":  int64(leaving.Announced),
+		"leaving_reported":   int64(leaving.Reported),
 		"requests_cut_off":   g.metrics.cutOff.Load(),
 		"log_lines_dropped":  g.logs.dropped.Load(),
 		"accept_failures":    g.acceptFailures.Count(),
--- a/internal/gateway/broker.go
+++ b/internal/gateway/broker.go
@@ -158,15 +158,21 @@
 	c.sendTo(r.To, datagramPlacementReply, r)
 }
 
-// handleGrantEnd records how a granted request ended, or that it is overdue.
+// handleGrantEnd records how a granted request ended, that it is overdue, or that its endpoint is leaving.
 func (c *control) handleGrantEnd(now time.Time, e grantEnd) {
 	if c.broker == nil {
 		return
 	}
 	grantID := broker.GrantID{Requester: uint64(e.From), Seq: e.Seq}
-	if e.Kind == dispatch.Overdue {
-		if id, ok := c.broker.grants.Lookup(grantID); ok {
+	latency := time.Duration(e.LatencyMillis) * time.Millisecond
+	if e.Kind == dispatch.Overdue || e.Kind == dispatch.Leaving { // The grant goes on.
+		id, ok := c.broker.grants.Lookup(grantID)
+		switch {
+		case !ok:
+		case e.Kind == dispatch.Overdue:
 			c.broker.machine.Overdue(now, id)
+		default:
+			c.broker.machine.ReportedLeaving(now, id, latency)
 		}
 		return
 	}
@@ -176,7 +182,7 @@
 	case e.Kind == endSendFailed:
 		c.broker.machine.RemoteSendFailed(now, id)
 	default:
-		c.broker.machine.Ended(now, id, e.Kind, time.Duration(e.LatencyMillis)*time.Millisecond)
+		c.broker.machine.Ended(now, id, e.Kind, latency)
 	}
 }
 
--- a/internal/gateway/brokerwire.go
+++ b/internal/gateway/brokerwire.go
@@ -58,7 +58,7 @@
 	ExpectedLatency int
 }
 
-// grantEnd reports to a broker how a granted request ended, or that it is overdue.
+// grantEnd reports to a broker how a granted request ended, that it is overdue, or that its endpoint is leaving.
 type grantEnd struct {
 	_             struct{} `cbor:",toarray"`
 	From          dispatch.PeerID
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -45,6 +45,7 @@
 	router     *router // Nil before the first configuration.
 	limits     callers.Limits
 	pause      pause.Detector
+	leaving    dispatch.LeavingCounts
 	alive      []*member // Only the embedded memberRecord may be read; the control loop changes the rest.
 	peerRoutes *peerRoutes
 }
@@ -180,10 +181,24 @@
 		case <-tick.C:
 			c.tick(time.Now())
 		}
+		c.logNotices()
 		c.collectReports()
 	}
 }
 
+// noticeTexts are the log messages of notices.
+var noticeTexts = map[dispatch.NoticeKind]string{
+	dispatch.LeavingAnnounced: "upstream announced that it is leaving; sending it no more requests",
+	dispatch.LeavingEnded:     "upstream that was leaving has started again",
+}
+
+// logNotices logs what upstreams have announced.
+func (c *control) logNotices() {
+	for _, n := range c.machine.TakeNotices() {
+		c.log.Info(noticeTexts[n.Kind], "upstream", n.Endpoint, "service", n.Service)
+	}
+}
+
 // collectReports adds the machine's new events to the reports, and sends these once the command queue
 // is empty or a message is full. In a brokered fleet it drops the events.
 func (c *control) collectReports() {
@@ -320,7 +335,7 @@
 func (c *control) publish(now time.Time) {
 	alive := c.members.alive(now)
 	c.electCoordinators(now, alive)
-	next := &Snapshot{pause: c.pause, limits: limitsOf(platform.DefaultLimits), alive: alive, peerRoutes: newPeerRoutes(alive, c.self)}
+	next := &Snapshot{pause: c.pause, limits: limitsOf(platform.DefaultLimits), leaving: c.machine.LeavingCounts(), alive: alive, peerRoutes: newPeerRoutes(alive, c.self)}
 	if c.config != nil && c.synced {
 		next.Version = c.config.Version
 		next.limits = limitsOf(c.config.Limits)
@@ -409,6 +424,11 @@
 	c.post(func() { c.machine.RecordResponseSize(class, bytes) })
 }
 
+// AnnouncedLeaving implements forward.Dispatcher. The control loop handles it before any later Acquire.
+func (c *control) AnnouncedLeaving(g dispatch.Grant, sent time.Time) {
+	c.post(func() { c.handleAnnouncedLeaving(time.Now(), g, sent) })
+}
+
 // Overdue implements forward.Dispatcher.
 func (c *control) Overdue(g dispatch.Grant) {
 	c.post(func() { c.handleOverdue(time.Now(), g) })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -198,7 +198,10 @@
 	failing  atomic.Bool
 	leaving  atomic.Bool // It says so in its answers.
 	born     int64       // Unix milliseconds of its start, for its registration; 0 for none.
-	hold     atomic.Pointer[chan struct{}]
+
+	successor atomic.Pointer[upstream] // Listens at its address now; nil for none.
+
+	hold atomic.Pointer[chan struct{}]
 }
 
 func (fleet *testFleet) startUpstream(id, service string) *upstream {
@@ -216,6 +219,15 @@
 	return u
 }
 
+// startUpstreamAt starts an upstream at the address of another one, which ends.
+func (fleet *testFleet) startUpstreamAt(id, service string, ended *upstream) *upstream {
+	fleet.t.Helper()
+	u := &upstream{id: id, addr: ended.addr}
+	ended.successor.Store(u)
+	fleet.register(u, service, "ready")
+	return u
+}
+
 func (fleet *testFleet) register(u *upstream, service, state string) {
 	born := ""
 	if u.born != 0 {
@@ -226,6 +238,10 @@
 }
 
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if next := u.successor.Load(); next != nil {
+		next.ServeHTTP(w, r)
+		return
+	}
 	if r.Header.Get("Expect-Instance") != u.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -44,9 +44,9 @@
 	}
 	c.placement.seq++
 	seq := c.placement.seq
-	unreachable := c.machine.UnreachableEndpoints(now, req.Service, maxTried)
+	excluded := c.machine.ExcludedEndpoints(now, req.Service, maxTried)
 	msg := newPlacementRequest(c.peer, seq, now, req)
-	msg.Tried = append(msg.Tried[:len(msg.Tried):len(msg.Tried)], unreachable...)
+	msg.Tried = append(msg.Tried[:len(msg.Tried):len(msg.Tried)], excluded...)
 	p := &pendingPlacement{request: req, to: to, result: result}
 	p.timer = time.AfterFunc(brokerTimeout, func() { c.post(func() { c.handleBrokerTimeout(time.Now(), seq) }) })
 	c.placement.pending[seq] = p
@@ -160,6 +160,15 @@
 	delete(c.placement.grantedBy, g.BrokerSeq)
 }
 
+// handleAnnouncedLeaving records that an endpoint has said in an answer that it is leaving. The broker that
+// granted it is told, as the other instances' requests depend on it.
+func (c *control) handleAnnouncedLeaving(now time.Time, g dispatch.Grant, sent time.Time) {
+	isNew := c.machine.AnnouncedLeaving(now, g.Endpoint, sent)
+	if to, ok := c.placement.grantedBy[g.BrokerSeq]; ok && isNew {
+		c.sendGrantEnd(now, to, g.BrokerSeq, dispatch.Leaving, now.Sub(sent))
+	}
+}
+
 // handleOverdue records that a granted request takes longer than expected.
 func (c *control) handleOverdue(now time.Time, g dispatch.Grant) {
 	if g.BrokerSeq == 0 {
--- a/internal/gateway/unit_test.go
+++ b/internal/gateway/unit_test.go
@@ -93,7 +93,7 @@
 			m.Events = append(m.Events, dispatch.Event{
 				Endpoint:      dispatch.EndpointID(rapid.Uint32().Draw(t, "endpoint")),
 				InFlight:      rapid.IntRange(0, 200).Draw(t, "in flight"),
-				Kind:          dispatch.EventKind(rapid.IntRange(1, 8).Draw(t, "kind")),
+				Kind:          dispatch.EventKind(rapid.IntRange(1, int(dispatch.Leaving)).Draw(t, "kind")),
 				LatencyMillis: rapid.IntRange(0, 60_000).Draw(t, "took"),
 			})
 		}
