A late write of an older registration does not end a drain

A write whose response is lost may be executed seconds later. A registration that an upstream wrote as ready before it began to drain then follows that of the drain with a newer revision, and the upstream was used again. Its sequence tells: within one start of an upstream, a registration with a lower sequence than that of the drain is ignored, with a log line. TestLateRegistrationDoesNotEndADrain failed before in that case, and holds that a newer registration and one of another start count as before.

--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -52,6 +52,10 @@
 	}
 	delete(r.invalid, key)
 	old := r.entries[key]
+	if old != nil && precedesDrain(u, old.Upstream) {
+		r.log.Warn("ignoring an upstream registration from before it began to drain", "upstream", u.ID, "sequence", u.Sequence, "draining_since_sequence", old.Sequence)
+		return false
+	}
 	if old != nil && old.missingSince.IsZero() && equivalent(old.Upstream, u) {
 		old.Upstream = u
 		return false
@@ -65,6 +69,13 @@
 	return true
 }
 
+// precedesDrain reports whether a registration was made before the upstream registered as draining, and took
+// its effect later: a write whose response is lost may be executed seconds afterwards.
+func precedesDrain(u, known platform.Upstream) bool {
+	return known.State == platform.UpstreamDraining && u.State != platform.UpstreamDraining &&
+		u.Started.Equal(known.Started) && u.Sequence < known.Sequence
+}
+
 // equivalent reports whether two registrations differ in nothing that affects requests.
 func equivalent(a, b platform.Upstream) bool {
 	a.Sequence, b.Sequence = 0, 0
