A hold-off that an upstream announces is obeyed

An upstream that turns a request away with 503 may add Retry-After: it wants nothing from that instance for so long. The header was not read, so the instance went on sending.

The hold-off is kept beside the announcement of a leaving, by incarnation, and passes the same gate. It is not reported to others, as it concerns one instance, and counts neither as a failure nor as a refusal. While all endpoints hold off, a request whose objective allows it waits for the first to return; the others are rejected at once with a Retry-After of the first return and a random part of up to half as long again, so that callers come back spread over time. An instance whose broker finds no endpoint looks for the reason at what was announced to itself.

A random test has the promise as its oracle.

--- /dev/null
+++ b/coord/dispatch/announcement.go
@@ -0,0 +1,196 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// An endpoint that is leaving says so in its responses, and one that turns a request away may say for how long it
+// wants no more. Its registration may say nothing of it, or lapse and return, so what it announced is kept
+// apart from the list of endpoints. It holds for the incarnation that announced it: not for a later start under
+// the same id, nor for another endpoint at the address.
+
+// leavingSource is how an instance learned that an endpoint is leaving.
+type leavingSource uint8
+
+const (
+	notLeaving       leavingSource = iota
+	leavingReported                // Another instance had a response that said so. The endpoint is a last resort.
+	leavingAnnounced               // This instance had one. The endpoint gets no more requests from it.
+)
+
+// announcement is what an endpoint has announced. It holds for the incarnations that started by a time of day,
+// which is zero if there was no such announcement.
+type announcement struct {
+	announced time.Time // Of leaving, to this instance.
+	reported  time.Time // Of leaving, to other instances.
+	heldOff   time.Time // Of a hold-off, to this instance.
+	holdUntil time.Time // End of that hold-off.
+	at        time.Time // When it last announced anything, or another instance reported it.
+}
+
+// leaving returns whether the incarnation that started at a time is known to be leaving.
+func (a announcement) leaving(started time.Time) leavingSource {
+	switch {
+	case !a.announced.IsZero() && !started.After(a.announced):
+		return leavingAnnounced
+	case !a.reported.IsZero() && !started.After(a.reported):
+		return leavingReported
+	default:
+		return notLeaving
+	}
+}
+
+// heldUntil returns until when the incarnation that started at a time wants no requests; zero if it does not say.
+func (a announcement) heldUntil(started time.Time) time.Time {
+	if started.After(a.heldOff) {
+		return time.Time{}
+	}
+	return a.holdUntil
+}
+
+const (
+	// announcementRetention is how long what an endpoint announced is kept while it is not listed: much longer
+	// than a registration that lapsed takes to return.
+	announcementRetention = 10 * time.Minute
+	// maxUnlisted bounds the announcements of endpoints that are not listed.
+	maxUnlisted = 4096
+)
+
+// AnnouncedLeaving records that a response to this instance said that its endpoint is leaving. The request
+// was sent at a time; the incarnation that answered had started by then. The result reports whether this is new.
+func (m *Machine) AnnouncedLeaving(now time.Time, e Endpoint, sent time.Time) bool {
+	a := m.announcements[e.Name]
+	known := a.leaving(e.Started) == leavingAnnounced
+	a.announced = latest(e.Started, latest(a.announced, sent)) // The clocks may differ.
+	m.setAnnouncement(now, e, a)
+	if known {
+		return false
+	}
+	m.notices = append(m.notices, Notice{Kind: LeavingAnnounced, Endpoint: e.Name, Service: e.Service})
+	if state := m.endpoints[e.ID]; state != nil {
+		m.addEvent(state, Leaving, now.Sub(sent))
+	}
+	return true
+}
+
+// ReportedLeaving records that another instance had such a response, to a request that was sent before by
+// the given time.
+func (m *Machine) ReportedLeaving(now time.Time, id EndpointID, sentBefore time.Duration) {
+	if e := m.endpoints[id]; e != nil {
+		a := m.announcements[e.Name]
+		a.reported = latest(e.Started, latest(a.reported, now.Add(-sentBefore)))
+		m.setAnnouncement(now, e.Endpoint, a)
+	}
+}
+
+// HeldOff records that an endpoint turned this instance's request away, and wants no more from it for a time.
+// The request was sent at a time; the incarnation that answered had started by then.
+func (m *Machine) HeldOff(now time.Time, e Endpoint, sent time.Time, holdOff time.Duration) {
+	a := m.announcements[e.Name]
+	known := now.Before(a.heldUntil(e.Started))
+	a.heldOff = latest(e.Started, latest(a.heldOff, sent))
+	a.holdUntil = latest(a.holdUntil, now.Add(holdOff))
+	m.setAnnouncement(now, e, a)
+	if !known {
+		m.notices = append(m.notices, Notice{Kind: HoldOffAnnounced, Endpoint: e.Name, Service: e.Service, HoldOff: holdOff})
+	}
+}
+
+func (m *Machine) setAnnouncement(now time.Time, e Endpoint, a announcement) {
+	a.at = now
+	m.announcements[e.Name] = a
+	if state := m.endpoints[e.ID]; state != nil {
+		state.announced(a)
+	}
+}
+
+// announced applies what an endpoint has announced to its present incarnation.
+func (e *endpointState) announced(a announcement) {
+	e.leaving, e.holdUntil = a.leaving(e.Started), a.heldUntil(e.Started)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// noticeRestart notes that an endpoint that was leaving has started again.
+func (m *Machine) noticeRestart(old, e Endpoint) {
+	a := m.announcements[e.Name]
+	if a.leaving(old.Started) == leavingAnnounced && e.Started.After(a.announced) {
+		m.notices = append(m.notices, Notice{Kind: LeavingEnded, Endpoint: e.Name, Service: e.Service})
+	}
+}
+
+// forgetAnnouncements drops what is no longer needed: announcements of endpoints that have not been listed for
+// announcementRetention, and the oldest ones beyond maxUnlisted.
+func (m *Machine) forgetAnnouncements(now time.Time) {
+	if len(m.announcements) == 0 {
+		return
+	}
+	unlisted := maps.Clone(m.announcements)
+	for _, e := range m.endpoints {
+		if e.leaving != notLeaving || now.Before(e.holdUntil) {
+			delete(unlisted, e.Name)
+		}
+	}
+	names := slices.SortedFunc(maps.Keys(unlisted), func(a, b string) int {
+		return cmp.Or(unlisted[b].at.Compare(unlisted[a].at), cmp.Compare(a, b))
+	})
+	for i, name := range names {
+		if i >= maxUnlisted || now.Sub(unlisted[name].at) > announcementRetention {
+			delete(m.announcements, name)
+		}
+	}
+}
+
+// LeavingCounts are the listed endpoints that are known to be leaving although their registration does not say so.
+type LeavingCounts struct {
+	Announced int // To this instance.
+	Reported  int // By other instances only.
+}
+
+// LeavingCounts counts the endpoints of all services.
+func (m *Machine) LeavingCounts() LeavingCounts {
+	var n LeavingCounts
+	for _, e := range m.endpoints {
+		switch {
+		case e.Draining:
+		case e.leaving == leavingAnnounced:
+			n.Announced++
+		case e.leaving == leavingReported:
+			n.Reported++
+		}
+	}
+	return n
+}
+
+// Notice is a change of what an endpoint wants of this instance, for the log.
+type Notice struct {
+	Kind     NoticeKind
+	Endpoint string // The id under which it registered.
+	Service  string
+	HoldOff  time.Duration // For HoldOffAnnounced; zero for others.
+}
+
+// NoticeKind is the kind of a Notice.
+type NoticeKind uint8
+
+// Kinds of notices.
+const (
+	LeavingAnnounced NoticeKind = iota + 1 // It announced that it is leaving.
+	LeavingEnded                           // It has started again, and is used again.
+	HoldOffAnnounced                       // It wants no requests for a time.
+)
+
+// TakeNotices returns the notices since the last call.
+func (m *Machine) TakeNotices() []Notice {
+	notices := m.notices
+	m.notices = nil
+	return notices
+}
--- a/coord/dispatch/leaving_test.go
+++ b/coord/dispatch/announcement_test.go
@@ -114,7 +114,7 @@
 			t.Errorf("%s: %d endpoints are leaving by the rejection", name, rejection.Leaving)
 		}
 	}
-	if _, ok := m.Endpoint(list[0].ID); ok {
+	if _, ok := m.Endpoint(now, list[0].ID); ok {
 		t.Error("a broker's grant of the endpoint is accepted")
 	}
 	if got := m.ExcludedEndpoints(now, "orders", 4); len(got) != 1 {
@@ -173,19 +173,19 @@
 
 func TestMarksOfLeavingEndpointsAreBounded(t *testing.T) {
 	m := newMachine(nil)
-	for i := range 2 * maxUnlistedLeaving {
+	for i := range 2 * maxUnlisted {
 		m.AnnouncedLeaving(start.Add(time.Duration(i)*time.Millisecond), Endpoint{ID: EndpointID(i), Name: fmt.Sprint("i-", i)}, start)
 	}
 	now := start.Add(time.Minute)
 	m.SetEndpoints(now, nil)
-	if len(m.leaving) != maxUnlistedLeaving || m.leavingOf(Endpoint{Name: fmt.Sprint("i-", 2*maxUnlistedLeaving-1)}) == notLeaving {
-		t.Errorf("%d marks, or the latest is gone", len(m.leaving))
+	if len(m.announcements) != maxUnlisted || m.announcements[fmt.Sprint("i-", 2*maxUnlisted-1)].leaving(time.Time{}) == notLeaving {
+		t.Errorf("%d marks, or the latest is gone", len(m.announcements))
 	}
-	last := Endpoint{ID: 1, Name: fmt.Sprint("i-", 2*maxUnlistedLeaving-1), Service: "orders"}
-	now = now.Add(leavingRetention + time.Minute)
+	last := Endpoint{ID: 1, Name: fmt.Sprint("i-", 2*maxUnlisted-1), Service: "orders"}
+	now = now.Add(announcementRetention + time.Minute)
 	m.SetEndpoints(now, []Endpoint{last})
-	if len(m.leaving) != 1 {
-		t.Errorf("%d marks after the retention, want that of the listed endpoint", len(m.leaving))
+	if len(m.announcements) != 1 {
+		t.Errorf("%d marks after the retention, want that of the listed endpoint", len(m.announcements))
 	}
 }
 
@@ -278,7 +278,7 @@
 			},
 			"broker's grant": func(t *rapid.T) {
 				e := rapid.SampledFrom(all).Draw(t, "endpoint")
-				if got, ok := m.Endpoint(e.ID); ok && !o.mayBeGranted(got) {
+				if got, ok := m.Endpoint(o.now, e.ID); ok && !o.mayBeGranted(got) {
 					t.Fatalf("accepted %s, which has announced its leaving", incarnation(got))
 				}
 			},
--- a/coord/dispatch/doc.go
+++ b/coord/dispatch/doc.go
@@ -16,6 +16,6 @@
 //
 //   - Each Request gets a Grant or a Rejection at once.
 //   - No Grant names an endpoint that is draining, that has announced to this instance that it is
-//     leaving, or that the Request has tried already.
+//     leaving or wants no requests for a time, or that the Request has tried already.
 //   - A retry is granted only within the service's retry budget.
 package dispatch
--- a/coord/dispatch/endpoint.go
+++ b/coord/dispatch/endpoint.go
@@ -20,11 +20,12 @@
 	lastFailed   time.Time           // Last failure reported by any instance.
 	reach        reachability
 	leaving      leavingSource // What it announced; Draining is what its registration says.
+	holdUntil    time.Time     // It wants no requests from this instance before; zero if it has not said so.
 }
 
-// accepts reports whether the endpoint takes new requests from this instance.
-func (e *endpointState) accepts() bool {
-	return !e.Draining && e.leaving != leavingAnnounced
+// accepts reports whether the endpoint takes requests from this instance. Whatever places a request asks it.
+func (e *endpointState) accepts(now time.Time) bool {
+	return !e.Draining && e.leaving != leavingAnnounced && !now.Before(e.holdUntil)
 }
 
 // reachability is whether this instance itself can reach an endpoint.
--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -21,7 +21,7 @@
 	responseKB    map[string]*ewma[float64] // Size of response bodies, by class.
 	events        []Event                   // Not yet taken.
 	urgent        bool                      // One of events is a failure, an overdue request, a retry, an announcement, or a request to an unproven endpoint.
-	leaving       map[string]leavingMark    // By the id under which an endpoint registered.
+	announcements map[string]announcement   // By the id under which an endpoint registered.
 	notices       []Notice                  // Not yet taken.
 
 	peerCount   int // Other instances in the fleet.
@@ -44,7 +44,7 @@
 		endpoints:     make(map[EndpointID]*endpointState),
 		peerStates:    make(map[PeerID]peerState),
 		responseKB:    make(map[string]*ewma[float64]),
-		leaving:       make(map[string]leavingMark),
+		announcements: make(map[string]announcement),
 	}
 }
 
@@ -77,13 +77,14 @@
 			state = &endpointState{addedAt: now, peerInFlight: make(map[PeerID]int), estimate: outlook.New(m.service(e.Service).health, now)}
 		}
 		m.noticeRestart(state.Endpoint, e)
-		state.Endpoint, state.leaving = e, m.leavingOf(e)
+		state.Endpoint = e
+		state.announced(m.announcements[e.Name])
 		next[e.ID] = state
 		s := m.service(e.Service)
 		s.endpoints = append(s.endpoints, state)
 	}
 	m.endpoints = next
-	m.forgetLeaving(now)
+	m.forgetAnnouncements(now)
 }
 
 func (m *Machine) service(name string) *service {
@@ -109,7 +110,7 @@
 	case !ok && r.Hedge:
 		return Grant{}, &Rejection{Reason: NoSpareSlot, TimeLeft: timeLeft}
 	case !ok:
-		return Grant{}, &Rejection{Reason: NoEndpoint, RetryAfter: s.baselineLatency(), TimeLeft: timeLeft, Leaving: s.leaving()}
+		return Grant{}, m.noEndpoint(now, s, &r)
 	case r.MinScore > 0 && c.score < r.MinScore:
 		return Grant{}, &Rejection{Reason: ScoreTooLow, BestScore: c.score, TimeLeft: timeLeft}
 	case c.tooUnlikely(timeLeft, r.Idempotent):
@@ -228,21 +229,21 @@
 }
 
 // ExcludedEndpoints returns the endpoints of a service to which this instance alone sends nothing: it
-// cannot reach them, or they have announced to it that they are leaving. There are at most limit of them.
+// cannot reach them, or they have announced that they want nothing from it. There are at most limit of them.
 func (m *Machine) ExcludedEndpoints(now time.Time, service string, limit int) []EndpointID {
 	var out []EndpointID
 	for _, e := range m.service(service).endpoints {
-		if (now.Before(e.reach.backoffUntil) || e.leaving == leavingAnnounced) && len(out) < limit {
+		if (now.Before(e.reach.backoffUntil) || !e.Draining && !e.accepts(now)) && len(out) < limit {
 			out = append(out, e.ID)
 		}
 	}
 	return out
 }
 
-// Endpoint returns the endpoint with an ID; ok is false if there is none or it takes no new requests.
-func (m *Machine) Endpoint(id EndpointID) (_ Endpoint, ok bool) {
+// Endpoint returns the endpoint with an ID; ok is false if there is none or it takes no requests now.
+func (m *Machine) Endpoint(now time.Time, id EndpointID) (_ Endpoint, ok bool) {
 	e := m.endpoints[id]
-	if e == nil || !e.accepts() {
+	if e == nil || !e.accepts(now) {
 		return Endpoint{}, false
 	}
 	return e.Endpoint, true
--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -170,7 +170,7 @@
 func (s *service) inUseShare(now time.Time) float64 {
 	used, total := 0, 0
 	for _, e := range s.endpoints {
-		if e.Draining || e.leaving != notLeaving || now.Sub(e.lastFailed) <= failureBackoff {
+		if !e.accepts(now) || e.leaving != notLeaving || now.Sub(e.lastFailed) <= failureBackoff {
 			continue
 		}
 		total++
@@ -183,7 +183,7 @@
 
 // usable reports whether a request may go to an endpoint at all.
 func (m *Machine) usable(now time.Time, e *endpointState, r *Request) bool {
-	return e.accepts() && !now.Before(e.reach.backoffUntil) && !slices.Contains(r.Tried, e.ID)
+	return e.accepts(now) && !now.Before(e.reach.backoffUntil) && !slices.Contains(r.Tried, e.ID)
 }
 
 // evaluate scores an endpoint for a request. Load and queue costs scale the expected credit, so
--- a/coord/dispatch/service.go
+++ b/coord/dispatch/service.go
@@ -34,17 +34,6 @@
 	}
 }
 
-// leaving returns how many of the service's endpoints take no new requests because they are leaving.
-func (s *service) leaving() int {
-	n := 0
-	for _, e := range s.endpoints {
-		if !e.accepts() {
-			n++
-		}
-	}
-	return n
-}
-
 // unservedShare returns the recent share of requests that were not served, and the number of all
 // recent requests. A failed attempt that is followed by a retry is not a request that goes unserved.
 func (s *service) unservedShare(now time.Time) (float64, int) {
--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -72,7 +72,9 @@
 	ExpectedLatency time.Duration // Set for Overloaded: latency at the best endpoint.
 	TimeLeft        time.Duration // Time to the deadline.
 	BestScore       float64       // Set for ScoreTooLow: score of the best endpoint.
-	Leaving         int           // Set for NoEndpoint: endpoints that take no new requests because they are leaving.
+	Leaving         int           // Set for NoEndpoint: endpoints of the service that are leaving.
+	HeldOff         int           // Set for NoEndpoint: endpoints that want no requests for a time; RetryAfter is when the first returns, spread over time.
+	Wait            time.Duration // Set for NoEndpoint if the request can wait for the first to return and still meet its objective.
 }
 
 // Event is what an instance reports to the others about one endpoint.
--- a/internal/forward/announcement_test.go
+++ b/internal/forward/announcement_test.go
@@ -3,9 +3,14 @@
 import (
 	"fmt"
 	"net"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/damaskcove/damaskcove/coord/dispatch"
 )
 
 // answerWith writes a signed answer with further header lines.
@@ -53,3 +58,62 @@
 		})
 	}
 }
+
+// A hold-off reaches the dispatcher before the request is tried elsewhere, and is no sign of the endpoint's health.
+func TestHoldOffIsRecordedBeforeTheRetry(t *testing.T) {
+	busy := startUpstream(t, func(_ int, req *fasthttp.Request, c net.Conn) bool {
+		return answerWith(c, string(req.Header.Peek("Request-Id")), 503, "Not-Executed: 1\r\nRetry-After: 2\r\n")
+	})
+	ok := startUpstream(t, serveOK)
+	d := newSequentialDispatcher(busy.listener.Addr().String(), ok.listener.Addr().String())
+	resp, report := nonIdempotentCall.serveSent(t, New(d), "r1")
+	if resp.StatusCode() != 200 || len(report.Attempts) != 2 || report.Attempts[0].HoldOff != 2000 {
+		t.Fatalf("status %d, report %+v", resp.StatusCode(), report)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.heldOff) != 1 || d.heldOff[0] != "i-1 2s" || d.events[0] != dispatch.EndedUnknown {
+		t.Errorf("held off %v, events %v", d.heldOff, d.events)
+	}
+}
+
+// waitingDispatcher rejects the first request with a time to wait, and grants the next.
+type waitingDispatcher struct {
+	*sequentialDispatcher
+	wait     time.Duration
+	rejected atomic.Bool
+}
+
+func (d *waitingDispatcher) Acquire(r dispatch.Request) (dispatch.Grant, error) {
+	if d.rejected.CompareAndSwap(false, true) {
+		return dispatch.Grant{}, &Rejected{dispatch.Rejection{Reason: dispatch.NoEndpoint, RetryAfter: time.Second, HeldOff: 1, Wait: d.wait}}
+	}
+	return d.sequentialDispatcher.Acquire(r)
+}
+
+func TestRequestWaitsForAnEndpointToReturn(t *testing.T) {
+	ok := startUpstream(t, serveOK).listener.Addr().String()
+	for name, tc := range map[string]struct {
+		wait   time.Duration
+		status int
+		waits  int64
+	}{
+		"it can wait":            {50 * time.Millisecond, 200, 1},
+		"it is rejected at once": {0, 503, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := New(&waitingDispatcher{sequentialDispatcher: newSequentialDispatcher(ok), wait: tc.wait})
+			began := time.Now()
+			resp, report := nonIdempotentCall.serve(t, f, "r1")
+			if resp.StatusCode() != tc.status || time.Since(began) < tc.wait {
+				t.Errorf("status %d after %s, report %+v", resp.StatusCode(), time.Since(began), report)
+			}
+			if waits := f.Counts().Waits; waits != tc.waits {
+				t.Errorf("%d waits", waits)
+			}
+			if tc.status == 503 && !strings.Contains(report.Detail, "1 endpoints hold off") {
+				t.Errorf("detail %q", report.Detail)
+			}
+		})
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -39,9 +39,10 @@
 	started time.Time
 	elapsed time.Duration
 	outcome outcome
-	reused  bool     // An idle connection was reused.
-	leaving bool     // The endpoint announced in its answer that it is leaving.
-	ignored []string // Invalid announcements in its answer.
+	reused  bool          // An idle connection was reused.
+	leaving bool          // The endpoint announced in its answer that it is leaving.
+	holdOff time.Duration // How long the endpoint wants no requests, by its answer.
+	ignored []string      // Invalid announcements in its answer.
 	err     error
 	resp    *fasthttp.Response  // Nil if no answer arrived.
 	stream  *stream             // The answer's body, if it is streamed.
@@ -167,10 +168,13 @@
 		return
 	}
 	announced := platform.ReadAnnouncement(&a.resp.Header)
-	a.leaving, a.ignored = announced.Leaving, announced.Ignored
+	a.leaving, a.holdOff, a.ignored = announced.Leaving, announced.HoldOff, announced.Ignored
 	if a.leaving {
 		f.metrics.leaving.Add(1)
 	}
+	if a.holdOff > 0 {
+		f.metrics.heldOff.Add(1)
+	}
 	if len(a.ignored) > 0 {
 		f.metrics.invalidAnnouncements.Add(1)
 	}
@@ -218,8 +222,12 @@
 	h.SetProtocol("HTTP/1.1")
 }
 
-// eventKind returns the event that is recorded for the attempt's endpoint.
+// eventKind returns the event that is recorded for the attempt's endpoint. An endpoint that holds off this
+// instance says nothing of its health.
 func (a *attempt) eventKind() dispatch.EventKind {
+	if a.holdOff > 0 {
+		return dispatch.EndedUnknown
+	}
 	switch a.outcome {
 	case outcomeServed:
 		return dispatch.EndedServed
@@ -247,7 +255,7 @@
 func (a *attempt) logRecord() Attempt {
 	out := Attempt{
 		Upstream: a.grant.Endpoint.Name, Outcome: a.outcome.String(), Millis: a.elapsed.Milliseconds(),
-		Chance: a.grant.Chance, InFlight: a.grant.InFlight, Reused: a.reused, Leaving: a.leaving, Ignored: a.ignored,
+		Chance: a.grant.Chance, InFlight: a.grant.InFlight, Reused: a.reused, Leaving: a.leaving, HoldOff: a.holdOff.Milliseconds(), Ignored: a.ignored,
 	}
 	if a.err != nil {
 		out.Error = a.err.Error()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 	// AnnouncedLeaving records that the endpoint of a granted request, which was sent at a time, said in its
 	// answer that it is leaving. No request that is acquired after the call is granted that endpoint.
 	AnnouncedLeaving(g dispatch.Grant, sent time.Time)
+	// HeldOff records that the endpoint of a granted request, which was sent at a time, turned it away and wants
+	// no more requests for holdOff. Until then no request that is acquired after the call is granted it.
+	HeldOff(g dispatch.Grant, sent time.Time, holdOff time.Duration)
 }
 
 // Rejected is the error of a request that is granted no endpoint.
@@ -71,8 +75,9 @@
 	InFlight int     `json:"in_flight"`
 	Reused   bool    `json:"reused,omitempty"`
 
-	Leaving bool     `json:"leaving,omitempty"` // The upstream announced in its answer that it is leaving.
-	Ignored []string `json:"ignored,omitempty"` // Invalid announcements in its answer.
+	Leaving bool     `json:"leaving,omitempty"`     // The upstream announced in its answer that it is leaving.
+	HoldOff int64    `json:"hold_off_ms,omitempty"` // How long the upstream wants no requests, by its answer.
+	Ignored []string `json:"ignored,omitempty"`     // Invalid announcements in its answer.
 	Error   string   `json:"error,omitempty"`
 }
 
@@ -85,7 +90,8 @@
 }
 
 type metrics struct {
-	dials, mismatched, brokenStreams, leaving, invalidAnnouncements atomic.Int64
+	dials, mismatched, brokenStreams               atomic.Int64
+	leaving, heldOff, waited, invalidAnnouncements atomic.Int64
 }
 
 // New returns a Forwarder.
@@ -99,6 +105,8 @@
 	MismatchedAnswers int64 // Answers that carried another request's ID and were skipped.
 	BrokenStreams     int64 // Answers that were truncated while they were streamed to the caller.
 	LeavingAnswers    int64 // Answers in which an upstream announced that it is leaving.
+	HoldOffAnswers    int64 // Answers in which an upstream turned a request away and wants no more for a time.
+	Waits             int64 // Requests that waited for an upstream to return from a hold-off.
 
 	InvalidAnnouncements int64 // Answers in which an upstream's announcement had an invalid value, which was ignored.
 }
@@ -106,7 +114,7 @@
 func (f *Forwarder) Counts() Counts {
 	return Counts{
 		Dials: f.metrics.dials.Load(), MismatchedAnswers: f.metrics.mismatched.Load(), BrokenStreams: f.metrics.brokenStreams.Load(),
-		LeavingAnswers: f.metrics.leaving.Load(), InvalidAnnouncements: f.metrics.invalidAnnouncements.Load(),
+		LeavingAnswers: f.metrics.leaving.Load(), HoldOffAnswers: f.metrics.heldOff.Load(), Waits: f.metrics.waited.Load(), InvalidAnnouncements: f.metrics.invalidAnnouncements.Load(),
 	}
 }
 
@@ -128,6 +136,9 @@
 // maxConcurrentAttempts bounds the concurrent attempts of one request: the first and one hedge.
 const maxConcurrentAttempts = 2
 
+// waitStep is how often a request that waits for an endpoint to return asks again: another one may be added meanwhile.
+const waitStep = 100 * time.Millisecond
+
 // overdueFactor is the multiple of an endpoint's baseline latency after which an attempt is overdue.
 const overdueFactor = 4
 
@@ -189,7 +200,27 @@
 	}
 }
 
+// acquire acquires an endpoint. While all endpoints hold off, it waits for the first to return if the request
+// can still meet its objective then.
 func (f *Forwarder) acquire(ctx context.Context, r *request) (dispatch.Grant, error) {
+	for waited := false; ; waited = true {
+		grant, err := f.acquireNow(ctx, r)
+		var rejected *Rejected
+		if !errors.As(err, &rejected) || rejected.Wait <= 0 || r.running > 0 {
+			return grant, err
+		}
+		if !waited {
+			f.metrics.waited.Add(1)
+		}
+		select {
+		case <-time.After(min(rejected.Wait, waitStep)):
+		case <-ctx.Done():
+			return dispatch.Grant{}, ctx.Err()
+		}
+	}
+}
+
+func (f *Forwarder) acquireNow(ctx context.Context, r *request) (dispatch.Grant, error) {
 	if err := ctx.Err(); err != nil {
 		return dispatch.Grant{}, err
 	}
@@ -240,6 +271,9 @@
 	if a.leaving { // Before the answer is passed on, as that is when the endpoint must get no more requests.
 		f.dispatcher.AnnouncedLeaving(grant, a.started)
 	}
+	if a.holdOff > 0 {
+		f.dispatcher.HeldOff(grant, a.started, a.holdOff)
+	}
 	if a.outcome == outcomeServed {
 		f.dispatcher.RecordResponseSize(r.Route.Name, a.bodySize())
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -95,6 +95,7 @@
 	mu      sync.Mutex
 	events  []dispatch.EventKind
 	leaving []string // Names of the endpoints that announced it.
+	heldOff []string // Names of the endpoints that hold off, and for how long.
 	running int
 }
 
@@ -139,6 +140,12 @@
 	d.leaving = append(d.leaving, g.Endpoint.Name)
 }
 
+func (d *sequentialDispatcher) HeldOff(g dispatch.Grant, _ time.Time, holdOff time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heldOff = append(d.heldOff, fmt.Sprint(g.Endpoint.Name, " ", holdOff))
+}
+
 func (d *sequentialDispatcher) RecordResponseSize(string, int) {}
 
 // unusedAddress returns an address that refuses connections.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -148,12 +149,16 @@
 	}
 }
 
-// noEndpointDetail tells whether the service has endpoints that take no new requests.
+// noEndpointDetail tells which endpoints the service has that take no requests.
 func noEndpointDetail(r *Rejected) string {
-	if r.Leaving == 0 {
-		return ""
+	var parts []string
+	if r.Leaving > 0 {
+		parts = append(parts, fmt.Sprintf("%d endpoints of the service are leaving", r.Leaving))
 	}
-	return fmt.Sprintf("%d endpoints of the service are leaving", r.Leaving)
+	if r.HeldOff > 0 {
+		parts = append(parts, fmt.Sprintf("%d endpoints hold off, the first until about %s from now", r.HeldOff, r.RetryAfter.Round(time.Millisecond)))
+	}
+	return strings.Join(parts, "; ")
 }
 
 // errStopping is the reason for which no attempt starts.
--- a/internal/gateway/announcement_test.go
+++ b/internal/gateway/announcement_test.go
@@ -133,3 +133,69 @@
 		})
 	}
 }
+
+// Guards against requests to an upstream that has turned this instance away for a time, also by a broker's choice.
+func TestHoldOffIsObeyed(t *testing.T) {
+	for name, brokersFrom := range map[string]int{"reports": 150, "brokers": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet := newTestFleet(t)
+			fleet.brokersFrom = brokersFrom
+			in, other := fleet.startInstance("one", "a"), fleet.startInstance("two", "a")
+			fleet.configure("h.example", "orders")
+			busy, free := fleet.startUpstream("i-busy", "orders"), fleet.startUpstream("i-free", "orders")
+			eventually(t, "both upstreams are used", func() bool {
+				_, _, _ = in.send(t, "h.example", "/x")
+				return busy.requests.Load() > 0 && free.requests.Load() > 0 && len(other.gateway.control.snapshot.Load().alive) == 1
+			})
+			const holdOff = 3 * time.Second
+			busy.holdOff.Store(int64(holdOff.Seconds()))
+			before, asked := busy.requests.Load(), time.Time{}
+			eventually(t, "it turns a request away", func() bool {
+				asked = time.Now()
+				status, _, id := in.send(t, "h.example", "/x")
+				if status != http.StatusOK {
+					t.Errorf("request %s: status %d", id, status)
+				}
+				return busy.requests.Load() > before
+			})
+			before = busy.requests.Load()
+			for time.Since(asked) < holdOff/2 {
+				_, _, _ = in.send(t, "h.example", "/x")
+			}
+			if n := busy.requests.Load() - before; n > 0 && time.Since(asked) < holdOff {
+				t.Errorf("%d requests reach it meanwhile", n)
+			}
+			busy.holdOff.Store(0)
+			eventually(t, "it is used again", func() bool { _, body, _ := in.send(t, "h.example", "/x"); return body == busy.id })
+		})
+	}
+}
+
+// While all upstreams of a service hold off, a request that can wait is served by the first to return, and another
+// is rejected at once, with its cause and when to come back.
+func TestServiceThatHoldsOff(t *testing.T) {
+	fleet := newTestFleet(t)
+	in := fleet.startInstance("one", "a")
+	fleet.configure("h.example", "orders")
+	only := fleet.startUpstream("i-only", "orders")
+	eventually(t, "served", func() bool { status, _, _ := in.send(t, "h.example", "/x"); return status == http.StatusOK })
+	only.holdOff.Store(1)
+	if status, body, _ := in.send(t, "h.example", "/x"); status != http.StatusServiceUnavailable || !strings.Contains(body, "hold off") {
+		t.Errorf("the request that is turned away: status %d, %s", status, body)
+	}
+	only.holdOff.Store(0)
+	time.Sleep(600 * time.Millisecond) // The objective is 1 s; too early, it would be rejected.
+	if status, _, _ := in.send(t, "h.example", "/x"); status != http.StatusOK {
+		t.Errorf("a request that can wait: status %d", status)
+	}
+	only.holdOff.Store(30)
+	_, _, _ = in.send(t, "h.example", "/x")
+	began := time.Now()
+	if status, body, _ := in.send(t, "h.example", "/x"); status != http.StatusServiceUnavailable || !strings.Contains(body, "1 endpoints hold off") {
+		t.Errorf("a request that cannot wait: status %d, %s", status, body)
+	}
+	if took := time.Since(began); took > 4*time.Second { // The caller's deadline is 5 s, the hold-off 30 s.
+		t.Errorf("rejected after %s", took)
+	}
+}
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -110,6 +110,8 @@
 		"streams_broken":     counts.BrokenStreams,
 		"upstream_leaving":   counts.LeavingAnswers,
 		"upstream_invalid":   counts.InvalidAnnouncements,
+		"upstream_hold_offs": counts.HoldOffAnswers,
+		"hold_off_waits":     counts.Waits,
 		"leaving_announced":  int64(leaving.Announced),
 		"leaving_reported":   int64(leaving.Reported),
 		"requests_cut_off":   g.metrics.cutOff.Load(),
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -190,12 +190,13 @@
 var noticeTexts = map[dispatch.NoticeKind]string{
 	dispatch.LeavingAnnounced: "upstream announced that it is leaving; sending it no more requests",
 	dispatch.LeavingEnded:     "upstream that was leaving has started again",
+	dispatch.HoldOffAnnounced: "upstream wants no requests from this instance for a time",
 }
 
 // logNotices logs what upstreams have announced.
 func (c *control) logNotices() {
 	for _, n := range c.machine.TakeNotices() {
-		c.log.Info(noticeTexts[n.Kind], "upstream", n.Endpoint, "service", n.Service)
+		c.log.Info(noticeTexts[n.Kind], "upstream", n.Endpoint, "service", n.Service, "hold_off_ms", n.HoldOff.Milliseconds())
 	}
 }
 
@@ -429,6 +430,11 @@
 	c.post(func() { c.handleAnnouncedLeaving(time.Now(), g, sent) })
 }
 
+// HeldOff implements forward.Dispatcher. The control loop handles it before any later Acquire.
+func (c *control) HeldOff(g dispatch.Grant, sent time.Time, holdOff time.Duration) {
+	c.post(func() { c.machine.HeldOff(time.Now(), g.Endpoint, sent, holdOff) })
+}
+
 // Overdue implements forward.Dispatcher.
 func (c *control) Overdue(g dispatch.Grant) {
 	c.post(func() { c.handleOverdue(time.Now(), g) })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -196,8 +197,9 @@
 	addr     string
 	requests atomic.Int64
 	failing  atomic.Bool
-	leaving  atomic.Bool // It says so in its answers.
-	born     int64       // Unix milliseconds of its start, for its registration; 0 for none.
+	leaving  atomic.Bool  // It says so in its answers.
+	holdOff  atomic.Int64 // Seconds; it turns requests away with this Retry-After unless it is zero.
+	born     int64        // Unix milliseconds of its start, for its registration; 0 for none.
 
 	successor atomic.Pointer[upstream] // Listens at its address now; nil for none.
 
@@ -255,6 +257,12 @@
 	if u.leaving.Load() {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if seconds := u.holdOff.Load(); seconds > 0 {
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if u.failing.Load() {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -109,6 +109,11 @@
 	}
 	delete(c.placement.pending, r.Seq)
 	p.timer.Stop()
+	if r.Reason == dispatch.NoEndpoint {
+		// This instance may have left endpoints out that want nothing from it.
+		p.result <- acquireResult{rejection: c.machine.NoEndpoint(now, p.request)}
+		return
+	}
 	if r.Reason != 0 {
 		p.result <- acquireResult{rejection: &dispatch.Rejection{
 			Reason: r.Reason, RetryAfter: time.Duration(r.RetryAfter) * time.Millisecond,
@@ -116,7 +121,7 @@
 		}}
 		return
 	}
-	endpoint, ok := c.machine.Endpoint(r.Endpoint)
+	endpoint, ok := c.machine.Endpoint(now, r.Endpoint)
 	if !ok || endpoint.Service != p.request.Service || slices.Contains(p.request.Tried, r.Endpoint) {
 		c.sendGrantEnd(now, from, r.Seq, dispatch.EndedUnknown, 0)
 		c.placeLocally(now, p.request, p.result)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -60,6 +60,7 @@
 	{"big-config", bigConfig},
 	{"release", release},
 	{"scale-in", scaleIn},
+	{"hold-off", holdOff},
 	{"leave-unheard", leaveUnheard},
 	{"leave-cut-off", leaveCutOff},
 	{"leave-and-return", leaveAndReturn},
@@ -638,6 +639,20 @@
 	return nil
 }
 
+// holdOff makes upstreams turn requests away for some seconds, with the time for which they want no more: some of
+// them, or a whole service.
+func holdOff(r *run, random *rand.Rand) error {
+	list := r.pickUpstreams(random, 0.3)
+	if random.IntN(2) == 0 {
+		service := serviceNames[random.IntN(len(serviceNames))]
+		list = slices.DeleteFunc(r.liveUpstreams(), func(u *upstream) bool { return u.service != service })
+	}
+	seconds := []int{1, 2, 5, 30}[random.IntN(4)]
+	lasts := time.Duration(500+random.IntN(5000)) * time.Millisecond
+	r.disturb(fmt.Sprintf("hold-off %d s", seconds), list, lasts, func(u *upstream) { u.holdOff = seconds }, func(u *upstream) { u.holdOff = 0 })
+	return nil
+}
+
 // leaveUnheard lets upstreams leave while the store is silent, or serves some machines only: the others hear of it
 // from answers alone.
 func leaveUnheard(r *run, random *rand.Rand) error {
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -25,6 +25,7 @@
 	RuleUnasked  Rule = "UNASKED"  // A request ran that no caller sent.
 	RuleRoute    Rule = "ROUTE"    // A request ran at a service to which no configuration allowed it to go.
 	RuleDrain    Rule = "DRAIN"    // A request reached an upstream that had left, or had announced it.
+	RuleBudget   Rule = "BUDGET"   // More than a few requests reached an upstream that had turned the machine away for a time.
 	RuleMixed    Rule = "MIXED"    // An answer isn't the upstream's.
 	RuleOverdue  Rule = "OVERDUE"  // Requests outlast their route's timeout.
 	RuleReplaced Rule = "REPLACED" // During a planned stop an upstream at work was given up for an answer of the fleet's own.
@@ -58,6 +59,10 @@
 	// deadlineMargin is how long before a deadline an answer at the deadline may be sent.
 	deadlineMargin   = 50 * time.Millisecond
 	upstreamEndSlack = 10 * time.Millisecond
+	// holdOffAllowed requests may reach an upstream between holdOffSlack after it has turned a machine away and the
+	// end of the time for which it wanted no more.
+	holdOffAllowed = 2
+	holdOffSlack   = 500 * time.Millisecond
 )
 
 // judge judges the records of one run.
@@ -84,6 +89,7 @@
 	j.judgeLost()
 	j.judgeDrain()
 	j.judgeAnnounced()
+	j.judgeHoldOffs()
 	j.judgeOwnEnds()
 	slices.SortStableFunc(j.findings, func(a, b Finding) int {
 		return cmp.Or(strings.Compare(string(a.Rule), string(b.Rule)), a.At.Compare(b.At))
@@ -599,3 +605,40 @@
 		return w.Frozen && w.Machine == machine && w.From.Before(to) && w.To.After(from)
 	})
 }
+
+// judgeHoldOffs looks for requests that reached an upstream from a machine in the time for which it wanted none. A
+// restart, freeze or cut of the machine excuses them.
+func (j *judge) judgeHoldOffs() {
+	type pair struct{ machine, upstream string }
+	arrivals := map[pair][]Run{}
+	for k := range j.Attempts {
+		a := &j.Attempts[k]
+		for _, run := range j.runs[a.ID] {
+			key := pair{a.Machine, run.Upstream}
+			arrivals[key] = append(arrivals[key], run)
+		}
+	}
+	for key, list := range arrivals {
+		slices.SortFunc(list, func(a, b Run) int { return a.Arrived.Compare(b.Arrived) })
+		for _, told := range list {
+			late := slices.DeleteFunc(slices.Clone(list), func(run Run) bool {
+				return told.HoldOff == 0 || !run.Arrived.After(told.Ended.Add(holdOffSlack)) || !run.Arrived.Before(told.Ended.Add(told.HoldOff))
+			})
+			if len(late) <= holdOffAllowed || j.disrupted(key.machine, told.Ended, late[holdOffAllowed].Arrived) {
+				continue
+			}
+			j.add(Finding{
+				Rule: RuleBudget, Request: late[holdOffAllowed].Request, Machine: key.machine, At: late[holdOffAllowed].Arrived,
+				Text: fmt.Sprintf("%d requests reached %s in the %v for which it wanted none, from %.3f s after its answer on", len(late), key.upstream, told.HoldOff, late[0].Arrived.Sub(told.Ended).Seconds()),
+			})
+			break // The following answers of the upstream tell the same.
+		}
+	}
+}
+
+// disrupted reports whether a machine, its process or its links were disrupted, or the process stopped, during a span.
+func (j *judge) disrupted(machine string, from, to time.Time) bool {
+	return slices.ContainsFunc(j.Windows, func(w Window) bool {
+		return (w.Kind == WindowMachine || w.Kind == WindowMachineStop) && w.Machine == machine && w.From.Before(to) && w.To.After(from)
+	})
+}
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -64,7 +64,7 @@
 		got[f.Rule]++
 		w.t.Logf("%s: %s", f.Rule, f.Text)
 	}
-	for _, rule := range []Rule{RuleConfig, RuleRegress, RuleShare, RuleDenied, RuleLost, RuleOwnEnd, RuleTwice, RuleRefused, RuleUnasked, RuleRoute, RuleDrain, RuleMixed, RuleOverdue, RuleReplaced} {
+	for _, rule := range []Rule{RuleConfig, RuleRegress, RuleShare, RuleDenied, RuleLost, RuleOwnEnd, RuleTwice, RuleRefused, RuleUnasked, RuleRoute, RuleDrain, RuleBudget, RuleMixed, RuleOverdue, RuleReplaced} {
 		if got[rule] != want[rule] {
 			w.t.Errorf("%s: %d findings, want %d", rule, got[rule], want[rule])
 		}
@@ -380,3 +380,35 @@
 		})
 	}
 }
+
+func TestHoldOffAllowsTwoRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		sent   []float64 // The upstream turns a request away at 10.1 s, for 2 s.
+		change func(w *world, a *Attempt, run *Run)
+		want   int
+	}{
+		"within half a second":   {[]float64{10.2, 10.3, 10.4, 10.5}, nil, 0},
+		"two":                    {[]float64{10.7, 11}, nil, 0},
+		"three":                  {[]float64{10.7, 11, 12}, nil, 1},
+		"after the time":         {[]float64{10.7, 11, 12.2, 12.3}, nil, 0},
+		"from another machine":   {[]float64{10.7, 11, 12}, func(_ *world, a *Attempt, _ *Run) { a.Machine = "n" }, 0},
+		"the machine is cut off": {[]float64{10.7, 11, 12}, func(w *world, _ *Attempt, _ *Run) { w.window(WindowMachine, "m", 10.5, 11) }, 0},
+		"the store is silent":    {[]float64{10.7, 11, 12}, func(w *world, _ *Attempt, _ *Run) { w.window(WindowStore, "", 10.5, 11) }, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.ask(10, "/a/x", "old", func(a *Attempt, run *Run) {
+				a.Status, a.Stamp, a.Whole = 503, "", false
+				run.Refused, run.HoldOff, run.Ended, run.Status = true, 2*time.Second, w.at(10.1), 503
+			})
+			for _, sent := range c.sent {
+				w.ask(sent, "/a/x", "old", func(a *Attempt, run *Run) {
+					if c.change != nil {
+						c.change(w, a, run)
+					}
+				})
+			}
+			w.want(map[Rule]int{RuleBudget: c.want})
+		})
+	}
+}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -23,7 +23,8 @@
 	Request, Upstream, Service, Host, Path string
 
 	Arrived, Ended time.Time
-	Refused        bool // It was not executed.
+	Refused        bool          // It was not executed.
+	HoldOff        time.Duration // For which the upstream wanted no more requests of the machine, from Ended.
 	Outcome        Outcome
 	Status         int
 }
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -50,6 +50,7 @@
 	failHow   string  // "errors", "hang" or "reset".
 	lostShare float64 // Share of the requests whose answer is lost.
 	garbled   float64 // Share of the answers that are garbled.
+	holdOff   int     // Seconds for which a caller that is turned away is to send nothing; zero while none is.
 	leaving   bool
 	gone      bool
 }
@@ -158,12 +159,13 @@
 	garble  string // Empty for a whole answer.
 	lost    bool
 	leaving bool
+	holdOff int // Seconds; the request is turned away unless it is zero.
 }
 
 func (u *upstream) drawFate() fate {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	f := fate{slow: u.slow, leaving: u.leaving, lost: rand.Float64() < u.lostShare}
+	f := fate{slow: u.slow, leaving: u.leaving, holdOff: u.holdOff, lost: rand.Float64() < u.lostShare}
 	if rand.Float64() < u.failShare {
 		f.fail = u.failHow
 	}
@@ -204,6 +206,14 @@
 	run := &Run{Request: id, Upstream: u.name, Service: u.service, Host: r.Host, Path: r.URL.Path, Arrived: arrived}
 	deadline := time.NewTimer(left)
 	defer deadline.Stop()
+	if f.holdOff > 0 {
+		run.Refused, run.HoldOff, run.Ended = true, time.Duration(f.holdOff)*time.Second, time.Now()
+		u.recorder.ran(run)
+		h.Set("Not-Executed", "1")
+		h.Set("Retry-After", strconv.Itoa(f.holdOff))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if !u.enter(r, deadline) {
 		run.Refused = true
 		u.recorder.ran(run)
