--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -41,6 +41,9 @@
 	cond    *sync.Cond
 }
 
+// maxAttempts is the number of upstreams to which a request may be sent, on all routes.
+const maxAttempts = 2
+
 func newOperator(s *standin.Store, r *recorder, random *rand.Rand) *operator {
 	o := &operator{store: s, recorder: r, random: random, routes: map[string]Route{
 		"lookup": {Host: mainHost, Prefix: lookupPrefix, Services: []string{"lotbook"}, Safe: true, Timeout: 4 * time.Second},
@@ -92,7 +95,7 @@
 			kind = "safe"
 		}
 		route := map[string]any{
-			"host": r.Host, "path_prefix": r.Prefix, "route_kind": kind, "max_attempts": 2, "timeout": fmt.Sprintf("%dms", r.Timeout.Milliseconds()),
+			"host": r.Host, "path_prefix": r.Prefix, "route_kind": kind, "max_attempts": maxAttempts, "timeout": fmt.Sprintf("%dms", r.Timeout.Milliseconds()),
 			"target_latency": routeObjective, "priority": 1,
 		}
 		if len(r.Services) == 1 {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -23,12 +23,17 @@
 	Request, Upstream, Service, Host, Path string
 
 	Arrived, Ended time.Time
+	Given          time.Duration // The time left, as the instance told it; unlimitedTime if it did not.
+	Lasts          time.Duration // How long the work takes, once it has begun.
 	Refused        bool          // It was not executed.
 	HoldOff        time.Duration // For which the upstream wanted no more requests of the machine, from Ended.
 	Outcome        Outcome
 	Status         int
 }
 
+// unlimitedTime is the time left of a run that was given none.
+const unlimitedTime = 24 * time.Hour
+
 // Attempt is what a caller saw of a request.
 type Attempt struct {
 	ID, Host, Path string
--- a/internal/soak/terms.go
+++ b/internal/soak/terms.go
@@ -13,6 +13,9 @@
 	StableWindow time.Duration // Calm time after which a machine counts as in touch.
 	ReuseAfter   time.Duration // From an upstream's end to the reuse of its address.
 	Heartbeat    time.Duration // Interval of the upstreams' registrations.
+	RetryWindow  time.Duration
+	RetryRatio   float64 // Retries of a service as a share of its requests in a window.
+	RetryExtra   int     // Additional retries in a window.
 }
 
 // DefaultTerms returns the bounds that the deployments share.
@@ -27,5 +30,8 @@
 		StableWindow: 3 * time.Second,
 		ReuseAfter:   2 * time.Second,
 		Heartbeat:    1500 * time.Millisecond,
+		RetryWindow:  10 * time.Second,
+		RetryRatio:   0.2,
+		RetryExtra:   62,
 	}
 }
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -203,7 +203,7 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body) // Only then does the request's context end with its connection.
 	left := headerMs(r, "Deadline-Ms")
-	run := &Run{Request: id, Upstream: u.name, Service: u.service, Host: r.Host, Path: r.URL.Path, Arrived: arrived}
+	run := &Run{Request: id, Upstream: u.name, Service: u.service, Host: r.Host, Path: r.URL.Path, Arrived: arrived, Given: left, Lasts: f.takes(r)}
 	deadline := time.NewTimer(left)
 	defer deadline.Stop()
 	if f.holdOff > 0 {
@@ -265,16 +265,21 @@
 	return false
 }
 
-// work takes the request's time and returns how it ended.
-func (u *upstream) work(r *http.Request, f fate, deadline *time.Timer) (Outcome, int) {
+// takes returns how long the work on a request takes.
+func (f fate) takes(r *http.Request) time.Duration {
 	takes := time.Duration(float64(headerMs(r, headerWork)) * f.slow)
 	switch f.fail {
 	case "hang":
-		takes = time.Hour
+		return time.Hour
 	case "errors", "reset":
-		takes /= 4
+		return takes / 4
 	}
-	done := time.NewTimer(takes)
+	return takes
+}
+
+// work takes the request's time and returns how it ended.
+func (u *upstream) work(r *http.Request, f fate, deadline *time.Timer) (Outcome, int) {
+	done := time.NewTimer(f.takes(r))
 	defer done.Stop()
 	select {
 	case <-done.C:
@@ -295,7 +300,7 @@
 func headerMs(r *http.Request, name string) time.Duration {
 	ms, err := strconv.Atoi(r.Header.Get(name))
 	if err != nil {
-		return time.Minute
+		return unlimitedTime
 	}
 	return time.Duration(ms) * time.Millisecond
 }
