A hold-off of a former start does not prolong that of the present one

Found by reading: a hold-off kept the later end of two, also where the first belonged to a start of the upstream that has ended, so that 30 s of the former start outlived an announced second of the present one: the instance left a sound upstream unused. The end of the present incarnation's own is kept now; the case in TestHoldOffBelongsToTheIncarnation failed before. Fields of announcement are named by what they bound; the log has hold_off_ms only where there is one.

--- a/coord/dispatch/announcement.go
+++ b/coord/dispatch/announcement.go
@@ -21,22 +21,22 @@
 	leavingAnnounced               // This instance had one. The endpoint gets no more requests from it.
 )
 
-// announcement is what an endpoint has announced. It holds for the incarnations that started by a time of day,
-// which is zero if there was no such announcement.
+// announcement is what an endpoint has announced. Each kind holds for the incarnations that started by a time of
+// day, which is zero if there was none of the kind.
 type announcement struct {
-	announced time.Time // Of leaving, to this instance.
-	reported  time.Time // Of leaving, to other instances.
-	heldOff   time.Time // Of a hold-off, to this instance.
-	holdUntil time.Time // End of that hold-off.
-	at        time.Time // When it last announced anything, or another instance reported it.
+	leavingBy  time.Time // Of a leaving that it announced to this instance.
+	reportedBy time.Time // Of a leaving that other instances reported.
+	heldOffBy  time.Time // Of a hold-off that it announced to this instance.
+	holdUntil  time.Time // End of that hold-off.
+	updated    time.Time // When anything was last announced or reported.
 }
 
 // leaving returns whether the incarnation that started at a time is known to be leaving.
 func (a announcement) leaving(started time.Time) leavingSource {
 	switch {
-	case !a.announced.IsZero() && !started.After(a.announced):
+	case !a.leavingBy.IsZero() && !started.After(a.leavingBy):
 		return leavingAnnounced
-	case !a.reported.IsZero() && !started.After(a.reported):
+	case !a.reportedBy.IsZero() && !started.After(a.reportedBy):
 		return leavingReported
 	default:
 		return notLeaving
@@ -45,7 +45,7 @@
 
 // heldUntil returns until when the incarnation that started at a time wants no requests; zero if it does not say.
 func (a announcement) heldUntil(started time.Time) time.Time {
-	if started.After(a.heldOff) {
+	if started.After(a.heldOffBy) {
 		return time.Time{}
 	}
 	return a.holdUntil
@@ -64,7 +64,7 @@
 func (m *Machine) AnnouncedLeaving(now time.Time, e Endpoint, sent time.Time) bool {
 	a := m.announcements[e.Name]
 	known := a.leaving(e.Started) == leavingAnnounced
-	a.announced = latest(e.Started, latest(a.announced, sent)) // The clocks may differ.
+	a.leavingBy = latest(e.Started, latest(a.leavingBy, sent)) // The clocks may differ.
 	m.setAnnouncement(now, e, a)
 	if known {
 		return false
@@ -81,7 +81,7 @@
 func (m *Machine) ReportedLeaving(now time.Time, id EndpointID, sentBefore time.Duration) {
 	if e := m.endpoints[id]; e != nil {
 		a := m.announcements[e.Name]
-		a.reported = latest(e.Started, latest(a.reported, now.Add(-sentBefore)))
+		a.reportedBy = latest(e.Started, latest(a.reportedBy, now.Add(-sentBefore)))
 		m.setAnnouncement(now, e.Endpoint, a)
 	}
 }
@@ -90,25 +90,25 @@
 // The request was sent at a time; the incarnation that answered had started by then.
 func (m *Machine) HeldOff(now time.Time, e Endpoint, sent time.Time, holdOff time.Duration) {
 	a := m.announcements[e.Name]
-	known := now.Before(a.heldUntil(e.Started))
-	a.heldOff = latest(e.Started, latest(a.heldOff, sent))
-	a.holdUntil = latest(a.holdUntil, now.Add(holdOff))
+	before := a.heldUntil(e.Started)
+	a.heldOffBy = latest(e.Started, latest(a.heldOffBy, sent))
+	a.holdUntil = latest(before, now.Add(holdOff))
 	m.setAnnouncement(now, e, a)
-	if !known {
+	if !now.Before(before) {
 		m.notices = append(m.notices, Notice{Kind: HoldOffAnnounced, Endpoint: e.Name, Service: e.Service, HoldOff: holdOff})
 	}
 }
 
 func (m *Machine) setAnnouncement(now time.Time, e Endpoint, a announcement) {
-	a.at = now
+	a.updated = now
 	m.announcements[e.Name] = a
 	if state := m.endpoints[e.ID]; state != nil {
-		state.announced(a)
+		state.apply(a)
 	}
 }
 
-// announced applies what an endpoint has announced to its present incarnation.
-func (e *endpointState) announced(a announcement) {
+// apply applies what an endpoint has announced to its listed incarnation.
+func (e *endpointState) apply(a announcement) {
 	e.leaving, e.holdUntil = a.leaving(e.Started), a.heldUntil(e.Started)
 }
 
@@ -122,7 +122,7 @@
 // noticeRestart notes that an endpoint that was leaving has started again.
 func (m *Machine) noticeRestart(old, e Endpoint) {
 	a := m.announcements[e.Name]
-	if a.leaving(old.Started) == leavingAnnounced && e.Started.After(a.announced) {
+	if a.leaving(old.Started) == leavingAnnounced && e.Started.After(a.leavingBy) {
 		m.notices = append(m.notices, Notice{Kind: LeavingEnded, Endpoint: e.Name, Service: e.Service})
 	}
 }
@@ -140,10 +140,10 @@
 		}
 	}
 	names := slices.SortedFunc(maps.Keys(unlisted), func(a, b string) int {
-		return cmp.Or(unlisted[b].at.Compare(unlisted[a].at), cmp.Compare(a, b))
+		return cmp.Or(unlisted[b].updated.Compare(unlisted[a].updated), cmp.Compare(a, b))
 	})
 	for i, name := range names {
-		if i >= maxUnlisted || now.Sub(unlisted[name].at) > announcementRetention {
+		if i >= maxUnlisted || now.Sub(unlisted[name].updated) > announcementRetention {
 			delete(m.announcements, name)
 		}
 	}
@@ -158,6 +158,9 @@
 // LeavingCounts counts the endpoints of all services.
 func (m *Machine) LeavingCounts() LeavingCounts {
 	var n LeavingCounts
+	if len(m.announcements) == 0 {
+		return n
+	}
 	for _, e := range m.endpoints {
 		switch {
 		case e.Draining:
--- a/coord/dispatch/holdoff_test.go
+++ b/coord/dispatch/holdoff_test.go
@@ -58,6 +58,11 @@
 	if _, rejection := m.Acquire(now, request(now)); rejection != nil {
 		t.Errorf("rejected although the endpoint has started again: %+v", rejection)
 	}
+	m.HeldOff(now.Add(time.Second), list[0], now.Add(time.Second), time.Second)
+	now = now.Add(2 * time.Second)
+	if _, rejection := m.Acquire(now, request(now)); rejection != nil {
+		t.Errorf("the former start's hold-off prolongs that of the present one: %+v", rejection)
+	}
 }
 
 func TestHoldOffIsNoEvidenceAndIsNotReported(t *testing.T) {
--- a/coord/dispatch/machine.go
+++ b/coord/dispatch/machine.go
@@ -78,7 +78,7 @@
 		}
 		m.noticeRestart(state.Endpoint, e)
 		state.Endpoint = e
-		state.announced(m.announcements[e.Name])
+		state.apply(m.announcements[e.Name])
 		next[e.ID] = state
 		s := m.service(e.Service)
 		s.endpoints = append(s.endpoints, state)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -196,7 +196,11 @@
 // logNotices logs what upstreams have announced.
 func (c *control) logNotices() {
 	for _, n := range c.machine.TakeNotices() {
-		c.log.Info(noticeTexts[n.Kind], "upstream", n.Endpoint, "service", n.Service, "hold_off_ms", n.HoldOff.Milliseconds())
+		attrs := []any{"upstream", n.Endpoint, "service", n.Service}
+		if n.Kind == dispatch.HoldOffAnnounced {
+			attrs = append(attrs, "hold_off_ms", n.HoldOff.Milliseconds())
+		}
+		c.log.Info(noticeTexts[n.Kind], attrs...)
 	}
 }
 
