A hedge does not go to an endpoint that is reported to be leaving

The other endpoints had no slot to spare for a hedge, so the last resort was the only candidate left. A last resort is for requests that have no other way; a hedge's request runs already. TestReportedLeavingIsALastResort asks for one and failed before.

--- a/coord/dispatch/announcement_test.go
+++ b/coord/dispatch/announcement_test.go
@@ -148,6 +148,11 @@
 	if events, _ := hearer.TakeReports(); len(events) > 0 && events[0].Kind == Leaving {
 		t.Error("a report is passed on")
 	}
+	hedge := request(start)
+	hedge.Idempotent, hedge.Hedge = true, true
+	if g, rejection := hearer.Acquire(start, hedge); rejection == nil {
+		t.Errorf("a hedge goes to %s, although its request may still be answered", g.Endpoint.Name)
+	}
 	hearer.AnnouncedLeaving(start, list[0], start)
 	if got := granted(hearer, start, 40); got[incarnation(list[1])] != 40 {
 		t.Errorf("after an announcement of its own granted %v", got)
--- a/coord/dispatch/selection.go
+++ b/coord/dispatch/selection.go
@@ -73,7 +73,8 @@
 }
 
 // choose returns the best endpoint for a request; ok is false if none is usable. An endpoint of which only
-// other instances know that it is leaving is chosen if there is no other: it still serves for a while.
+// other instances know that it is leaving is chosen if there is no other, as it still serves for a while, but for a
+// hedge, which can do without.
 func (m *Machine) choose(now time.Time, s *service, r *Request) (best candidate, ok bool) {
 	highUnserved := s.highUnserved(now)
 	// Requests that can be retried probe endpoints however many are in use, so that the share in use
@@ -94,7 +95,7 @@
 			continue
 		}
 		if e.leaving == leavingReported {
-			if leaving.endpoint == nil || c.score > leaving.score {
+			if !r.Hedge && (leaving.endpoint == nil || c.score > leaving.score) {
 				leaving = c
 			}
 			continue
