--- a/coord/dispatch/holdoff_test.go
+++ b/coord/dispatch/holdoff_test.go
@@ -172,14 +172,5 @@
 	for _, e := range list[:300] {
 		m.HeldOff(start, e, start, time.Hour)
 	}
-	now := start
-	for b.Loop() {
-		now = now.Add(time.Millisecond)
-		g, r := m.Acquire(now, request(now))
-		if r != nil {
-			b.Fatalf("%+v", r)
-		}
-		m.Ended(now, g.Endpoint.ID, EndedServed, 300*time.Millisecond)
-		m.TakeReports()
-	}
+	benchmarkAcquire(b, m)
 }
--- a/coord/dispatch/knowledge_test.go
+++ b/coord/dispatch/knowledge_test.go
@@ -160,7 +160,10 @@
 }
 
 func BenchmarkAcquire1000Endpoints(b *testing.B) {
-	m := newMachine(endpoints(1000))
+	benchmarkAcquire(b, newMachine(endpoints(1000)))
+}
+
+func benchmarkAcquire(b *testing.B, m *Machine) {
 	now := start
 	for b.Loop() {
 		now = now.Add(time.Millisecond)
