A request whose caller has left before its connection was accepted is not served

Connections wait in the listener's backlog while descriptors are short. Their callers give up; the request and the close are read together, and the request was passed on before the close was noticed, one that is not idempotent for good. The first request of a connection is dropped now if its caller has closed it; while later ones wait, the request before them is watched. TestRequestOfACallerThatHasGoneIsNotServed failed before (three of three were served).

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -576,3 +576,37 @@
 		t.Errorf("status %d, %d bytes", status, len(text))
 	}
 }
+
+// Guards against work for callers that gave up while their connection waited to be accepted.
+func TestRequestOfACallerThatHasGoneIsNotServed(t *testing.T) {
+	e := newEchoHandler()
+	s, err := Listen("127.0.0.1:0", e, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const request = "POST /%s HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+	for i := range 3 {
+		c, _ := dial(t, s)
+		send(t, c, fmt.Sprintf(request, fmt.Sprint("gone", i)))
+		_ = c.Close()
+	}
+	c, br := dial(t, s)
+	send(t, c, fmt.Sprintf(request, "stays"))
+	done := make(chan error, 1)
+	go func() { done <- s.Run() }()
+	if status, text := readAnswer(t, br); status != 200 || text != "/stays body" {
+		t.Errorf("status %d, %q", status, text)
+	}
+	_ = c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	_ = s.Shutdown(ctx) // All connections have ended.
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	for len(e.started) > 0 {
+		if got := <-e.started; got != "/stays" {
+			t.Errorf("served %s", got)
+		}
+	}
+}
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -103,9 +103,19 @@
 	if !ok {
 		return false
 	}
+	if c.leftBeforeAccept() {
+		payload.Release()
+		return false
+	}
 	return c.serveRequest(Request{HTTP: req, Body: payload, Arrived: time.Now(), conn: c}, resp)
 }
 
+// leftBeforeAccept reports whether the caller of a connection's first request has closed it: the connection may have
+// waited for seconds to be accepted. While a later request waits, that before it is watched.
+func (c *conn) leftBeforeAccept() bool {
+	return !c.served && sockpeek.Peek(c.nc) == sockpeek.Closed
+}
+
 // awaitRequest waits for the first byte of a request and reports whether it arrived.
 func (c *conn) awaitRequest() bool {
 	since := time.Now()
