--- a/cmd/damaskctl/soak.go
+++ b/cmd/damaskctl/soak.go
@@ -55,6 +55,8 @@
 	c.Flags().Float64Var(&o.Loss, "loss", o.Loss, "share of the datagrams between instances that is always lost")
 	c.Flags().IntVar(&o.Load, "load", 0, "busy processes beside the instances")
 	c.Flags().IntVar(&o.Cores, "cores", 0, "cores for the instances and the busy processes (all)")
+	c.Flags().IntVar(&o.MemoryMB, "memory", 0, "memory that an instance may use, in MB (any)")
+	c.Flags().IntVar(&o.Descriptors, "descriptors", 0, "descriptors that an instance may open (any number)")
 	c.Flags().UintVar(&f.network, "network", uint(o.Network), "second octet of the loopback addresses")
 	for _, name := range []string{"gate", "folder"} {
 		_ = c.MarkFlagRequired(name)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -64,6 +64,7 @@
 	recorder                  *recorder
 	gate                      string
 	cores                     int // On which its process runs; 0 for all.
+	memoryMB, descriptors     int // That its process may use; 0 for any number.
 	isReady                   atomic.Bool
 	lives                     atomic.Int32
 	operating                 sync.Mutex   // Held by an operation that stops or pauses the process.
@@ -115,6 +116,7 @@
 		peers:     f.addr(machineOctet, zone, number, peersPort),
 		announced: f.addr(proxyOctet, zone, number, peersPort),
 		recorder:  f.recorder, gate: f.options.Gate, cores: f.options.Cores,
+		memoryMB: f.options.MemoryMB, descriptors: f.options.Descriptors,
 	}
 	m.settings = filepath.Join(f.folder, m.name+".toml")
 	var err error
@@ -188,6 +190,8 @@
 zone = %q
 region = %q
 %slink_mbps = 1000.0
+memory_mb = %d
+max_fds = %d
 [listen]
 callers = %q
 ready = %q
@@ -215,7 +219,7 @@
 		firstStart = "first_start = true\n"
 	}
 	metrics := netip.AddrPortFrom(m.peers.Addr(), metricsPort)
-	text := fmt.Sprintf(settingsText, m.name, m.zone, regionName, firstStart, m.callers, m.ready, m.discovery, m.peers, metrics, m.door.Addr())
+	text := fmt.Sprintf(settingsText, m.name, m.zone, regionName, firstStart, m.memoryMB, m.descriptors, m.callers, m.ready, m.discovery, m.peers, metrics, m.door.Addr())
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write the settings of %s: %w", m.name, err)
 	}
@@ -225,6 +229,11 @@
 	if err := startOn(m.cores, cmd); err != nil {
 		return fmt.Errorf("start %s: %w", m.name, err)
 	}
+	if m.descriptors > 0 {
+		if err := limitDescriptors(cmd.Process.Pid, m.descriptors); err != nil {
+			return err
+		}
+	}
 	m.lives.Add(1)
 	p := &process{cmd: cmd, exited: make(chan struct{})}
 	m.mu.Lock()
@@ -232,6 +241,7 @@
 	m.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
+		m.recorder.memory(m.name, peakMemory(cmd.ProcessState))
 		if !p.ordered.Load() {
 			m.recorder.ownEnd(m.name, fmt.Sprintf("process %d: %v", cmd.Process.Pid, err))
 		}
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -96,6 +96,7 @@
 	j.judgeDeadlines()
 	j.judgeRetries()
 	j.judgeOwnEnds()
+	j.judgeMemory()
 	slices.SortStableFunc(j.findings, func(a, b Finding) int {
 		return cmp.Or(strings.Compare(string(a.Rule), string(b.Rule)), a.At.Compare(b.At))
 	})
@@ -541,6 +542,15 @@
 	}
 }
 
+// judgeMemory looks for processes that used more memory than they may. The platform kills these.
+func (j *judge) judgeMemory() {
+	for machine, bytes := range j.Memory {
+		if j.terms.MemoryBytes > 0 && bytes > j.terms.MemoryBytes {
+			j.add(Finding{Rule: RuleOwnEnd, Machine: machine, Text: fmt.Sprintf("used %d MB of memory, more than its %d", bytes>>20, j.terms.MemoryBytes>>20)})
+		}
+	}
+}
+
 // processID identifies one process of a machine.
 type processID struct {
 	machine string
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -433,3 +433,15 @@
 		})
 	}
 }
+
+func TestMemoryBeyondTheLimit(t *testing.T) {
+	w := newWorld(t)
+	terms := DefaultTerms()
+	terms.MemoryBytes = 100 << 20
+	for bytes, want := range map[int64]int{terms.MemoryBytes: 0, terms.MemoryBytes + 1: 1} {
+		w.r.Memory = map[string]int64{"m": bytes}
+		if got := Judge(terms, w.r); len(got) != want {
+			t.Errorf("%d bytes: %v", bytes, got)
+		}
+	}
+}
--- a/internal/soak/process_linux.go
+++ b/internal/soak/process_linux.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
 	"runtime"
 	"syscall"
@@ -40,3 +41,21 @@
 	defer func() { _ = unix.SchedSetaffinity(0, &before) }()
 	return cmd.Start()
 }
+
+// limitDescriptors sets how many descriptors a process that runs may open.
+func limitDescriptors(pid, limit int) error {
+	n := uint64(limit)
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: n}, nil); err != nil {
+		return fmt.Errorf("limit the descriptors of process %d to %d: %w", pid, limit, err)
+	}
+	return nil
+}
+
+// peakMemory returns the memory that a process that has ended used at its peak, in bytes; 0 if it is not known.
+func peakMemory(state *os.ProcessState) int64 {
+	usage, ok := state.SysUsage().(*syscall.Rusage)
+	if !ok {
+		return 0
+	}
+	return usage.Maxrss << 10 // It is in kilobytes.
+}
--- a/internal/soak/process_linux_test.go
+++ b/internal/soak/process_linux_test.go
@@ -5,6 +5,8 @@
 	"os/exec"
 	"strings"
 	"testing"
+
+	"golang.org/x/sys/unix"
 )
 
 func TestProcessesKeepToTheirCores(t *testing.T) {
@@ -28,3 +30,29 @@
 		t.Errorf("later processes have %s cores, the first had %s", got, all)
 	}
 }
+
+func TestDescriptorsAreLimitedAndMemoryIsMeasured(t *testing.T) {
+	cmd := exec.Command("cat") // It waits for its input.
+	input, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := startOn(0, cmd); err != nil {
+		t.Fatal(err)
+	}
+	const limit = 40
+	if err := limitDescriptors(cmd.Process.Pid, limit); err != nil {
+		t.Fatal(err)
+	}
+	var got unix.Rlimit
+	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, nil, &got); err != nil || got.Cur != limit {
+		t.Errorf("a limit of %d descriptors, %v", got.Cur, err)
+	}
+	_ = input.Close()
+	if err := cmd.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if bytes := peakMemory(cmd.ProcessState); bytes < 100<<10 || bytes > 1<<30 {
+		t.Errorf("a peak of %d bytes", bytes)
+	}
+}
--- a/internal/soak/process_other.go
+++ b/internal/soak/process_other.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"os"
 	"os/exec"
 	"syscall"
 )
@@ -23,3 +24,12 @@
 	}
 	return cmd.Start()
 }
+
+// errDescriptors is returned where the descriptors of another process cannot be limited.
+var errDescriptors = errors.New("only Linux can limit the descriptors of processes; leave --descriptors out")
+
+// limitDescriptors sets how many descriptors a process that runs may open.
+func limitDescriptors(_, _ int) error { return errDescriptors }
+
+// peakMemory returns the memory that a process that has ended used at its peak, in bytes; 0 if it is not known.
+func peakMemory(*os.ProcessState) int64 { return 0 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -111,6 +111,7 @@
 	Left     map[string]time.Time // When an upstream's leaving was first acknowledged, by its id.
 	Ended    map[string]time.Time // When an upstream ended.
 	OwnEnds  []OwnEnd             // Processes that ended by themselves.
+	Memory   map[string]int64     // Most bytes that a process of a machine used.
 	Logs     map[string][]string  `json:"-"` // Lines that an instance logged, by machine.
 }
 
@@ -124,7 +125,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{records: Records{Left: map[string]time.Time{}, Ended: map[string]time.Time{}, Logs: map[string][]string{}}, began: time.Now()}
+	return &recorder{records: Records{Left: map[string]time.Time{}, Ended: map[string]time.Time{}, Memory: map[string]int64{}, Logs: map[string][]string{}}, began: time.Now()}
 }
 
 func (r *recorder) ran(run *Run) {
@@ -203,6 +204,13 @@
 	r.records.OwnEnds = append(r.records.OwnEnds, OwnEnd{machine, time.Now(), text})
 }
 
+// memory records the memory that a process of a machine used at its peak.
+func (r *recorder) memory(machine string, bytes int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.Memory[machine] = max(r.records.Memory[machine], bytes)
+}
+
 // timeFormat is the format of the times in a report.
 const timeFormat = "15:04:05.000"
 
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -33,8 +33,9 @@
 	Attempts int           `json:"attempts"`
 	Direct   int           `json:"direct"` // Checks of single instances, part of the attempts.
 	Served   int           `json:"served"`
-	Starved  int           `json:"starved"` // Times the run's own timers were late.
-	LagMS    int64         `json:"lag_ms"`  // Longest of these delays, in milliseconds.
+	Starved  int           `json:"starved"`   // Times the run's own timers were late.
+	LagMS    int64         `json:"lag_ms"`    // Longest of these delays, in milliseconds.
+	MemoryMB int64         `json:"memory_mb"` // Most that a process used.
 	Broken   []RuleSummary `json:"broken"`
 }
 
@@ -50,6 +51,9 @@
 // Summary sums a run up.
 func (r *Report) Summary() Summary {
 	s := Summary{Seed: r.Seed, Attempts: len(r.Records.Attempts), LagMS: r.Lag.Milliseconds(), Faults: []string{}, Broken: []RuleSummary{}}
+	for _, bytes := range r.Records.Memory {
+		s.MemoryMB = max(s.MemoryMB, bytes>>20)
+	}
 	for _, k := range r.Played {
 		s.Faults = append(s.Faults, fmt.Sprintf("%d:%s", k, r.Faults[k]))
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -33,7 +33,10 @@
 	Stale     float64       // Share of the callers that get no new addresses after the first.
 	Load      int           // Busy processes beside the instances.
 	Cores     int           // Cores for the instances and the busy processes; 0 for all.
-	Busy      []string      // Command of a busy process.
+	MemoryMB  int           // Memory that an instance may use, in MB; 0 for any.
+
+	Descriptors int      // Descriptors that an instance may open; 0 for any number.
+	Busy        []string // Command of a busy process.
 }
 
 // BusyCommand is the argument that makes a program run Burn.
@@ -68,6 +71,8 @@
 		return fmt.Errorf("a rate of %g requests a second; it must be positive", o.Rate)
 	case o.Direct <= 0:
 		return fmt.Errorf("an interval of %s between direct checks; it must be positive", o.Direct)
+	case o.MemoryMB < 0 || o.Descriptors < 0:
+		return fmt.Errorf("limits of %d MB and %d descriptors; neither may be negative", o.MemoryMB, o.Descriptors)
 	case o.Load < 0 || o.Cores < 0:
 		return fmt.Errorf("%d busy processes on %d cores; neither may be negative", o.Load, o.Cores)
 	}
@@ -165,6 +170,7 @@
 	random := rand.New(rand.NewPCG(o.Seed, 1))
 	rec := newRecorder()
 	r := &run{options: o, terms: DefaultTerms(), recorder: rec, fleet: newFleet(o, rec)}
+	r.terms.MemoryBytes = int64(o.MemoryMB) << 20
 	r.operator = newOperator(r.fleet.store, rec, rand.New(rand.NewPCG(o.Seed, 2)))
 	plan, err := schedule(o, random)
 	if err != nil {
--- a/internal/soak/terms.go
+++ b/internal/soak/terms.go
@@ -13,6 +13,7 @@
 	StableWindow time.Duration // Calm time after which a machine counts as in touch.
 	ReuseAfter   time.Duration // From an upstream's end to the reuse of its address.
 	Heartbeat    time.Duration // Interval of the upstreams' registrations.
+	MemoryBytes  int64         // That a process may use; 0 for any number.
 	RetryWindow  time.Duration
 	RetryRatio   float64 // Retries of a service as a share of its requests in a window.
 	RetryExtra   int     // Additional retries in a window.
