Limits that upstreams announce are read, counted and logged

No decision uses them yet: the attempts of a request's log line carry `limit`, and `upstream_limits` counts the answers, so that the hypotheses of the incident can be told apart.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -39,8 +39,9 @@
 	started time.Time
 	elapsed time.Duration
 	outcome outcome
-	reused  bool          // An idle connection was reused.
-	leaving bool          // The endpoint announced in its answer that it is leaving.
+	reused  bool // An idle connection was reused.
+	leaving bool // The endpoint announced in its answer that it is leaving.
+	limit   platform.Limit
 	holdOff time.Duration // How long the endpoint wants no requests, by its answer.
 	ignored []string      // Invalid announcements in its answer.
 	err     error
@@ -168,10 +169,13 @@
 		return
 	}
 	announced := platform.ReadAnnouncement(&a.resp.Header)
-	a.leaving, a.holdOff, a.ignored = announced.Leaving, announced.HoldOff, announced.Ignored
+	a.leaving, a.limit, a.holdOff, a.ignored = announced.Leaving, announced.Limit, announced.HoldOff, announced.Ignored
 	if a.leaving {
 		f.metrics.leaving.Add(1)
 	}
+	if a.limit.State == platform.LimitNamed {
+		f.metrics.limited.Add(1)
+	}
 	if a.holdOff > 0 {
 		f.metrics.heldOff.Add(1)
 	}
@@ -257,6 +261,9 @@
 		Upstream: a.grant.Endpoint.Name, Outcome: a.outcome.String(), Millis: a.elapsed.Milliseconds(),
 		Chance: a.grant.Chance, InFlight: a.grant.InFlight, Reused: a.reused, Leaving: a.leaving, HoldOff: a.holdOff.Milliseconds(), Ignored: a.ignored,
 	}
+	if a.limit.State == platform.LimitNamed {
+		out.Limit = &a.limit.Rate
+	}
 	if a.err != nil {
 		out.Error = a.err.Error()
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -76,6 +76,7 @@
 	Reused   bool    `json:"reused,omitempty"`
 
 	Leaving bool     `json:"leaving,omitempty"`     // The upstream announced in its answer that it is leaving.
+	Limit   *float64 `json:"limit,omitempty"`       // Requests a second that the upstream takes from all instances, by its answer.
 	HoldOff int64    `json:"hold_off_ms,omitempty"` // How long the upstream wants no requests, by its answer.
 	Ignored []string `json:"ignored,omitempty"`     // Invalid announcements in its answer.
 	Error   string   `json:"error,omitempty"`
@@ -90,8 +91,8 @@
 }
 
 type metrics struct {
-	dials, mismatched, brokenStreams               atomic.Int64
-	leaving, heldOff, waited, invalidAnnouncements atomic.Int64
+	dials, mismatched, brokenStreams                        atomic.Int64
+	leaving, limited, heldOff, waited, invalidAnnouncements atomic.Int64
 }
 
 // New returns a Forwarder.
@@ -105,6 +106,7 @@
 	MismatchedAnswers int64 // Answers that carried another request's ID and were skipped.
 	BrokenStreams     int64 // Answers that were truncated while they were streamed to the caller.
 	LeavingAnswers    int64 // Answers in which an upstream announced that it is leaving.
+	LimitAnswers      int64 // Answers in which an upstream named a limit of its rate of requests.
 	HoldOffAnswers    int64 // Answers in which an upstream turned a request away and wants no more for a time.
 	Waits             int64 // Requests that waited for an upstream to return from a hold-off.
 
@@ -114,7 +116,7 @@
 func (f *Forwarder) Counts() Counts {
 	return Counts{
 		Dials: f.metrics.dials.Load(), MismatchedAnswers: f.metrics.mismatched.Load(), BrokenStreams: f.metrics.brokenStreams.Load(),
-		LeavingAnswers: f.metrics.leaving.Load(), HoldOffAnswers: f.metrics.heldOff.Load(), Waits: f.metrics.waited.Load(), InvalidAnnouncements: f.metrics.invalidAnnouncements.Load(),
+		LeavingAnswers: f.metrics.leaving.Load(), LimitAnswers: f.metrics.limited.Load(), HoldOffAnswers: f.metrics.heldOff.Load(), Waits: f.metrics.waited.Load(), InvalidAnnouncements: f.metrics.invalidAnnouncements.Load(),
 	}
 }
 
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -109,6 +109,7 @@
 		"upstream_strays":    counts.MismatchedAnswers,
 		"streams_broken":     counts.BrokenStreams,
 		"upstream_leaving":   counts.LeavingAnswers,
+		"upstream_limits":    counts.LimitAnswers,
 		"upstream_invalid":   counts.InvalidAnnouncements,
 		"upstream_hold_offs": counts.HoldOffAnswers,
 		"hold_off_waits":     counts.Waits,
