Failing test: the limit that an upstream announces does not bind the instances

Upstreams of the test fleet and of the soak name a limit; the soak's oracle counts the promise as written, over all processes that knew of it.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -198,9 +198,13 @@
 	requests atomic.Int64
 	failing  atomic.Bool
 	leaving  atomic.Bool  // It says so in its answers.
+	limit    atomic.Int64 // Requests a second that it names in its answers; 0 if it names none.
 	holdOff  atomic.Int64 // Seconds; it turns requests away with this Retry-After unless it is zero.
 	born     int64        // Unix milliseconds of its start, for its registration; 0 for none.
 
+	mu       sync.Mutex
+	arrivals []time.Time // Of requests.
+
 	successor atomic.Pointer[upstream] // Listens at its address now; nil for none.
 
 	hold atomic.Pointer[chan struct{}]
@@ -249,6 +253,7 @@
 		return
 	}
 	u.requests.Add(1)
+	u.recordArrival()
 	if hold := u.hold.Load(); hold != nil {
 		<-*hold
 	}
@@ -257,6 +262,9 @@
 	if u.leaving.Load() {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if limit := u.limit.Load(); limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatInt(limit, 10))
+	}
 	if seconds := u.holdOff.Load(); seconds > 0 {
 		w.Header().Set("Not-Executed", "1")
 		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
@@ -270,6 +278,31 @@
 	_, _ = fmt.Fprint(w, u.id)
 }
 
+func (u *upstream) recordArrival() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.arrivals = append(u.arrivals, time.Now())
+}
+
+// mostArrivals returns the largest number of requests that arrived within a span that began after a time.
+func (u *upstream) mostArrivals(after time.Time, span time.Duration) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	most := 0
+	for i, first := range u.arrivals {
+		n := 0
+		for _, at := range u.arrivals[i:] {
+			if at.Sub(first) < span {
+				n++
+			}
+		}
+		if first.After(after) {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
 var nextRequest atomic.Int64
 
 // send sends a request to an instance and returns the status, the body and the request id.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -61,6 +61,7 @@
 	{"release", release},
 	{"scale-in", scaleIn},
 	{"hold-off", holdOff},
+	{"limit", limitRate},
 	{"leave-unheard", leaveUnheard},
 	{"leave-cut-off", leaveCutOff},
 	{"leave-and-return", leaveAndReturn},
@@ -653,6 +654,25 @@
 	return nil
 }
 
+// limitRate makes upstreams name a limit in their answers: some of them, or a service. It changes once meanwhile.
+func limitRate(r *run, random *rand.Rand) error {
+	list := r.pickUpstreams(random, 0.3)
+	if random.IntN(3) == 0 {
+		service := serviceNames[random.IntN(len(serviceNames))]
+		list = slices.DeleteFunc(r.liveUpstreams(), func(u *upstream) bool { return u.service != service })
+	}
+	rates := []float64{0, 0.25, 1, 2, 6.5, 20}
+	for range 2 {
+		rate := rates[random.IntN(len(rates))]
+		lasts := 8*time.Second + time.Duration(random.IntN(4000))*time.Millisecond
+		r.disturbAs(WindowUpstreamLimit, fmt.Sprintf("limit of %g/s", rate), list, lasts, func(u *upstream) { u.limit = &rate }, func(*upstream) {})
+	}
+	for _, u := range list {
+		u.change(func(u *upstream) { u.limit = nil })
+	}
+	return nil
+}
+
 // leaveUnheard lets upstreams leave while the store is silent, or serves some machines only: the others hear of it
 // from answers alone.
 func leaveUnheard(r *run, random *rand.Rand) error {
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -26,6 +26,7 @@
 	RuleRoute    Rule = "ROUTE"    // A request ran at a service to which no configuration allowed it to go.
 	RuleDrain    Rule = "DRAIN"    // A request reached an upstream that had left, or had announced it.
 	RuleBudget   Rule = "BUDGET"   // Upstreams got more than they want: in a hold-off, or more attempts, retries or time than allowed.
+	RuleLimit    Rule = "LIMIT"    // An upstream got more requests a second than it takes from all instances.
 	RuleGone     Rule = "GONE"     // Upstreams worked for callers that had left.
 	RuleMixed    Rule = "MIXED"    // An answer isn't the upstream's.
 	RuleOverdue  Rule = "OVERDUE"  // Requests outlast their route's timeout.
@@ -64,6 +65,12 @@
 	// end of the time for which it wanted no more.
 	holdOffAllowed = 2
 	holdOffSlack   = 500 * time.Millisecond
+	// limitFactor times what an upstream's limit allows in limitWindow, and limitExtra more, may reach it from the
+	// machines that passed on an answer with the limit limitSlack before or earlier.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitExtra  = 5
+	limitSlack  = 500 * time.Millisecond
 )
 
 // judge judges the records of one run.
@@ -91,6 +98,7 @@
 	j.judgeDrain()
 	j.judgeAnnounced()
 	j.judgeHoldOffs()
+	j.judgeLimits()
 	j.judgeGone()
 	j.judgeAttempts()
 	j.judgeDeadlines()
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -434,6 +434,50 @@
 	}
 }
 
+func TestLimitBindsAllMachinesThatKnowIt(t *testing.T) {
+	every := func(from, to, step float64) (list []float64) {
+		for at := from; at < to; at += step {
+			list = append(list, at)
+		}
+		return list
+	}
+	for name, c := range map[string]struct {
+		sent   []float64 // The upstream names a limit of 2 a second from 10 s on; 17 requests in 4 s are allowed.
+		change func(w *world, a *Attempt, run *Run)
+		want   int
+	}{
+		"as many as the limit":              {every(10, 24, 0.5), nil, 0},
+		"half as many again":                {every(10, 24, 0.334), nil, 0},
+		"twice as many":                     {every(10, 24, 0.24), nil, 1},
+		"17 at once":                        {append([]float64{10}, every(15, 15.017, 0.001)...), nil, 0},
+		"18 at once":                        {append([]float64{10}, every(15, 15.018, 0.001)...), nil, 1},
+		"18 at once, within stable_window":  {append([]float64{10}, every(12, 12.018, 0.001)...), nil, 0},
+		"from machines that do not know it": {append([]float64{10}, every(15, 15.03, 0.001)...), func(_ *world, a *Attempt, _ *Run) { a.Machine = a.ID }, 0},
+		"divided between two machines": {every(10, 24, 0.24), func(_ *world, a *Attempt, _ *Run) {
+			if len(a.ID)%2 == 0 {
+				a.Machine = "n"
+			}
+		}, 1},
+		"the machine is cut off": {every(10, 24, 0.24), func(w *world, _ *Attempt, _ *Run) { w.window(WindowMachine, "m", 10.5, 24) }, 0},
+		"the store is silent":    {every(10, 24, 0.24), func(w *world, _ *Attempt, _ *Run) { w.window(WindowStore, "", 10.5, 24) }, 1},
+		"it names none":          {every(10, 24, 0.24), func(_ *world, _ *Attempt, run *Run) { run.Limit = nil }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			rate := 2.0
+			for _, sent := range c.sent {
+				w.ask(sent, "/a/x", "old", func(a *Attempt, run *Run) {
+					run.Limit = &rate
+					if c.change != nil {
+						c.change(w, a, run)
+					}
+				})
+			}
+			w.want(map[Rule]int{RuleLimit: c.want})
+		})
+	}
+}
+
 func TestMemoryBeyondTheLimit(t *testing.T) {
 	w := newWorld(t)
 	terms := DefaultTerms()
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -26,6 +26,7 @@
 	Given          time.Duration // The time left, as the instance told it; unlimitedTime if it did not.
 	Lasts          time.Duration // How long the work takes, once it has begun.
 	Refused        bool          // It was not executed.
+	Limit          *float64      // Requests a second that the answer names as the upstream's limit; nil if it names none.
 	HoldOff        time.Duration // For which the upstream wanted no more requests of the machine, from Ended.
 	Outcome        Outcome
 	Status         int
@@ -85,14 +86,15 @@
 
 // Kinds of windows.
 const (
-	WindowStore       WindowKind = iota // The store was down or slow or lost responses.
-	WindowStoreSome                     // The store served some machines only, or forgot its history.
-	WindowMachine                       // A machine, its process or its links were disrupted.
-	WindowMachineStop                   // SIGTERM of a machine, until it runs again.
-	WindowUpstream                      // An upstream was disrupted.
-	WindowReload                        // SIGHUP of a machine.
-	WindowLink                          // The links of an upstream were disrupted.
-	WindowStarved                       // The run itself got no processor time, and so perhaps no process did.
+	WindowStore         WindowKind = iota // The store was down or slow or lost responses.
+	WindowStoreSome                       // The store served some machines only, or forgot its history.
+	WindowMachine                         // A machine, its process or its links were disrupted.
+	WindowMachineStop                     // SIGTERM of a machine, until it runs again.
+	WindowUpstream                        // An upstream was disrupted.
+	WindowReload                          // SIGHUP of a machine.
+	WindowLink                            // The links of an upstream were disrupted.
+	WindowUpstreamLimit                   // An upstream named a limit; it excuses nothing.
+	WindowStarved                         // The run itself got no processor time, and so perhaps no process did.
 )
 
 // OwnEnd is the end of a process that nobody ordered.
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -23,6 +23,7 @@
 	coldFactor    = 2
 	headerWork    = "X-Work-Ms" // How long a request takes, in milliseconds.
 	headerLeaving = "Server-Leaving"
+	headerLimit   = "Server-Limit"
 )
 
 // service is a service of the deployment, with its upstreams by zone.
@@ -45,12 +46,13 @@
 
 	mu        sync.Mutex
 	sequence  int
-	slow      float64 // Factor of the work time.
-	failShare float64 // Share of the requests that fail.
-	failHow   string  // "errors", "hang" or "reset".
-	lostShare float64 // Share of the requests whose answer is lost.
-	garbled   float64 // Share of the answers that are garbled.
-	holdOff   int     // Seconds for which a caller that is turned away is to send nothing; zero while none is.
+	slow      float64  // Factor of the work time.
+	failShare float64  // Share of the requests that fail.
+	failHow   string   // "errors", "hang" or "reset".
+	lostShare float64  // Share of the requests whose answer is lost.
+	garbled   float64  // Share of the answers that are garbled.
+	holdOff   int      // Seconds for which a caller that is turned away is to send nothing; zero while none is.
+	limit     *float64 // Requests a second that it names in its answers; nil for none.
 	leaving   bool
 	gone      bool
 }
@@ -159,13 +161,14 @@
 	garble  string // Empty for a whole answer.
 	lost    bool
 	leaving bool
+	limit   *float64
 	holdOff int // Seconds; the request is turned away unless it is zero.
 }
 
 func (u *upstream) drawFate() fate {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	f := fate{slow: u.slow, leaving: u.leaving, holdOff: u.holdOff, lost: rand.Float64() < u.lostShare}
+	f := fate{slow: u.slow, leaving: u.leaving, limit: u.limit, holdOff: u.holdOff, lost: rand.Float64() < u.lostShare}
 	if rand.Float64() < u.failShare {
 		f.fail = u.failHow
 	}
@@ -189,6 +192,9 @@
 		h.Set("Connection", "close")
 		h.Set(headerLeaving, "1")
 	}
+	if f.limit != nil {
+		h.Set(headerLimit, strconv.FormatFloat(*f.limit, 'f', -1, 64))
+	}
 	if r.URL.Path == "/healthz" {
 		if f.leaving {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -203,7 +209,7 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body) // Only then does the request's context end with its connection.
 	left := headerMs(r, "Deadline-Ms")
-	run := &Run{Request: id, Upstream: u.name, Service: u.service, Host: r.Host, Path: r.URL.Path, Arrived: arrived, Given: left, Lasts: f.takes(r)}
+	run := &Run{Request: id, Upstream: u.name, Service: u.service, Host: r.Host, Path: r.URL.Path, Arrived: arrived, Given: left, Lasts: f.takes(r), Limit: f.limit}
 	deadline := time.NewTimer(left)
 	defer deadline.Stop()
 	if f.holdOff > 0 {
