TestAnnouncedLeavingEndsWithTheIncarnation: the next start is in a later millisecond

A registration tells the start in whole milliseconds, and the test restarted the upstream within the millisecond of the request that was answered last, so that the start counted as the one before. No upstream ends and starts again so soon. The test now waits a millisecond; what it checks is unchanged.

--- a/internal/gateway/announcement_test.go
+++ b/internal/gateway/announcement_test.go
@@ -76,6 +76,7 @@
 		t.Errorf("while the only upstream leaves: status %d, %s", status, body)
 	}
 	leaves.leaving.Store(false)
+	time.Sleep(time.Millisecond) // A start is told in milliseconds.
 	leaves.born = time.Now().UnixMilli()
 	fleet.register(leaves, "orders", "ready")
 	eventually(t, "its next start is used", func() bool { _, body, _ := in.send(t, "h.example", "/x"); return body == leaves.id })
