Failing tests: a restored store's changes are ignored, and its older entries are taken

The stand-in of the store can be saved and restored: revisions and leases are given out again, and Store-Era rises. The store's era is a metric, store_era, and a rise is logged.

--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -130,6 +130,7 @@
 		"process_uptime_ms":  time.Since(g.started).Milliseconds(),
 		"broker_silent":      g.control.brokerTimeouts.Load(),
 		"follows_store":      boolGauge(g.control.shouldFollow.Load()),
+		"store_era":          int64(g.store.Era()),
 		"store_revision":     int64(g.control.knownRevision.Load()),
 		"watches_unanswered": g.control.unansweredWatches.Load(),
 	}
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -44,6 +44,7 @@
 	log     *slog.Logger
 	health  *storeHealth
 	wait    time.Duration // Delay before the first read.
+	era     uint64        // Of the store, as last logged.
 }
 
 // storeHealth tracks whether the store answers the calls of the follower and the registrar.
@@ -93,6 +94,7 @@
 		default:
 			at, err = f.awaitChanges(ctx, at)
 		}
+		f.logEra(at)
 		// A watch that was cut off may have missed changes, even if the store's history has no gap.
 		synced, answered = err == nil || errors.Is(err, errFollowChanged), err == nil
 		switch {
@@ -117,6 +119,15 @@
 	}
 }
 
+// logEra logs that the store was restored from a copy.
+func (f *follower) logEra(at platform.Revision) {
+	era := f.store.Era()
+	if era > f.era && f.era > 0 {
+		f.log.Warn("store was restored from a copy", "era", era, "era_before", f.era, "revision", uint64(at))
+	}
+	f.era = era
+}
+
 // retryDelayLimit returns the longest delay after a failed call. Instances that aren't preferred
 // followers retry less often, to spare a store that rejects all calls.
 func (f *follower) retryDelayLimit() time.Duration {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
@@ -200,6 +202,7 @@
 	leaving  atomic.Bool  // It says so in its answers.
 	limit    atomic.Int64 // Requests a second that it names in its answers; 0 if it names none.
 	holdOff  atomic.Int64 // Seconds; it turns requests away with this Retry-After unless it is zero.
+	sequence int          // Of its registration; 0 for 4.
 	born     int64        // Unix milliseconds of its start, for its registration; 0 for none.
 
 	mu       sync.Mutex
@@ -240,7 +243,7 @@
 		born = fmt.Sprintf(`,"born":%d`, u.born)
 	}
 	fleet.store.Put("servers/"+u.id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"a","version":"v1","capacity":4,"state":%q,"warmup_left":"0ms","sequence":4%s}`, service, u.addr, state, born))
+		`{"service":%q,"address":%q,"zone":"a","version":"v1","capacity":4,"state":%q,"warmup_left":"0ms","sequence":%d%s}`, service, u.addr, state, cmp.Or(u.sequence, 4), born))
 }
 
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -598,3 +601,22 @@
 	}
 	eventually(t, "the change is in force", func() bool { return in.gateway.current().Log.Requests == LogUnserved })
 }
+
+// restart stops an instance and starts it again with its settings.
+func (fleet *testFleet) restart(in *instance, id string) *instance {
+	fleet.t.Helper()
+	in.stop()
+	<-in.done
+	in.done <- nil // For the clean-up.
+	return fleet.startWith(in.settings, id)
+}
+
+// registrationValue returns the value under which an instance registers.
+func (in *instance) registrationValue(t *testing.T) []byte {
+	t.Helper()
+	value, err := cbor.Marshal(in.gateway.control.self)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -36,6 +36,7 @@
 		return r.storeFault("store-lost", standin.State{Fault: standin.Lossy, Share: 0.35}, 4500*time.Millisecond, random)
 	}},
 	{"store-compact", storeCompact},
+	{"store-restored", storeRestored},
 	{"store-nodes", storeNodes},
 	{"store-mute", storeMute},
 	{"core-cut", coreCut},
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -87,6 +87,15 @@
 	return nil
 }
 
+// rewrite writes the newest configuration again, after the store has lost it.
+func (o *operator) rewrite() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, err := o.store.PutJSON("op/config", o.encode())
+	o.recorder.printf("version %08x is written again", o.number)
+	return err
+}
+
 func (o *operator) encode() map[string]any {
 	routes := map[string]any{}
 	for name, r := range o.routes {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -144,6 +144,7 @@
 	mu        sync.Mutex
 	upstreams []*upstream
 	created   int
+	saved     []savedStore // Copies of the store, oldest first.
 	errs      []error
 }
 
@@ -211,6 +212,7 @@
 	var lag time.Duration
 	wg.Go(func() { lag = r.watchLag(lasting) })
 	wg.Go(func() { every(lasting, pollEvery, r.poll) })
+	wg.Go(func() { every(lasting, saveEvery, r.saveStore) })
 	sleep(lasting, leadTime)
 	for zone := range zoneNames {
 		for k := range callersZone {
