A restored store does not take back what is in force, nor hide what is written next

Cause: a revision was compared across the restoration, so that the read of the copy counted as out of date and the changes after it as applied.

A revision is now ordered by the store's era first, everywhere: reads, watches, batches, resends and reports of other instances. The first read of a new era is taken for a copy: an upstream or instance that it lacks is kept for the grace period or while it sends messages, an entry that is older than what is known is ignored, and registrations are written again, at 100 instances a second. A lease of an earlier era is neither renewed nor ended. An instance that started from the copy asks an instance with a later configuration for it.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -24,6 +24,7 @@
 		return // Later changes were forwarded during the read.
 	}
 	first := !c.synced
+	restored := !first && at.Era() > c.revision.Era()
 	c.setQuiet(first)
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
@@ -34,11 +35,11 @@
 	}
 	changed := false
 	for _, item := range items {
-		changed = c.put(now, item, sourceFullRead) || changed
+		changed = c.put(now, item, sourceFullRead, restored) || changed
 	}
 	for _, key := range c.registry.keys() {
 		if !present[key] {
-			changed = c.handleMissing(now, key) || changed
+			changed = c.handleMissing(now, key, restored) || changed
 		}
 	}
 	for key := range c.members.byKey {
@@ -46,13 +47,13 @@
 			c.members.remove(now, key)
 		}
 	}
-	if !first && !present[c.members.self] {
+	if restored || !first && !present[c.members.self] {
 		notify(c.deregistered)
 	}
 	changed = c.registry.expire(now) || changed
 	c.synced = true
 	if first {
-		c.log.Info("first full read of the store done", "revision", uint64(at), "upstreams", len(c.registry.entries), "peers", len(c.members.byKey))
+		c.log.Info("first full read of the store done", "revision", at.Number(), "upstreams", len(c.registry.entries), "peers", len(c.members.byKey))
 	}
 	c.finishUpdate(now, at, changed)
 	if first {
@@ -60,19 +61,27 @@
 	}
 }
 
-// applyChanges applies changes of the store up to a revision.
+// applyChanges applies changes of the store up to a revision. If they lead into a later era, they are the differences
+// between this instance's state and the copy from which the store was restored: a key that the copy lacks may
+// have been written after the copy was made.
 func (c *control) applyChanges(now time.Time, items []platform.Item, at platform.Revision, from changeSource) {
 	c.setQuiet(!c.shouldFollow.Load())
+	restored := at.Era() > c.revision.Era()
 	changed := false
 	for _, item := range items {
 		switch {
 		case item.Revision <= c.revision: // Applied before.
+		case item.Deleted && restored && strings.HasPrefix(item.Key, platform.UpstreamPrefix):
+			changed = c.handleMissing(now, item.Key, restored) || changed
 		case item.Deleted:
 			changed = c.handleDeleted(now, item.Key) || changed
 		default:
-			changed = c.put(now, item, from) || changed
+			changed = c.put(now, item, from, restored) || changed
 		}
 	}
+	if restored {
+		notify(c.deregistered)
+	}
 	c.finishUpdate(now, at, changed)
 }
 
@@ -95,13 +104,16 @@
 	c.publish(now)
 }
 
-// put applies a write of one key, and reports whether the endpoints changed.
-func (c *control) put(now time.Time, item platform.Item, from changeSource) bool {
+// put applies a write of one key, and reports whether the endpoints changed. restored tells that the value comes from
+// the copy from which the store was restored.
+func (c *control) put(now time.Time, item platform.Item, from changeSource, restored bool) bool {
 	switch {
 	case item.Key == platform.ConfigKey:
 		return c.applyConfig(now, item.Value, from)
 	case strings.HasPrefix(item.Key, platform.UpstreamPrefix):
-		return c.registry.put(now, item.Key, item.Value)
+		return c.registry.put(now, registration{key: item.Key, value: item.Value, revision: item.Revision, restored: restored})
+	case strings.HasPrefix(item.Key, memberPrefix) && restored:
+		c.members.putRestored(now, item.Key, item.Value)
 	case strings.HasPrefix(item.Key, memberPrefix):
 		c.members.put(now, item.Key, item.Value)
 	}
@@ -109,12 +121,12 @@
 }
 
 // handleMissing handles an upstream's registration that was missing in a full read, and reports
-// whether the endpoints changed. It removes the upstream, unless the store has failed lately: then the
-// registration may have expired in the outage. The end of the outage is taken as the time when another
-// instance was first ahead of this one, or else as now.
-func (c *control) handleMissing(now time.Time, key string) bool {
-	if !c.storeFailing(now) {
-		return c.registry.remove(key)
+// whether the endpoints changed. It removes the upstream, unless the store has failed lately or was restored: then the
+// registration may have expired in the outage, or the copy may lack it. The end of the outage is taken as the time
+// when another instance was first ahead of this one, or else as now.
+func (c *control) handleMissing(now time.Time, key string, restored bool) bool {
+	if !restored && !c.storeFailing(now) {
+		return c.registry.remove(now, key)
 	}
 	availableSince := now
 	if !c.firstBehind.IsZero() {
@@ -127,7 +139,7 @@
 func (c *control) handleDeleted(now time.Time, key string) bool {
 	switch {
 	case strings.HasPrefix(key, platform.UpstreamPrefix):
-		return c.registry.remove(key)
+		return c.registry.remove(now, key)
 	case key == c.members.self:
 		notify(c.deregistered)
 	case strings.HasPrefix(key, memberPrefix):
@@ -155,7 +167,7 @@
 	if c.config != nil && next.Version <= c.config.Version {
 		return false
 	}
-	c.config = next
+	c.config, c.configValue, c.olderConfigAt = next, value, time.Time{}
 	c.logNewWarnings(next.Warnings)
 	behind := time.Duration(0)
 	if !c.firstBehind.IsZero() {
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -131,7 +131,7 @@
 		"broker_silent":      g.control.brokerTimeouts.Load(),
 		"follows_store":      boolGauge(g.control.shouldFollow.Load()),
 		"store_era":          int64(g.store.Era()),
-		"store_revision":     int64(g.control.knownRevision.Load()),
+		"store_revision":     int64(platform.Revision(g.control.knownRevision.Load()).Number()),
 		"watches_unanswered": g.control.unansweredWatches.Load(),
 	}
 	if at := g.control.respondedAt.Load(); at != nil {
--- a/internal/gateway/brokerwire.go
+++ b/internal/gateway/brokerwire.go
@@ -88,6 +88,7 @@
 	Following    bool
 	StoreFailing bool
 	Leaving      bool
+	Config       platform.ConfigVersion
 	Silent       []dispatch.PeerID // Instances that are silent or leaving.
 	Followers    []dispatch.PeerID // Other instances of the zone that follow the store.
 	SilentZones  []string          // Zones in which every instance is silent.
--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/dispatch"
@@ -100,15 +101,16 @@
 // not lead its receivers beyond its own revision. While missing keys may be due to a failure of the store,
 // only a configuration is forwarded, as a batch after a gap: the receivers have to read the store themselves.
 func (c *control) forwardFullRead(now time.Time, items []platform.Item, present map[string]bool, at platform.Revision) {
+	restored := at.Era() > c.revision.Era()
 	var changes []platform.Item
 	for _, item := range items {
-		if item.Revision > c.revision && item.Revision <= at {
+		if item.Revision > c.revision && item.Revision <= at && !(restored && c.knows(item)) {
 			changes = append(changes, item)
 		}
 	}
 	missing := slices.Collect(maps.Keys(c.members.byKey))
 	missing = slices.DeleteFunc(append(missing, c.registry.keys()...), func(key string) bool { return present[key] })
-	if len(missing) > 0 && c.storeFailing(now) {
+	if len(missing) > 0 && c.storeFailing(now) && !restored {
 		changes = slices.DeleteFunc(changes, func(item platform.Item) bool { return item.Key != platform.ConfigKey })
 		c.forwardChanges(changes, at, at)
 		return
@@ -119,11 +121,24 @@
 	c.forwardChanges(changes, c.revision, at)
 }
 
+// knows reports whether an item of the store is what this instance has applied.
+func (c *control) knows(item platform.Item) bool {
+	switch {
+	case item.Key == platform.ConfigKey:
+		return string(item.Value) == string(c.configValue)
+	case strings.HasPrefix(item.Key, platform.UpstreamPrefix):
+		return c.registry.knows(item.Key, item.Value)
+	case strings.HasPrefix(item.Key, memberPrefix):
+		return c.members.knows(item.Key, item.Value)
+	}
+	return true
+}
+
 // sendChanges sends a batch to those of the given instances that are in this zone.
 func (c *control) sendChanges(b changeBatch, to ...*member) {
 	datagrams, err := b.datagrams()
 	if err != nil {
-		c.log.Error("cannot encode changes of the store; not forwarding them to the zone", "after", uint64(b.After), "at", uint64(b.At), "error", err.Error())
+		c.log.Error("cannot encode changes of the store; not forwarding them to the zone", "after", b.After.Number(), "at", b.At.Number(), "error", err.Error())
 		return
 	}
 	var zone []netip.AddrPort
@@ -139,7 +154,13 @@
 
 // handleChanges applies a batch from a follower of the store.
 func (c *control) handleChanges(now time.Time, b changeBatch) {
-	if !c.synced || b.At <= c.revision {
+	switch {
+	case !c.synced:
+		return
+	case b.At <= c.revision:
+		if b.After == b.At {
+			c.applyConfigOf(now, b) // Another instance has sent it, as the store may not have it.
+		}
 		return
 	}
 	if b.After > c.revision {
@@ -158,16 +179,21 @@
 // is complete and carries its own version, so it needs no earlier change; the rest is read with
 // the missed changes, which are requested after receiverLagTimeout.
 func (c *control) handleChangesAfterGap(now time.Time, b changeBatch) {
+	c.applyConfigOf(now, b)
+	if c.behindSince.IsZero() {
+		c.behindSince = now
+		time.AfterFunc(receiverLagTimeout, func() { c.post(func() { c.catchUp(time.Now()) }) })
+	}
+}
+
+// applyConfigOf applies the configuration in a batch, if there is one.
+func (c *control) applyConfigOf(now time.Time, b changeBatch) {
 	for _, item := range b.Items {
 		if item.Key == platform.ConfigKey && !item.Deleted && c.applyConfig(now, item.Value, sourceForwarded) {
 			c.applyUpstreams(now)
 			c.publish(now)
 		}
 	}
-	if c.behindSince.IsZero() {
-		c.behindSince = now
-		time.AfterFunc(receiverLagTimeout, func() { c.post(func() { c.catchUp(time.Now()) }) })
-	}
 }
 
 // updateFollowing decides whether this instance has to follow the store itself.
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -228,8 +228,8 @@
 // if the datagrams had been lost. dropRequest makes it also lose its request for a resend.
 func (in *instance) dropChanges(fleet *testFleet, key string, dropRequest bool) {
 	inControl(in, func(c *control) bool {
-		c.registry.remove(key)
-		c.revision = platform.Revision(fleet.store.RevisionOf(key)) - 1
+		c.registry.remove(time.Now(), key)
+		c.revision = platform.NewRevision(fleet.store.Era(), fleet.store.RevisionOf(key)) - 1
 		if dropRequest {
 			c.resendRequested, c.behindSince = true, time.Now()
 		}
@@ -263,7 +263,7 @@
 			links[4].refuse(true)
 			fleet.store.Delete("instances/edge-4")
 			for _, in := range instances[:4] {
-				eventually(t, "the registration is removed", func() bool { return in.gateway.control.knownRevision.Load() >= fleet.store.Revision() })
+				eventually(t, "the registration is removed", func() bool { return in.gateway.control.knownRevision.Load() >= uint64(fleet.revision()) })
 			}
 			for version := 7; version < 10; version++ {
 				fleet.configureVersion(version, strings.Repeat("long.", 500)+"example", "orders")
@@ -314,7 +314,7 @@
 	fleet.startUpstream("i-1", "orders")
 	eventually(t, "the upstream is in use", func() bool { return last.hasEndpoint("i-1") })
 	fleet.store.Put("servers/i-foreign", []byte{0}) // Another change follows, as when an instance registers again.
-	eventually(t, "the last instance has the change", func() bool { return last.gateway.control.knownRevision.Load() >= fleet.store.Revision() })
+	eventually(t, "the last instance has the change", func() bool { return last.gateway.control.knownRevision.Load() >= uint64(fleet.revision()) })
 	last.dropChanges(fleet, "servers/i-1", true)
 	fleet.startUpstream("i-2", "orders")
 	for _, id := range []string{"i-1", "i-2"} {
@@ -569,10 +569,10 @@
 	eventually(t, "the outage is noticed", func() bool { return slices.Equal(followers(instances), []bool{false, false, false}) })
 	fleet.store.Delete("servers/i-1")
 	fleet.configure("h.example", "orders")
-	revision := fleet.store.Revision()
+	revision := fleet.revision()
 	fleet.store.SetFault(standin.NoFault)
 	eventually(t, "the configuration is in force", func() bool { return last.gateway.control.snapshot.Load().Version == 2 })
-	if inControl(last, func(c *control) bool { return c.revision >= platform.Revision(revision) }) {
+	if inControl(last, func(c *control) bool { return c.revision >= revision }) {
 		t.Error("the instance has a revision without its deletions")
 	}
 	if !last.hasEndpoint("i-1") {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -86,6 +86,7 @@
 	// Owned by the loop.
 	machine         *dispatch.Machine
 	config          *platform.Config
+	configValue     []byte   // The configuration as the operator wrote it.
 	warnings        []string // About the configuration in force; they are logged already.
 	registry        *registry
 	members         *members
@@ -93,6 +94,7 @@
 	revision        platform.Revision
 	lastStoreError  time.Time // Time of the last failed call of the store.
 	behindSince     time.Time // When a later revision was reported, forwarded or last requested from a follower; zero while up to date, and after a read of the store was requested.
+	olderConfigAt   time.Time // When another instance first reported a later version than the one in force, or was asked for it; zero if none did.
 	resendRequested bool      // A follower was sent a resendRequest for the missing changes.
 	history         history   // Store changes that this instance forwarded or received lately.
 	handoverUntil   time.Time // Until then a Handover is requested; zero once one was received.
@@ -253,10 +255,18 @@
 func (c *control) message(now time.Time, events []dispatch.Event) message {
 	return message{
 		From: c.peer, Revision: c.revision, Leaving: c.leaving, HasFullRetryWindow: c.machine.HasFullRetryWindow(now),
-		Following: c.isFollowing(now), StoreFailing: c.following && c.storeFailing(now), Events: events,
+		Following: c.isFollowing(now), StoreFailing: c.following && c.storeFailing(now), Config: c.configVersion(), Events: events,
 	}
 }
 
+// configVersion returns the version in force; 0 before the first.
+func (c *control) configVersion() platform.ConfigVersion {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
+
 // post queues a command for the control loop. It returns false when the loop has ended.
 func (c *control) post(command func()) bool {
 	select {
@@ -311,7 +321,7 @@
 		return
 	}
 	c.resendRequested, c.behindSince = false, time.Time{} // Alternates between the store and a follower: either may be unreachable.
-	c.log.Info("behind the other instances; reading the store", "revision", uint64(c.revision), "follows_itself", c.following)
+	c.log.Info("behind the other instances; reading the store", "revision", c.revision.Number(), "follows_itself", c.following)
 	c.requestResync(c.storeFailing(now))
 }
 
@@ -387,6 +397,7 @@
 	if m.StoreFailing && !c.shouldFollow.Load() {
 		c.lastStoreError = now
 	}
+	c.noticeConfig(now, m)
 	if m.Revision <= c.revision {
 		return
 	}
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -95,7 +95,7 @@
 // livenessReport returns this coordinator's report of silent instances and of followers.
 func (c *control) livenessReport(now time.Time) livenessReport {
 	r := livenessReport{
-		From: c.peer, Revision: c.revision, Following: c.isFollowing(now), StoreFailing: c.following && c.storeFailing(now), Leaving: c.leaving,
+		From: c.peer, Revision: c.revision, Following: c.isFollowing(now), StoreFailing: c.following && c.storeFailing(now), Leaving: c.leaving, Config: c.configVersion(),
 	}
 	for _, e := range c.members.byKey {
 		if e.following && e.Zone == c.members.zone && len(r.Followers) < maxReportedFollowers {
@@ -134,7 +134,7 @@
 	if sender == nil {
 		return
 	}
-	c.handleMessage(now, &message{From: r.From, Revision: r.Revision, Leaving: r.Leaving, Following: r.Following, StoreFailing: r.StoreFailing})
+	c.handleMessage(now, &message{From: r.From, Revision: r.Revision, Leaving: r.Leaving, Following: r.Following, StoreFailing: r.StoreFailing, Config: r.Config})
 	silent := make(map[dispatch.PeerID]bool, len(r.Silent))
 	for _, p := range r.Silent {
 		silent[p] = true
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -101,10 +103,12 @@
 		case errors.Is(err, errFollowChanged), errors.Is(err, errResync):
 			continue
 		case errors.Is(err, platform.ErrCompacted):
-			f.log.Warn("store has compacted its history after this revision; rereading all keys", "after", uint64(at))
+			f.log.Warn("store has compacted its history after this revision; rereading all keys", "after", at.Number())
+			continue
+		case errors.Is(err, platform.ErrRestored):
 			continue
 		case errors.Is(err, platform.ErrTooManyChanges):
-			f.log.Warn("too many changes after this revision for one reply of the store; rereading all keys", "after", uint64(at))
+			f.log.Warn("too many changes after this revision for one reply of the store; rereading all keys", "after", at.Number())
 			continue
 		}
 		f.control.post(func() { f.control.setFollowing(err == nil) })
@@ -123,7 +127,7 @@
 func (f *follower) logEra(at platform.Revision) {
 	era := f.store.Era()
 	if era > f.era && f.era > 0 {
-		f.log.Warn("store was restored from a copy", "era", era, "era_before", f.era, "revision", uint64(at))
+		f.log.Warn("store was restored from a copy", "era", era, "era_before", f.era, "revision", at.Number())
 	}
 	f.era = era
 }
@@ -215,12 +219,12 @@
 
 // recordUnanswered counts and logs a watch that ended with an error and without a response of the store.
 func (f *follower) recordUnanswered(ctx context.Context, err error, after platform.Revision, waited time.Duration) {
-	answered := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooManyChanges)
+	answered := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrRestored) || errors.Is(err, platform.ErrTooManyChanges)
 	if answered || errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
 	f.control.unansweredWatches.Add(1)
-	f.log.Warn("watch of the store ended without a response; rereading all keys", "after", uint64(after), "waited_ms", waited.Milliseconds(), "error", err.Error())
+	f.log.Warn("watch of the store ended without a response; rereading all keys", "after", after.Number(), "waited_ms", waited.Milliseconds(), "error", err.Error())
 }
 
 // deliver posts changes to the control loop, which forwards them to the zone if this instance is
@@ -280,16 +284,29 @@
 	record       memberRecord
 	log          *slog.Logger
 	health       *storeHealth
-	deregistered chan struct{} // Signaled when the registration was removed.
+	deregistered chan struct{} // Signaled when the registration was removed, or may have been.
+	era          func() uint64 // Of the store, as this instance or others know it.
+	instances    func() int    // That register again with this one after the store was restored.
 }
 
-// run registers the instance and renews its lease until ctx ends. Then it ends the lease.
+// registrationsPerSecond is the rate at which all instances together register again after the store was restored. Each
+// makes two writing calls.
+const registrationsPerSecond = 100
+
+// run registers the instance and renews its lease until ctx ends. Then it ends the lease. A lease is that of one era of
+// the store: a restored store has forgotten it, or has given it to another instance.
 func (r *registrar) run(ctx context.Context) {
 	var lease platform.Lease
+	var era uint64 // In which the lease was granted.
 	for ctx.Err() == nil {
 		var err error
+		if lease != 0 && r.era() != era {
+			lease = 0
+			sleep(ctx, rand.N(time.Duration(r.instances()+1)*time.Second/registrationsPerSecond))
+		}
 		if lease == 0 {
 			lease, err = r.register(ctx)
+			era = r.store.Era()
 		} else {
 			err = r.renew(ctx, lease)
 		}
@@ -306,9 +323,12 @@
 		default:
 			r.health.record(nil)
 		}
-		r.wait(ctx, wait, &lease)
+		if lease != 0 && r.era() != era {
+			wait = 0
+		}
+		r.wait(ctx, wait, &lease, era)
 	}
-	if lease == 0 {
+	if lease == 0 || r.era() != era {
 		return
 	}
 	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
@@ -319,15 +339,17 @@
 }
 
 // wait waits for d, or until the registration is removed: it then resets the lease, so that run
-// registers again at once.
-func (r *registrar) wait(ctx context.Context, d time.Duration, lease *platform.Lease) {
+// registers again at once. After a restoration of the store run does so by itself.
+func (r *registrar) wait(ctx context.Context, d time.Duration, lease *platform.Lease, era uint64) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-r.deregistered:
-		*lease = 0
+		if r.era() == era {
+			*lease = 0
+		}
 	}
 }
 
@@ -342,9 +364,13 @@
 	if err != nil {
 		return 0, err
 	}
+	era := r.store.Era()
 	if _, err := r.store.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: r.key, Value: value, Lease: lease}}}); err != nil {
 		return 0, err
 	}
+	if r.store.Era() != era {
+		return 0, fmt.Errorf("register with lease %d: %w", lease, platform.ErrRestored)
+	}
 	return lease, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,7 +164,7 @@
 	registration := make(chan struct{})
 	tasks.Go(func() {
 		defer close(registration)
-		r := &registrar{store: g.store, key: g.control.members.self, record: g.record, log: g.log, health: health, deregistered: g.control.deregistered}
+		r := &registrar{store: g.store, key: g.control.members.self, record: g.record, log: g.log, health: health, deregistered: g.control.deregistered, era: g.storeEra, instances: func() int { return len(g.control.snapshot.Load().alive) }}
 		r.run(registered)
 	})
 	tasks.Go(func() { g.socket.receive(g.handleDatagram) })
@@ -232,6 +232,8 @@
 		decodeAndPost(g, data, g.control.handleHandoverRequest)
 	case datagramHandover:
 		decodeAndPost(g, data, g.control.handleHandover)
+	case datagramConfigRequest:
+		decodeAndPost(g, data, g.control.handleConfigRequest)
 	default:
 		g.handleMessages(data)
 	}
@@ -296,3 +298,8 @@
 		retired = g.logRoom(retired)
 	}
 }
+
+// storeEra returns the latest era of the store that this instance knows of.
+func (g *Gateway) storeEra() uint64 {
+	return max(g.store.Era(), platform.Revision(g.control.knownRevision.Load()).Era())
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/damaskcove/damaskcove/platform"
 	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
@@ -620,3 +621,8 @@
 	}
 	return value
 }
+
+// revision returns the store's revision as instances know it.
+func (fleet *testFleet) revision() platform.Revision {
+	return platform.NewRevision(fleet.store.Era(), fleet.store.Revision())
+}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -85,6 +85,26 @@
 	m.log.Info("instance joined", "peer", strings.TrimPrefix(key, memberPrefix), "zone", r.Zone, "callers", r.CallerAddr)
 }
 
+// putRestored adds or updates an instance by a registration from a copy of the store. The copy may hold an earlier
+// start of an instance, or one that has left: it changes nothing for an instance that sends messages, and a further
+// one counts as silent until it does.
+func (m *members) putRestored(now time.Time, key string, value []byte) {
+	if old := m.byKey[key]; old != nil && old.isAlive(now) {
+		return
+	}
+	m.put(now, key, value)
+	if e := m.byKey[key]; e != nil && e.joined.Equal(now) {
+		e.joined = now.Add(-silenceTimeout - time.Millisecond)
+	}
+}
+
+// knows reports whether a registration is the one that is known.
+func (m *members) knows(key string, value []byte) bool {
+	var r memberRecord
+	e := m.byKey[key]
+	return cbor.Unmarshal(value, &r) == nil && (key == m.self || e != nil && e.memberRecord == r)
+}
+
 // remove handles the removal of an instance's registration. The instance is kept while it sends
 // messages and is not leaving: registrations also expire in an outage of the store, or when the
 // store rejects the instance's calls, and such an instance still needs the changes that its zone
--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -62,7 +62,7 @@
 	fleet.t.Helper()
 	eventually(fleet.t, "each follower watches", func() bool {
 		for _, in := range fleet.instances {
-			if in.gateway.control.knownRevision.Load() < fleet.store.Revision() {
+			if in.gateway.control.knownRevision.Load() < uint64(fleet.revision()) {
 				return false
 			}
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -23,9 +23,10 @@
 	From               dispatch.PeerID
 	Revision           platform.Revision // Revision of the store that the sender has reached.
 	Leaving            bool
-	HasFullRetryWindow bool // The sender has counted retries for a whole window of the retry budget.
-	Following          bool // The sender follows the store itself.
-	StoreFailing       bool // The sender follows the store, and a call failed lately.
+	HasFullRetryWindow bool                   // The sender has counted retries for a whole window of the retry budget.
+	Following          bool                   // The sender follows the store itself.
+	StoreFailing       bool                   // The sender follows the store, and a call failed lately.
+	Config             platform.ConfigVersion // In force; 0 before the first.
 	Events             []dispatch.Event
 }
 
@@ -43,6 +44,7 @@
 	datagramGrantEnd                     // A grantEnd.
 	datagramHandoverRequest              // A handoverRequest.
 	datagramHandover                     // A dispatch.Handover.
+	datagramConfigRequest                // A configRequest.
 )
 
 const (
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -19,8 +19,42 @@
 	quiet   bool              // Registrations are not logged one by one.
 	entries map[string]*entry // By store key.
 	invalid map[string]string // The errors of the invalid registrations that are logged already, by store key.
+	removed map[string]removal
+	stale   map[string]staleRegistration
 }
 
+// registration is an upstream's registration as the store returned it.
+type registration struct {
+	key      string
+	value    []byte
+	revision platform.Revision
+	restored bool // It comes from the copy from which the store was restored.
+}
+
+// removal is the last known registration of an upstream that was removed.
+type removal struct {
+	started  time.Time
+	sequence int64
+	at       time.Time
+}
+
+// staleRegistration is a registration of the store that is older than what was known of its upstream, as it comes from
+// a copy of the store.
+type staleRegistration struct {
+	registration
+	since time.Time
+}
+
+const (
+	// staleTimeout is how long a stale registration is ignored. The store removes an upstream that is silent for three
+	// heartbeat intervals, 4.5 s; one that is listed after that is in use.
+	staleTimeout = 6 * time.Second
+	// removalRetention is how long a removal is known: longer than a copy of the store is old.
+	removalRetention = 2 * time.Minute
+	// maxRemovals bounds the removals that are known.
+	maxRemovals = 4096
+)
+
 // entry is an upstream's registration.
 type entry struct {
 	platform.Upstream
@@ -35,22 +69,32 @@
 const reregisterGrace = 1600 * time.Millisecond
 
 func newRegistry(log *slog.Logger) *registry {
-	return &registry{log: log, entries: make(map[string]*entry), invalid: make(map[string]string)}
+	return &registry{log: log, entries: make(map[string]*entry), invalid: make(map[string]string), removed: make(map[string]removal), stale: make(map[string]staleRegistration)}
 }
 
 // put adds or updates an upstream by its registration, and reports whether the endpoints changed. An
-// invalid registration removes the upstream.
-func (r *registry) put(now time.Time, key string, value []byte) bool {
-	u, err := platform.DecodeUpstream(key, value)
+// invalid registration removes the upstream, and one from a copy of the store that is older than what is known is ignored.
+func (r *registry) put(now time.Time, reg registration) bool {
+	key := reg.key
+	if known, ok := r.stale[key]; ok && known.revision == reg.revision {
+		return false
+	}
+	delete(r.stale, key)
+	u, err := platform.DecodeUpstream(key, reg.value)
 	if err != nil {
 		if r.invalid[key] != err.Error() {
 			r.log.Warn("invalid upstream registration; not using the upstream", "key", key, "error", err.Error())
 		}
-		changed := r.remove(key)
+		changed := r.remove(now, key)
 		r.invalid[key] = err.Error()
 		return changed
 	}
 	delete(r.invalid, key)
+	if reg.restored && r.precedesKnown(key, u) {
+		r.log.Info("ignoring an upstream registration from a copy of the store, older than what is known", "upstream", u.ID, "sequence", u.Sequence)
+		r.stale[key] = staleRegistration{reg, now}
+		return false
+	}
 	old := r.entries[key]
 	if old != nil && precedesDrain(u, old.Upstream) {
 		r.log.Warn("ignoring an upstream registration from before it began to drain", "upstream", u.ID, "sequence", u.Sequence, "draining_since_sequence", old.Sequence)
@@ -76,6 +120,23 @@
 		u.Started.Equal(known.Started) && u.Sequence < known.Sequence
 }
 
+// precedesKnown reports whether a registration was made before the last one that is known of its upstream, which may
+// have been removed.
+func (r *registry) precedesKnown(key string, u platform.Upstream) bool {
+	if e := r.entries[key]; e != nil {
+		return u.Started.Before(e.Started) || u.Started.Equal(e.Started) && u.Sequence < e.Sequence
+	}
+	last, ok := r.removed[key]
+	return ok && !u.Started.After(last.started) && u.Sequence <= last.sequence
+}
+
+// knows reports whether a registration is equivalent to the one that is in use.
+func (r *registry) knows(key string, value []byte) bool {
+	u, err := platform.DecodeUpstream(key, value)
+	e := r.entries[key]
+	return err == nil && e != nil && e.missingSince.IsZero() && u.Sequence >= e.Sequence && equivalent(u, e.Upstream)
+}
+
 // equivalent reports whether two registrations differ in nothing that affects requests.
 func equivalent(a, b platform.Upstream) bool {
 	a.Sequence, b.Sequence = 0, 0
@@ -84,19 +145,37 @@
 }
 
 // remove removes an upstream, and reports whether there was one.
-func (r *registry) remove(key string) bool {
+func (r *registry) remove(now time.Time, key string) bool {
 	delete(r.invalid, key)
+	delete(r.stale, key)
 	e := r.entries[key]
 	if e == nil {
 		return false
 	}
 	delete(r.entries, key)
+	r.recordRemoval(now, key, e)
 	if !r.quiet {
 		r.log.Info("upstream removed", "upstream", e.ID, "service", e.Service)
 	}
 	return true
 }
 
+// recordRemoval keeps what was known of an upstream, and drops what is known for too long or of too many.
+func (r *registry) recordRemoval(now time.Time, key string, e *entry) {
+	r.removed[key] = removal{started: e.Started, sequence: e.Sequence, at: now}
+	oldest := key
+	for k, last := range r.removed {
+		if now.Sub(last.at) > removalRetention {
+			delete(r.removed, k)
+		} else if last.at.Before(r.removed[oldest].at) {
+			oldest = k
+		}
+	}
+	if len(r.removed) > maxRemovals {
+		delete(r.removed, oldest)
+	}
+}
+
 // markMissing marks an upstream whose registration is missing although the store is available again
 // since the given time.
 // It stays in use until expire, as it may register again; a draining one is removed at once. The
@@ -108,7 +187,7 @@
 		return false
 	}
 	if e.State == platform.UpstreamDraining {
-		return r.remove(key)
+		return r.remove(availableSince, key)
 	}
 	if e.missingSince.IsZero() {
 		e.missingSince = availableSince
@@ -117,13 +196,19 @@
 	return false
 }
 
-// expire removes the upstreams that have not registered again in time, and reports whether there
-// were any.
+// expire removes the upstreams that have not registered again in time, and uses those whose registrations were taken
+// for stale and are still there. It reports whether the endpoints changed.
 func (r *registry) expire(now time.Time) bool {
 	changed := false
 	for key, e := range r.entries {
 		if !e.missingSince.IsZero() && now.Sub(e.missingSince) > reregisterGrace {
-			changed = r.remove(key) || changed
+			changed = r.remove(now, key) || changed
+		}
+	}
+	for key, s := range r.stale {
+		if now.Sub(s.since) > staleTimeout {
+			delete(r.stale, key)
+			changed = r.put(now, registration{key: key, value: s.value, revision: s.revision}) || changed
 		}
 	}
 	return changed
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -28,7 +28,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRegistry(slog.New(slog.DiscardHandler))
 			put := func(state string, sequence, born int64) {
-				r.put(now, "servers/i-1", fmt.Appendf(nil, `{"service":"s","address":"192.0.2.1:80","zone":"a","version":"v","capacity":4,"state":%q,"warmup_left":"0ms","sequence":%d,"born":%d}`, state, sequence, born))
+				r.put(now, registration{key: "servers/i-1", value: fmt.Appendf(nil, `{"service":"s","address":"192.0.2.1:80","zone":"a","version":"v","capacity":4,"state":%q,"warmup_left":"0ms","sequence":%d,"born":%d}`, state, sequence, born)})
 			}
 			put("ready", 7, born)
 			put("draining", 9, born)
