The former fleet's configuration outlives a restored store

After its store was restored, instances ignored what operators wrote next, up to their own revision, and applied the first change after it to another history. Cause: revisions are counted up from the stored head, and were compared without regard to what they stand for.

Instances know the IDs of the changes that led to their configuration. A head of another history is not applied on top of it; one that contains all of its changes replaces it, and one that lacks some has them written again by compare-and-swap, before those that were accepted since. Peers' heads overlap by one change.

--- a/coord/rollout/api.go
+++ b/coord/rollout/api.go
@@ -39,7 +39,7 @@
 	Weight   int             `cbor:"3,keyasint" json:"weight"`   // Share of a full queue, relative to the other accounts.
 }
 
-// Effect is an action that the embedding program must carry out: Send, ReadHead, ReadShard or Apply.
+// Effect is an action that the embedding program must carry out: Send, ReadHead, ReadShard, RestoreHead or Apply.
 type Effect interface{ isEffect() }
 
 // Send requests that a message be sent to an instance. It may be lost, duplicated or delayed.
--- a/coord/rollout/apply.go
+++ b/coord/rollout/apply.go
@@ -11,6 +11,21 @@
 	if h.Revision < m.revision() {
 		m.counters.LowerRevision++
 	}
+	if fork, ok := forkRevision(m.knownRefs(), h.changeRefs()); ok && m.current != nil {
+		m.considerFork(now, h, from, fork)
+		return
+	}
+	if h.Revision < m.revision() && from.IsZero() {
+		m.restoreHead(now)
+	}
+	complete := false
+	if !from.IsZero() && h.Revision > m.revision() && !m.overlaps(h) {
+		if h.SnapshotRevision < m.revision() {
+			m.requestFromSender(now, from)
+			return
+		}
+		complete = true
+	}
 	if h.Revision <= m.revision() {
 		m.tryCandidate(now)
 		return
@@ -20,7 +35,7 @@
 		return
 	}
 	if m.candidate == nil || m.shouldReplaceCandidate(h) {
-		m.candidate = &candidate{head: h, from: from}
+		m.candidate = &candidate{head: h, from: from, complete: complete}
 	}
 	m.tryCandidate(now)
 }
@@ -79,7 +94,7 @@
 func (m *Machine) applyCandidate(now time.Time, c candidate) {
 	before := m.revision()
 	switch {
-	case c.head.hasChangesSince(before):
+	case !c.complete && c.head.hasChangesSince(before):
 		m.applyChanges(c.head)
 	case m.hasAllShards(c.head):
 		m.applySnapshot(c.head)
@@ -89,6 +104,11 @@
 	if m.revision() == before {
 		return
 	}
+	if c.complete {
+		clear(m.lineage)
+		m.head.Changes = c.head.Changes
+	}
+	m.recordLineage(c.head)
 	m.candidate = nil
 	m.counters.Applied++
 	m.emit(Apply{Config: m.current})
@@ -153,11 +173,13 @@
 	for _, d := range h.Shards {
 		kept[d] = true
 	}
-	for d := range m.shards {
-		if !kept[d] {
-			delete(m.shards, d)
+	shards := make(map[Digest][]byte, len(kept))
+	for d, data := range m.shards {
+		if kept[d] {
+			shards[d] = data
 		}
 	}
+	m.shards = shards
 }
 
 // mergeChanges returns the latest contiguous changes of two lists, within the bounds of a head.
@@ -181,7 +203,7 @@
 
 // pushToPeers sends the changes after a revision to every peer that is behind, except the one that they came from.
 func (m *Machine) pushToPeers(after fleet.Revision, source fleet.Ref) {
-	h := m.head.withChangesAfter(after)
+	h := m.head.withOverlap(after)
 	if !m.head.hasChangesSince(after) {
 		h.Changes = nil
 	}
--- a/coord/rollout/machine.go
+++ b/coord/rollout/machine.go
@@ -49,6 +49,7 @@
 	Unsolicited     uint64 // Shards that were not requested.
 	ShardsFetched   uint64
 	StaleStoreReads uint64 // Heads read from the store below the active revision.
+	Forks           uint64 // Heads of another history than the active configuration's.
 }
 
 // Machine maintains one instance's configuration. It does no I/O; it is not safe for concurrent use.
@@ -58,8 +59,10 @@
 	peers           []fleet.Ref
 	watcher         bool
 	current         *Config
-	head            Head              // Of current, without recent IDs.
-	shards          map[Digest][]byte // Shards of head's snapshot that this instance has.
+	head            Head                         // Of current, without recent IDs.
+	shards          map[Digest][]byte            // Shards of head's snapshot that this instance has. Replaced as a whole.
+	lineage         map[fleet.Revision]ChangeRef // Latest changes up to current, as far as their IDs are known.
+	restoredAt      time.Time                    // Time of the last RestoreHead.
 	candidate       *candidate
 	peerRevisions   map[fleet.Ref]fleet.Revision // Highest revision reported by each peer.
 	requestedAt     map[fleet.Ref]time.Time      // Times of the pending head requests, by peer.
@@ -74,8 +77,9 @@
 
 // candidate is a head that is newer than the active configuration and not applied yet.
 type candidate struct {
-	head Head
-	from fleet.Ref // Zero when it came from the store.
+	head     Head
+	from     fleet.Ref // Zero when it came from the store.
+	complete bool      // Of another history: all of it has to be applied.
 }
 
 // NewMachine returns a machine without a configuration.
@@ -84,6 +88,7 @@
 		cfg:           cfg.withDefaults(),
 		self:          self,
 		shards:        make(map[Digest][]byte),
+		lineage:       make(map[fleet.Revision]ChangeRef),
 		peerRevisions: make(map[fleet.Ref]fleet.Revision),
 		requestedAt:   make(map[fleet.Ref]time.Time),
 		replied:       make(map[fleet.Ref]bool),
@@ -223,7 +228,7 @@
 	if req.After > 0 {
 		m.recordPeerRevision(to, req.After)
 	}
-	h := m.head.withChangesAfter(req.After)
+	h := m.head.withOverlap(req.After)
 	if !m.head.hasChangesSince(req.After) {
 		h = m.head.withChangesAfter(m.head.SnapshotRevision)
 	}
--- a/coord/rollout/simulation_test.go
+++ b/coord/rollout/simulation_test.go
@@ -34,9 +34,13 @@
 	history      map[fleet.Revision][]*Config // Accepted configurations, by revision: more than one after a restoration.
 	inFlight     []delivery
 	changes      int
+	steps        int
 	noHeartbeats bool // Only pushed changes reach a machine.
 }
 
+// pollSteps is the number of steps, of 200 ms, after which an instance that does not watch the store reads the head.
+const pollSteps = 75
+
 type delivery struct {
 	from, to int
 	msg      Message
@@ -146,12 +150,28 @@
 				continue
 			}
 			sim.run(i, sim.machines[i].ShardRead(sim.now, e.Digest, sim.shards[e.Digest], nil))
+		case RestoreHead:
+			sim.reconcile(i, e)
 		case Apply:
 			sim.checkApplied(i)
 		}
 	}
 }
 
+func (sim *simulation) reconcile(i int, e RestoreHead) {
+	if sim.storeDown[i] {
+		return
+	}
+	r, ok, err := Reconcile(sim.head, e.Head, e.Config, e.Shards)
+	if err != nil || len(r.Skipped) > 0 {
+		sim.t.Fatalf("reconcile: %v, skipped %v", err, r.Skipped)
+	}
+	if ok {
+		sim.write(r.Head, r.Config, r.Shards)
+	}
+	sim.readHead(i)
+}
+
 func (sim *simulation) readHead(i int) {
 	if sim.storeDown[i] {
 		sim.run(i, sim.machines[i].HeadRead(sim.now, Head{}, errStoreDown))
@@ -190,9 +210,10 @@
 		}
 	}
 	sim.now = sim.now.Add(200 * time.Millisecond)
+	sim.steps++
 	for i, m := range sim.machines {
 		sim.run(i, m.Tick(sim.now))
-		if m.Watcher() {
+		if m.Watcher() || sim.steps%pollSteps == i {
 			sim.readHead(i)
 		}
 		if !sim.noHeartbeats {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -147,6 +147,8 @@
 			go m.readHead()
 		case rollout.ReadShard:
 			go m.readShard(e.Digest)
+		case rollout.RestoreHead:
+			go m.restoreHead(e)
 		case rollout.Apply:
 			m.apply(now, e.Config)
 		}
@@ -197,11 +199,11 @@
 		result.CodePeerMalformed:  c.Malformed + c.Unsolicited,
 		result.CodeConfigDigest:   c.WrongDigest,
 		result.CodeConfigTooLarge: c.TooLarge,
-		result.CodeConfigFault:    c.StaleStoreReads,
+		result.CodeConfigFault:    c.StaleStoreReads + c.Forks,
 	})
 	if changed {
 		m.options.Log.Warn("configuration update rejected; the last valid configuration stays active",
 			"other_fleet", c.OtherFleet, "malformed", c.Malformed, "wrong_digest", c.WrongDigest,
-			"too_large", c.TooLarge, "store_behind", c.StaleStoreReads)
+			"too_large", c.TooLarge, "store_behind", c.StaleStoreReads, "other_history", c.Forks)
 	}
 }
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -55,6 +55,53 @@
 	m.options.Loop.Post(func(now time.Time) { m.run(now, m.machine.ShardRead(now, digest, value.Data, err)) })
 }
 
+// restoreHead brings the store's head up to a configuration that was in force, after the store was restored. Other
+// instances may do the same: the first compare-and-swap succeeds.
+func (m *Manager) restoreHead(e rollout.RestoreHead) {
+	ctx, cancel := context.WithTimeout(m.ctx, callTimeout)
+	defer cancel()
+	restored, err := m.writeRestored(ctx, e)
+	for _, skipped := range restored.Skipped {
+		m.options.Log.Error("a change that was accepted after the store was restored is not valid after the changes that the store had lost; it is not in force", "error", skipped.Error())
+	}
+	switch {
+	case errors.Is(err, metastore.ErrConflict):
+	case err != nil:
+		m.options.Log.Warn("cannot write the configuration that the restored store has lost", "revision", uint64(e.Head.Revision), "error", err.Error())
+		return
+	case restored.Config != nil:
+		m.options.Log.Warn("the store was restored; the configuration that it had lost is written again", "revision", uint64(restored.Head.Revision))
+	}
+	m.readHead()
+}
+
+// writeRestored writes the reconciled head, after its shards. The result is zero if the store lacks nothing.
+func (m *Manager) writeRestored(ctx context.Context, e rollout.RestoreHead) (rollout.Restored, error) {
+	value, err := m.store.Get(ctx, m.options.Keys.Head())
+	stored, err := decodeHead(value, err)
+	if err != nil {
+		return rollout.Restored{}, err
+	}
+	restored, ok, err := rollout.Reconcile(stored, e.Head, e.Config, e.Shards)
+	if err != nil || !ok {
+		return rollout.Restored{}, err
+	}
+	data, err := rollout.EncodeHead(restored.Head)
+	if err != nil {
+		return rollout.Restored{}, err
+	}
+	for _, shard := range restored.Shards {
+		_, err := m.store.CompareAndSwap(ctx, m.options.Keys.Shard(shard.Digest), 0, shard.Data, 0)
+		if err != nil && !errors.Is(err, metastore.ErrConflict) { // A conflict means that the store has the shard.
+			return rollout.Restored{}, fmt.Errorf("write shard %v: %w", shard.Digest, err)
+		}
+	}
+	if _, err := m.store.CompareAndSwap(ctx, m.options.Keys.Head(), value.Version, data, 0); err != nil {
+		return rollout.Restored{}, fmt.Errorf("write head of revision %d: %w", restored.Head.Revision, err)
+	}
+	return restored, nil
+}
+
 // watchHead passes the head to the machine each time that it changes, until ctx ends.
 func (m *Manager) watchHead(ctx context.Context) {
 	watchKey(ctx, m.store, m.options.Keys.Head(), func(value metastore.Value) { m.postHead(value, nil) })
@@ -75,6 +122,7 @@
 			backoff = minBackoff
 			pause(ctx, jitter(minBackoff))
 		default:
+			after = 0 // A store that was restored meanwhile may have given the version to another value.
 			pause(ctx, jitter(backoff))
 			backoff = min(2*backoff, maxBackoff)
 		}
--- a/internal/metastore/standin/platform.go
+++ b/internal/metastore/standin/platform.go
@@ -81,6 +81,28 @@
 	return version, p.replyError("write of key " + key)
 }
 
+// Copy is the state of the store at a moment.
+type Copy struct{ store *store }
+
+// Save returns a copy of the store.
+func (p *Platform) Save() Copy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Copy{p.store.clone()}
+}
+
+// Restore puts the store back to a copy: what was written since is lost, and its versions and leases are given out
+// again. Watches that wait check the keys again.
+func (p *Platform) Restore(c Copy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.store
+	p.store = c.store.clone()
+	for _, r := range before.records {
+		r.notifyWatches()
+	}
+}
+
 // Watch implements metastore.Store.
 func (p *Platform) Watch(ctx context.Context, key string, after metastore.Version) (metastore.Value, error) {
 	if err := p.beginCall(ctx, metastore.OpWatch); err != nil {
--- a/internal/metastore/standin/store.go
+++ b/internal/metastore/standin/store.go
@@ -115,3 +115,19 @@
 		}
 	}
 }
+
+// clone returns a copy of the store.
+func (s *store) clone() *store {
+	c := newStore()
+	c.lastLease = s.lastLease
+	for key, r := range s.records {
+		copied := *r
+		copied.changed = make(chan struct{})
+		c.records[key] = &copied
+	}
+	for id, l := range s.leases {
+		copied := *l
+		c.leases[id] = &copied
+	}
+	return c
+}
