Brokers forward requests only to zones that have endpoints of the service

Callers of a service whose endpoints are all in one of three zones got 503 (1010) from instances of the others in a brokered fleet. Cause: a broker without endpoints forwards a request once, to a random other zone, and that may have none either. It now chooses among the zones that have some.

--- a/internal/gateway/broker.go
+++ b/internal/gateway/broker.go
@@ -27,6 +27,8 @@
 	machine *dispatch.Machine
 	grants  *broker.GrantTable
 	zones   []string // Zones with instances. Endpoints in zones without any are divided among them.
+
+	endpointZones map[string][]string // Other zones whose brokers have endpoints that are not draining, by service.
 }
 
 // newBroker returns an empty broker state. The additional retries of the budget are divided among
@@ -66,10 +68,16 @@
 	}
 	c.broker.zones = c.zones()
 	own := c.settings.Instance.Zone
+	c.broker.endpointZones = make(map[string][]string)
 	var list []dispatch.Endpoint
 	for _, e := range c.registry.endpoints(c.config) {
-		if broker.BrokerZone(e.Zone, c.broker.zones) == own {
+		zone := broker.BrokerZone(e.Zone, c.broker.zones)
+		zones := c.broker.endpointZones[e.Service]
+		switch {
+		case zone == own:
 			list = append(list, e)
+		case !e.Draining && !slices.Contains(zones, zone):
+			c.broker.endpointZones[e.Service] = append(zones, zone)
 		}
 	}
 	c.broker.machine.SetEndpoints(now, list)
@@ -138,12 +146,12 @@
 // have been tried in two zones.
 const minRetryAfter = 100 * time.Millisecond
 
-// pickRemoteBroker returns a service's broker in a random other zone. ok is false if there is
-// no other zone, or none of its coordinators answers.
+// pickRemoteBroker returns a service's broker in a random other zone that has endpoints of it. ok is false if there is
+// no such zone, or none of its coordinators answers.
 func (c *control) pickRemoteBroker(now time.Time, service string) (broker.Instance, bool) {
 	var zones []string
-	for zone, coordinators := range c.remoteCoordinators {
-		if len(coordinators) > 0 {
+	for _, zone := range c.broker.endpointZones[service] {
+		if len(c.remoteCoordinators[zone]) > 0 {
 			zones = append(zones, zone)
 		}
 	}
