--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -14,7 +14,8 @@
 	for name, tc := range map[string]struct {
 		brokersFrom int
 		zones       string
-	}{"reports": {150, "abc"}, "brokers": {4, "aaa"}} {
+		stops       int // Instances that stop meanwhile, the first brokers.
+	}{"reports": {150, "abc", 0}, "brokers": {4, "aaa", 0}, "brokers of which two stop": {4, "aaa", 2}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			const (
@@ -47,14 +48,20 @@
 			for i := range callers {
 				wg.Go(func() {
 					for !ended.Load() {
-						if status, body, id := all[i%len(all)].send(t, "h.example", "/x"); status != http.StatusOK {
+						in := all[tc.stops+i%(len(all)-tc.stops)]
+						if status, body, id := in.send(t, "h.example", "/x"); status != http.StatusOK {
 							t.Errorf("request %s: status %d, %s", id, status, body)
 						}
 						time.Sleep(10 * time.Millisecond)
 					}
 				})
 			}
-			time.Sleep(stableWindow + 2*window)
+			time.Sleep(stableWindow)
+			for _, in := range all[:tc.stops] {
+				time.Sleep(time.Second)
+				in.stop()
+			}
+			time.Sleep(2 * window)
 			if n := limited.mostArrivals(named.Add(stableWindow), window); n > allowed {
 				t.Errorf("%d requests within %s reached the upstream, which takes %d a second; %d are allowed", n, window, limit, allowed)
 			}
