--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -79,7 +79,7 @@
 	Leaving         int           // Set for NoEndpoint: endpoints of the service that are leaving.
 	HeldOff         int           // Set for NoEndpoint: endpoints that want no requests for a time; RetryAfter is when the first returns, spread over time.
 	Limited         int           // Set for NoEndpoint: endpoints whose limit of requests a second leaves no room.
-	LimitEndpoint   string        // Set if Limited: the id of the one that has room first; empty if a broker has not told.
+	LimitEndpoint   string        // Set if Limited: the id of the one that has room first; empty if a broker placed the request.
 	LimitRate       float64       // Its limit in requests a second.
 	Wait            time.Duration // Set for NoEndpoint if the request can wait for the first to return, or to have room, and still meet its objective.
 }
--- a/coord/rollout/head.go
+++ b/coord/rollout/head.go
@@ -128,8 +128,8 @@
 	return h
 }
 
-// withOverlap returns the head with the changes after a revision and the one of the revision, from whose ID a receiver
-// tells whether its history is the same.
+// withOverlap returns the head with the changes after a revision and the change of that revision, whose ID shows a
+// receiver whether its history is the same.
 func (h Head) withOverlap(after fleet.Revision) Head {
 	return h.withChangesAfter(max(after, 1) - 1)
 }
--- a/coord/rollout/machine.go
+++ b/coord/rollout/machine.go
@@ -60,7 +60,7 @@
 	watcher         bool
 	current         *Config
 	head            Head                         // Of current, without recent IDs.
-	shards          map[Digest][]byte            // Shards of head's snapshot that this instance has. Replaced as a whole.
+	shards          map[Digest][]byte            // Shards of head's snapshot that this instance has. The map is replaced, not modified, when the head changes.
 	lineage         map[fleet.Revision]ChangeRef // Latest changes up to current, as far as their IDs are known.
 	restoredAt      time.Time                    // Time of the last RestoreHead.
 	candidate       *candidate
--- a/coord/rollout/restore.go
+++ b/coord/rollout/restore.go
@@ -11,8 +11,8 @@
 )
 
 // A store that is restored from a copy takes accepted changes back, and gives their revisions to the changes that
-// follow. Instances know the IDs of the changes that led to their configuration. From these they tell a head of
-// another history, and write the lost changes again: before those that were accepted since the restoration.
+// follow. Instances know the IDs of the changes that led to their configuration. By these they recognize a head of
+// another history, and write the lost changes again, before those that were accepted since the restoration.
 
 // RestoreHead requests that the store's head be brought up to the active configuration with Reconcile, by
 // compare-and-swap. The program reports the head that it wrote with Machine.HeadRead.
@@ -48,7 +48,7 @@
 	return refs
 }
 
-// changeRefs returns the changes of which a head tells the ID.
+// changeRefs returns the changes whose IDs are in a head.
 func (h Head) changeRefs() []ChangeRef {
 	refs := slices.Clone(h.Recent)
 	for _, c := range h.Changes {
@@ -86,8 +86,8 @@
 	return true
 }
 
-// overlaps reports whether the inline changes of a head, if they lead on from the active revision, can be told to lead
-// on from its configuration: its own change is among them.
+// overlaps reports whether the inline changes of a head include the one of the active revision, whose ID shows whether
+// the changes after it continue the active configuration. It is true as well if they cannot be applied to it.
 func (m *Machine) overlaps(h Head) bool {
 	r := m.revision()
 	_, known := m.lineage[r]
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -104,7 +104,7 @@
 	c.publish(now)
 }
 
-// put applies a write of one key, and reports whether the endpoints changed. restored tells that the value comes from
+// put applies a write of one key, and reports whether the endpoints changed. restored means that the value comes from
 // the copy from which the store was restored.
 func (c *control) put(now time.Time, item platform.Item, from changeSource, restored bool) bool {
 	switch {
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -98,7 +98,7 @@
 	j.judgeDrain()
 	j.judgeAnnounced()
 	j.judgeHoldOffs()
-	j.judgeLimits()
+	j.checkLimits()
 	j.judgeGone()
 	j.judgeAttempts()
 	j.judgeDeadlines()
--- a/internal/soak/oracle_limit.go
+++ b/internal/soak/oracle_limit.go
@@ -21,9 +21,9 @@
 	sent    time.Time
 }
 
-// judgeLimits looks for spans in which an upstream got more requests than its limit allows, from all machines
+// checkLimits looks for spans in which an upstream got more requests than its limit allows, from all machines
 // together that knew of it. A restart, freeze or cut of a machine excuses that machine.
-func (j *judge) judgeLimits() {
+func (j *judge) checkLimits() {
 	arrivals := map[string][]arrival{}
 	informed := map[string]map[processID]time.Time{} // When a process first passed on an answer of an upstream that named a limit.
 	for k := range j.Attempts {
@@ -45,7 +45,7 @@
 	for upstream, list := range arrivals {
 		slices.SortFunc(list, func(a, b arrival) int { return a.run.Arrived.Compare(b.run.Arrived) })
 		for _, limit := range announcedLimits(list) {
-			j.judgeLimit(upstream, limit, list, informed[upstream])
+			j.checkLimit(upstream, limit, list, informed[upstream])
 		}
 	}
 }
@@ -69,7 +69,7 @@
 	return out
 }
 
-func (j *judge) judgeLimit(upstream string, limit announcedLimit, list []arrival, informed map[processID]time.Time) {
+func (j *judge) checkLimit(upstream string, limit announcedLimit, list []arrival, informed map[processID]time.Time) {
 	var counted []arrival
 	from := limit.first.Add(j.terms.StableWindow)
 	for _, a := range list {
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -72,7 +72,7 @@
 }
 
 // registerAgain lets the upstreams write their registrations again, each with its next heartbeat. Those of upstreams
-// that are gone expire.
+// that have ended expire.
 func (r *run) registerAgain(random *rand.Rand) {
 	live := r.liveUpstreams()
 	for _, u := range live {
