An instance that stops soon after a restoration takes its registration back

TestInstancesRegisterAgainAfterARestoration failed once beside a load of 28: an instance that stopped before it had registered again did not end its lease, which was of the earlier era, and the copy's registration of it stayed for up to 30 s.

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -328,12 +328,18 @@
 		}
 		r.wait(ctx, wait, &lease, era)
 	}
-	if lease == 0 || r.era() != era {
+	if lease == 0 {
 		return
 	}
 	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
 	defer cancel()
-	if err := r.store.EndLease(end, lease); err != nil {
+	var err error
+	if r.era() == era {
+		err = r.store.EndLease(end, lease)
+	} else {
+		_, err = r.store.Commit(end, platform.Txn{Deletes: []string{r.key}}) // The copy may have the registration.
+	}
+	if err != nil {
 		r.log.Warn("cannot end the registration lease; the registration expires with it", "error", err.Error())
 	}
 }
