A second read after a restoration keeps the grace period of missing upstreams

Callers got 503 (1010) just after the store was restored twice within half a second: the second read of all keys removed the upstreams that the first one had left for the grace period, here and, as a deletion, at the instances of the zone. Seen once in TestUpstreamsOutliveARestoration (twice, two zones) beside a load of 28. TestSecondReadAfterARestorationKeepsTheGracePeriod fails before and holds now.

--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -116,6 +116,9 @@
 		return
 	}
 	for _, key := range missing {
+		if !restored && c.registry.awaits(key) {
+			continue
+		}
 		changes = append(changes, platform.Item{Key: key, Revision: at, Deleted: true})
 	}
 	c.forwardChanges(changes, c.revision, at)
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -196,6 +196,12 @@
 	return false
 }
 
+// awaits reports whether an upstream's registration is missing, and may be written again within reregisterGrace.
+func (r *registry) awaits(key string) bool {
+	e := r.entries[key]
+	return e != nil && !e.missingSince.IsZero()
+}
+
 // expire removes the upstreams that have not registered again in time, and uses those whose registrations were taken
 // for stale and are still there. It reports whether the endpoints changed.
 func (r *registry) expire(now time.Time) bool {
--- a/internal/gateway/restored_test.go
+++ b/internal/gateway/restored_test.go
@@ -194,3 +194,27 @@
 		return last.gateway.control.snapshot.Load().Version == platform.ConfigVersion(fleet.version)
 	})
 }
+
+// Guards against a second read of all keys that removes what the first one of an era left for a grace period.
+func TestSecondReadAfterARestorationKeepsTheGracePeriod(t *testing.T) {
+	t.Parallel()
+	fleet := newTestFleet(t)
+	fleet.configure("h.example", "orders")
+	in := fleet.startInstance("one", "a")
+	eventually(t, "ready", func() bool { return in.ready(t) })
+	saved := fleet.store.Save()
+	added := fleet.startUpstream("i-added", "orders")
+	eventually(t, "the upstream is used", func() bool { return in.hasEndpoint(added.id) })
+	fleet.store.Restore(saved)
+	eventually(t, "the restoration is noticed", func() bool { return in.gateway.control.knownRevision.Load() >= uint64(fleet.revision()) })
+	inControl(in, func(c *control) bool {
+		now := time.Now()
+		c.forwardFullRead(now, nil, nil, c.revision)
+		c.applyFullRead(now, nil, c.revision)
+		return true
+	})
+	if !in.hasEndpoint(added.id) {
+		t.Error("the second read removes the upstream")
+	}
+	eventually(t, "it is removed after the grace period", func() bool { return !in.hasEndpoint(added.id) })
+}
