Bounds of what is known of removed upstreams are kept by the tick

A removal scanned all known removals: with 4,096 of them the removal of many upstreams at once took seconds of a small instance. Limits cost no scan of the endpoints while none was ever named.

--- a/coord/dispatch/limit.go
+++ b/coord/dispatch/limit.go
@@ -183,6 +183,9 @@
 // LimitedEndpoints returns how many listed endpoints have a limit.
 func (m *Machine) LimitedEndpoints() int {
 	n := 0
+	if !m.hasLimits {
+		return n
+	}
 	for _, e := range m.endpoints {
 		if e.limit.isActive() {
 			n++
@@ -298,6 +301,9 @@
 // RepeatLimits reports again what other instances may have missed: this instance's use of limits, and their renewals
 // and ends. It is to be called with each heartbeat.
 func (m *Machine) RepeatLimits(now time.Time) {
+	if !m.hasLimits {
+		return
+	}
 	for _, e := range m.endpoints {
 		l := e.limit
 		switch {
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -153,26 +153,26 @@
 		return false
 	}
 	delete(r.entries, key)
-	r.recordRemoval(now, key, e)
+	r.removed[key] = removal{started: e.Started, sequence: e.Sequence, at: now}
 	if !r.quiet {
 		r.log.Info("upstream removed", "upstream", e.ID, "service", e.Service)
 	}
 	return true
 }
 
-// recordRemoval keeps what was known of an upstream, and drops what is known for too long or of too many.
-func (r *registry) recordRemoval(now time.Time, key string, e *entry) {
-	r.removed[key] = removal{started: e.Started, sequence: e.Sequence, at: now}
-	oldest := key
-	for k, last := range r.removed {
+// forgetRemovals drops the removals that are known for too long, and the oldest ones of too many.
+func (r *registry) forgetRemovals(now time.Time) {
+	for key, last := range r.removed {
 		if now.Sub(last.at) > removalRetention {
-			delete(r.removed, k)
-		} else if last.at.Before(r.removed[oldest].at) {
-			oldest = k
+			delete(r.removed, key)
 		}
 	}
-	if len(r.removed) > maxRemovals {
-		delete(r.removed, oldest)
+	if len(r.removed) <= maxRemovals {
+		return
+	}
+	oldestFirst := slices.SortedFunc(maps.Keys(r.removed), func(a, b string) int { return r.removed[a].at.Compare(r.removed[b].at) })
+	for _, key := range oldestFirst[:len(oldestFirst)-maxRemovals] {
+		delete(r.removed, key)
 	}
 }
 
@@ -211,6 +211,7 @@
 			changed = r.remove(now, key) || changed
 		}
 	}
+	r.forgetRemovals(now)
 	for key, s := range r.stale {
 		if now.Sub(s.since) > staleTimeout {
 			delete(r.stale, key)
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -123,3 +123,18 @@
 		}
 	}
 }
+
+func TestRemovalsAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newRegistry(slog.New(slog.DiscardHandler))
+	for i := range maxRemovals + 10 {
+		r.removed[fmt.Sprint("servers/i-", i)] = removal{at: now.Add(time.Duration(i) * time.Millisecond)}
+	}
+	r.expire(now)
+	if _, kept := r.removed["servers/i-9"]; kept || len(r.removed) != maxRemovals {
+		t.Errorf("%d removals, the oldest among them: %t", len(r.removed), kept)
+	}
+	if r.expire(now.Add(removalRetention + time.Hour)); len(r.removed) != 0 {
+		t.Errorf("%d removals after their time", len(r.removed))
+	}
+}
