--- a/internal/gateway/brokerzone_test.go
+++ b/internal/gateway/brokerzone_test.go
@@ -8,6 +8,7 @@
 // Guards against rejected requests for a service whose endpoints are all in one of three zones: a broker without any
 // forwards a request to another zone once.
 func TestBrokersOfZonesWithoutEndpointsFindThem(t *testing.T) {
+	t.Parallel()
 	fleet := newTestFleet(t)
 	fleet.brokersFrom = 3
 	all := []*instance{fleet.startInstance("one", "a"), fleet.startInstance("two", "b"), fleet.startInstance("three", "c")}
