A stale registration that the store has removed is not used

An entry of a copy that was ignored as older than what is known was used after 6 s though a read showed that the store had removed it, if its deletion itself was missed: stale keys were not among those that a full read looks for. TestStaleRegistrationThatIsRemovedIsNotUsed. Found by reading the change.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -122,8 +122,8 @@
 
 // handleMissing handles an upstream's registration that was missing in a full read, and reports
 // whether the endpoints changed. It removes the upstream, unless the store has failed lately or was restored: then the
-// registration may have expired in the outage, or the copy may lack it. A later read does not shorten that time. The end of the outage is taken as the time
-// when another instance was first ahead of this one, or else as now.
+// registration may have expired in the outage, or the copy may lack it. A later read does not shorten the grace
+// period. The end of the outage is taken as the time when another instance was first ahead of this one, or else as now.
 func (c *control) handleMissing(now time.Time, key string, restored bool) bool {
 	if !restored && !c.storeFailing(now) && !c.registry.awaits(key) {
 		return c.registry.remove(now, key)
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -182,6 +182,7 @@
 // result reports whether the endpoints changed.
 func (r *registry) markMissing(availableSince time.Time, key string) bool {
 	delete(r.invalid, key)
+	delete(r.stale, key)
 	e := r.entries[key]
 	if e == nil {
 		return false
@@ -221,9 +222,15 @@
 	return changed
 }
 
-// keys returns the store keys of all registrations, invalid ones included.
+// keys returns the store keys of all registrations, invalid and stale ones included.
 func (r *registry) keys() []string {
-	return slices.AppendSeq(slices.Collect(maps.Keys(r.entries)), maps.Keys(r.invalid))
+	keys := slices.AppendSeq(slices.Collect(maps.Keys(r.entries)), maps.Keys(r.invalid))
+	for key := range r.stale {
+		if r.entries[key] == nil && r.invalid[key] == "" {
+			keys = append(keys, key)
+		}
+	}
+	return keys
 }
 
 // endpoints returns the endpoints of the services in a configuration.
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -138,3 +138,24 @@
 		t.Errorf("%d removals after their time", len(r.removed))
 	}
 }
+
+// A registration of a copy that the store has removed since must not be used, also if the removal shows only by its absence.
+func TestStaleRegistrationThatIsRemovedIsNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const key = "servers/i-1"
+	value := []byte(`{"service":"s","address":"192.0.2.1:80","zone":"a","version":"v","capacity":4,"state":"ready","warmup_left":"0ms","sequence":7,"born":5000}`)
+	for name, disappear := range map[string]func(r *registry){
+		"deleted":                 func(r *registry) { r.remove(now, key) },
+		"missing":                 func(r *registry) { r.remove(now, r.keys()[0]) },
+		"missing after a failure": func(r *registry) { r.markMissing(now, r.keys()[0]) },
+	} {
+		r := newRegistry(slog.New(slog.DiscardHandler))
+		r.put(now, registration{key: key, value: value, revision: 1})
+		r.remove(now, key)
+		r.put(now, registration{key: key, value: value, revision: 2, restored: true})
+		disappear(r)
+		if r.expire(now.Add(2 * staleTimeout)); len(r.entries) > 0 {
+			t.Errorf("%s: used", name)
+		}
+	}
+}
