Requests with a credential, and attempts that pass one on, are counted

Nothing told the hypotheses of the incident apart: credentials_read counts requests that carry an Authorization header, credentials_sent attempts that pass one on to an upstream. Alike and growing: nothing handles it (K1). A small share: one path passes it (K2). Some instances alike, others 0: the configuration is not in force there (K3).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -112,6 +112,9 @@
 func (f *Forwarder) roundTrip(r *request, req *fasthttp.Request, a *attempt, conn *httpconn.Conn) {
 	prepareHeader(&req.Header)
 	platform.SetUpstreamHeaders(&req.Header, time.Until(r.deadline), a.grant.Endpoint.Name)
+	if platform.HasCredential(&req.Header) {
+		f.metrics.credentials.Add(1)
+	}
 	sent, err := conn.SendBody(&req.Header, r.Body.Segments(), r.deadline)
 	if !sent {
 		a.outcome, a.err = outcomeNotSent, err
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -98,6 +98,7 @@
 type metrics struct {
 	dials, mismatched, brokenStreams                                 atomic.Int64
 	leaving, limited, heldOff, waited, atLimit, invalidAnnouncements atomic.Int64
+	credentials                                                      atomic.Int64
 }
 
 // New returns a Forwarder.
@@ -117,12 +118,14 @@
 	LimitRejections   int64 // Requests that found no room in the limits of upstreams.
 
 	InvalidAnnouncements int64 // Answers in which an upstream's announcement had an invalid value, which was ignored.
+	Credentials          int64 // Attempts that passed a caller's credential on to an upstream.
 }
 
 func (f *Forwarder) Counts() Counts {
 	return Counts{
 		Dials: f.metrics.dials.Load(), MismatchedAnswers: f.metrics.mismatched.Load(), BrokenStreams: f.metrics.brokenStreams.Load(),
 		LeavingAnswers: f.metrics.leaving.Load(), LimitAnswers: f.metrics.limited.Load(), HoldOffAnswers: f.metrics.heldOff.Load(), Waits: f.metrics.waited.Load(), LimitRejections: f.metrics.atLimit.Load(), InvalidAnnouncements: f.metrics.invalidAnnouncements.Load(),
+		Credentials: f.metrics.credentials.Load(),
 	}
 }
 
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -116,6 +116,8 @@
 		"upstream_hold_offs": counts.HoldOffAnswers,
 		"hold_off_waits":     counts.Waits,
 		"limit_rejections":   counts.LimitRejections,
+		"credentials_read":   g.metrics.credentials.Load(),
+		"credentials_sent":   counts.Credentials,
 		"limits_in_force":    int64(g.control.snapshot.Load().limited),
 		"leaving_announced":  int64(leaving.Announced),
 		"leaving_reported":   int64(leaving.Reported),
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -66,6 +66,9 @@
 
 // Serve implements callers.Handler.
 func (h *handler) Serve(ctx context.Context, r callers.Request, resp *fasthttp.Response) {
+	if platform.HasCredential(&r.HTTP.Header) {
+		h.metrics.credentials.Add(1)
+	}
 	s := h.control.snapshot.Load()
 	id := platform.RequestID(&r.HTTP.Header)
 	if s.router == nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,8 @@
 	byCode  map[result.Code]int64
 	latency *hdrhistogram.Histogram // Milliseconds.
 
+	credentials atomic.Int64 // Requests that carried a credential.
+
 	cutOff atomic.Int64 // Requests without a complete answer at the end of a planned stop.
 }
 
