--- a/coord/result/codes.go
+++ b/coord/result/codes.go
@@ -23,6 +23,10 @@
 	CodeNotReady           Code = 1020
 	CodeRelayFailed        Code = 1021
 	CodeBodiesFull         Code = 1022
+	CodeKeyMissing         Code = 1023
+	CodeKeyMalformed       Code = 1024
+	CodeAccountKeyUnknown  Code = 1025
+	CodeConfigUnconfirmed  Code = 1026
 	CodeTicketMalformed    Code = 1100
 	CodeTicketForged       Code = 1101
 	CodeTicketExpired      Code = 1102
@@ -85,6 +89,10 @@
 	{CodeNotReady, "not-ready", 503, NotRun, "The instance has no configuration yet."},
 	{CodeRelayFailed, "relay-failed", 502, Unknown, "The instance that the request was passed to did not answer."},
 	{CodeBodiesFull, "bodies-full", 503, NotRun, "The instance has no memory left for the request's body."},
+	{CodeKeyMissing, "key-missing", 401, NotRun, "The request carries no key, which its route requires."},
+	{CodeKeyMalformed, "key-malformed", 401, NotRun, "The request's Authorization is repeated, has another scheme than Token, or holds no valid key."},
+	{CodeAccountKeyUnknown, "account-key-unknown", 401, NotRun, "No client account has the request's key."},
+	{CodeConfigUnconfirmed, "configuration-unconfirmed", 503, NotRun, "The configuration in force may be too old to decide on the request's key."},
 	{CodeTicketMalformed, "ticket-malformed", 400, Unknown, "The Idempotency-Key does not hold a ticket; this attempt did not run."},
 	{CodeTicketForged, "ticket-forged", 403, Unknown, "The ticket's authentication code is wrong or of a retired key; this attempt did not run."},
 	{CodeTicketExpired, "ticket-expired", 409, Unknown, "The ticket has expired; an earlier attempt may have run."},
