Requests run for the client account that holds their key

Callers' keys were passed on to upstreams, no upstream got an account's name, and requests with an unknown key or none ran.

Cause: nothing read tenants or Authorization. What a request carries was sent on as it came, on every path, as for a deployment without accounts.

Change: a configuration with tenants switches accounts on. The instance looks the key up when a request arrives, before each attempt is placed and again before its bytes are sent, in the configuration then in force: a key that moved runs for its new account, and one that was removed ends the request with 401 unless an attempt may have run. Credentials and account names of callers are removed where every attempt's header is made, so that first attempts, retries and hedges have one path. Invalid configurations are refused, logged once and counted.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -45,6 +45,7 @@
 	limit     platform.Limit
 	holdOff   time.Duration // How long the endpoint wants no requests, by its answer.
 	ignored   []string      // Invalid announcements in its answer.
+	account   string        // Client account that it was sent for.
 	err       error
 	resp      *fasthttp.Response  // Nil if no answer arrived.
 	stream    *stream             // The answer's body, if it is streamed.
@@ -111,6 +112,15 @@
 // roundTrip sends the request on a connection, reads the answer and sets the attempt's outcome.
 func (f *Forwarder) roundTrip(r *request, req *fasthttp.Request, a *attempt, conn *httpconn.Conn) {
 	prepareHeader(&req.Header)
+	identity, unauthorized := r.identify()
+	if unauthorized != nil {
+		a.outcome, a.err = outcomeNotSent, unauthorized
+		return
+	}
+	if identity.Accounts {
+		platform.SetAccount(&req.Header, identity.Account)
+		a.account = identity.Account
+	}
 	platform.SetUpstreamHeaders(&req.Header, time.Until(r.deadline), a.grant.Endpoint.Name)
 	if platform.HasCredential(&req.Header) {
 		f.metrics.credentials.Add(1)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -61,13 +61,33 @@
 
 	// MayStart reports whether an attempt may start at a time while no other is running; nil if always.
 	MayStart func(now time.Time) bool
+
+	// Identify returns for whom an attempt is sent, by the configuration in force at the time of the call. It is called
+	// before each attempt is placed, and again before it is sent. Nil leaves the caller's headers as they are.
+	Identify func() (Identity, *Unauthorized)
+}
+
+// Identity is for whom an attempt of a request is sent.
+type Identity struct {
+	Accounts bool   // The configuration has client accounts. Without, the caller's headers are sent as they are.
+	Account  string // Name of the client account; empty for a request without a key.
 }
 
+// Unauthorized is the error of a request that no attempt may be sent of.
+type Unauthorized struct {
+	Code       result.Code
+	Detail     string // For the caller and the log; holds no key.
+	RetryAfter time.Duration
+}
+
+func (u *Unauthorized) Error() string { return u.Detail }
+
 // Report is the result of a request, for the log.
 type Report struct {
 	Code     result.Code
 	Status   int
 	Detail   string
+	Account  string // Client account of the last attempt; empty if there is none.
 	Attempts []Attempt
 }
 
@@ -190,6 +210,7 @@
 	r.report.Status = resp.StatusCode()
 	for _, a := range r.attempts {
 		r.report.Attempts = append(r.report.Attempts, a.logRecord())
+		r.report.Account = a.account
 	}
 	return r.report
 }
@@ -241,6 +262,9 @@
 	if r.running == 0 && r.MayStart != nil && !r.MayStart(time.Now()) {
 		return dispatch.Grant{}, errStopping
 	}
+	if _, unauthorized := r.identify(); unauthorized != nil {
+		return dispatch.Grant{}, unauthorized
+	}
 	return f.dispatcher.Acquire(dispatch.Request{
 		Service:       r.Service,
 		SizeClass:     r.Route.Name,
@@ -303,7 +327,7 @@
 	if a.stream != nil {
 		return a
 	}
-	if a.outcome == outcomeNotSent && ctx.Err() == nil {
+	if a.outcome == outcomeNotSent && ctx.Err() == nil && !isUnauthorized(a.err) {
 		f.dispatcher.SendFailed(grant)
 	} else {
 		f.dispatcher.Ended(grant, a.eventKind(), a.elapsed)
--- a/internal/forward/rejection.go
+++ b/internal/forward/rejection.go
@@ -38,6 +38,9 @@
 	}
 	resp.SetStatusCode(entry.Status)
 	resp.Header.SetContentType("application/json")
+	if entry.Status == fasthttp.StatusUnauthorized {
+		platform.SetChallenge(&resp.Header)
+	}
 	platform.SetRejectionHeaders(&resp.Header, requestID, retryAfter)
 	body, err := json.Marshal(rejectionBody{Code: code, Name: entry.Name, Detail: detail})
 	if err != nil {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -88,6 +88,21 @@
 	}
 }
 
+// identify returns for whom an attempt may be sent now.
+func (r *request) identify() (Identity, *Unauthorized) {
+	if r.Identify == nil {
+		return Identity{}, nil
+	}
+	return r.Identify()
+}
+
+// isUnauthorized reports whether an attempt was not sent because the request has no valid key any more, which says
+// nothing of its endpoint.
+func isUnauthorized(err error) bool {
+	var unauthorized *Unauthorized
+	return errors.As(err, &unauthorized)
+}
+
 // recordFailure keeps an endpoint's server error, which is delivered if no other attempt is served.
 func (r *request) recordFailure(a *attempt) {
 	if r.failure != nil && r.failure.stream == nil {
@@ -134,7 +149,10 @@
 		}
 	}
 	var rejected *Rejected
+	var unauthorized *Unauthorized
 	switch {
+	case errors.As(cause, &unauthorized):
+		return &rejection{code: unauthorized.Code, detail: unauthorized.Detail, retryAfter: unauthorized.RetryAfter}
 	case errors.Is(cause, errStopping):
 		return &rejection{code: result.CodeStopping, detail: errStopping.Error(), retryAfter: StoppingRetryAfter}
 	case errors.As(cause, &rejected) && rejected.Reason == dispatch.NoEndpoint:
--- a/internal/gateway/accounts_test.go
+++ b/internal/gateway/accounts_test.go
@@ -38,7 +38,7 @@
 
 	mu   sync.Mutex
 	seen []received
-	gate chan struct{} // Requests to /turn/ wait for it; nil for none.
+	gate chan struct{} // Requests to /wait/ wait for it; nil for none.
 }
 
 func (fleet *testFleet) startRawUpstream(id, service string) *rawUpstream {
@@ -87,13 +87,13 @@
 		text.Reset()
 		head := fmt.Sprintf("Request-Id: %s\r\nServer-Stamp: 3e.%s\r\n", req.Header.Get("Request-Id"), u.id)
 		answer := "HTTP/1.1 200 OK\r\n" + head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(u.id), u.id)
+		if gate != nil && strings.Contains(req.URL.Path, "/wait/") {
+			<-gate
+		}
 		switch {
 		case strings.Contains(req.URL.Path, "/fail/"):
 			answer = "HTTP/1.1 500 Internal Server Error\r\n" + head + "Content-Length: 0\r\n\r\n"
 		case strings.Contains(req.URL.Path, "/turn/"):
-			if gate != nil {
-				<-gate
-			}
 			answer = "HTTP/1.1 503 Service Unavailable\r\n" + head + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 		case strings.Contains(req.URL.Path, "/cut/"):
 			return
@@ -120,8 +120,18 @@
 	Priority int      `json:"priority"`
 }
 
-// configureAccounts writes the next version of the configuration with client accounts. Nil leaves accounts off.
+// configureAccounts writes the next version of the configuration with client accounts, and waits until it is in force.
+// Nil leaves accounts off.
 func (fleet *testFleet) configureAccounts(accounts map[string]testAccount) {
+	fleet.t.Helper()
+	fleet.putAccounts(accounts)
+	version := fleet.version
+	eventually(fleet.t, "the configuration is in force", func() bool {
+		return !slices.ContainsFunc(fleet.instances, func(in *instance) bool { return int(in.gateway.control.snapshot.Load().Version) < version })
+	})
+}
+
+func (fleet *testFleet) putAccounts(accounts map[string]testAccount) {
 	fleet.t.Helper()
 	fleet.version++
 	route := func(kind, prefix string, anonymous bool) map[string]any {
@@ -142,10 +152,6 @@
 		fleet.t.Fatal(err)
 	}
 	fleet.store.Put("op/config", data)
-	version := fleet.version
-	eventually(fleet.t, "the configuration is in force", func() bool {
-		return !slices.ContainsFunc(fleet.instances, func(in *instance) bool { return int(in.gateway.control.snapshot.Load().Version) < version })
-	})
 }
 
 // exchange sends raw requests on one connection and returns the statuses of their answers, 0 for none.
@@ -289,3 +295,97 @@
 		})
 	}
 }
+
+// sendAcross sends a request whose first attempt waits at an upstream, calls change, and returns the request's status and
+// the accounts that the attempts ran for.
+func (fleet *testFleet) sendAcross(path string, change func()) (status int, accounts []string) {
+	fleet.t.Helper()
+	gate := make(chan struct{})
+	upstreams := []*rawUpstream{fleet.startRawUpstream("i-1", "orders"), fleet.startRawUpstream("i-2", "orders")}
+	for _, u := range upstreams {
+		u.gate = gate
+	}
+	in := fleet.startInstance("one", "a")
+	fleet.configureAccounts(testAccounts)
+	eventually(fleet.t, "the upstreams are in use", func() bool {
+		return in.exchange(fleet.t, head("GET", "/open/ready"), "GET")[0] == http.StatusOK && len(upstreams[0].requests())*len(upstreams[1].requests()) > 0
+	})
+	attempts := func() (list []received) {
+		for _, u := range upstreams {
+			list = append(list, slices.DeleteFunc(u.requests(), func(r received) bool { return strings.Contains(r.path, "/ready") })...)
+		}
+		return list
+	}
+	done := make(chan int)
+	go func() {
+		done <- in.exchange(fleet.t, head("POST", path, "Authorization: Token "+amberKey, "Content-Length: 0"), "POST")[0]
+	}()
+	eventually(fleet.t, "the first attempt waits", func() bool { return len(attempts()) == 1 })
+	change()
+	close(gate)
+	status = <-done
+	for _, r := range attempts() {
+		accounts = append(accounts, r.accounts()...)
+	}
+	slices.Sort(accounts)
+	return status, accounts
+}
+
+// Guards against work for an account that does not hold the key any more: it moves, or is removed, between two attempts
+// of a request, or accounts are switched on or off.
+func TestKeyIsLookedUpBeforeEachAttempt(t *testing.T) {
+	for name, c := range map[string]struct {
+		path     string
+		next     map[string]testAccount
+		status   int
+		accounts []string
+	}{
+		"moved":                     {"/wait/turn/x", map[string]testAccount{"amber": {Keys: []string{}}, "brass": {Keys: []string{amberKey}}}, 503, []string{"amber", "brass"}},
+		"removed, not run":          {"/wait/turn/x", map[string]testAccount{"brass": {Keys: []string{brassKey}}}, 401, []string{"amber"}},
+		"removed, may have run":     {"/safe/wait/cut/x", map[string]testAccount{"brass": {Keys: []string{brassKey}}}, 502, []string{"amber"}},
+		"accounts are switched off": {"/wait/turn/x", nil, 503, []string{"amber"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet := newTestFleet(t)
+			status, accounts := fleet.sendAcross(c.path, func() { fleet.configureAccounts(c.next) })
+			if status != c.status || !slices.Equal(slices.Compact(accounts), c.accounts) { // A hedge may have run for the first account too.
+				t.Errorf("status %d, attempts for %q; want %d and %q", status, accounts, c.status, c.accounts)
+			}
+		})
+	}
+}
+
+// Guards against a key of an older configuration, or of one that names a key twice: the configuration in force stays.
+func TestKeysOutliveRestoredStoresAndInvalidConfigurations(t *testing.T) {
+	fleet := newTestFleet(t)
+	upstream := fleet.startRawUpstream("i-1", "orders")
+	first, second := fleet.startInstance("one", "a"), fleet.startInstance("two", "a")
+	fleet.configureAccounts(testAccounts)
+	copied := fleet.store.Save()
+	fleet.configureAccounts(map[string]testAccount{"brass": {Keys: []string{amberKey}}})
+	fleet.store.Restore(copied)
+	fleet.putAccounts(map[string]testAccount{"brass": {Keys: []string{amberKey}}, "cedar": {Keys: []string{amberKey}}})
+	for _, in := range []*instance{first, second, fleet.startInstance("three", "a")} {
+		eventually(t, "served", func() bool {
+			return in.exchange(t, head("GET", "/safe/x", "Authorization: Token "+amberKey), "GET")[0] == http.StatusOK
+		})
+	}
+	for _, r := range upstream.requests() {
+		if got := r.accounts(); !slices.Equal(got, []string{"brass"}) {
+			t.Errorf("a request ran for %q, whose key is brass's", got)
+		}
+	}
+}
+
+// Guards against one account's key in a datagram between instances: configurations are passed on with digests.
+func TestKeysDoNotPassBetweenInstances(t *testing.T) {
+	fleet := newTestFleet(t)
+	in := fleet.startInstance("one", "a")
+	fleet.configureAccounts(testAccounts)
+	value := make(chan string, 1)
+	in.gateway.control.post(func() { value <- string(in.gateway.control.configValue) })
+	if got := <-value; strings.Contains(got, amberKey) || strings.Contains(got, brassKey) {
+		t.Errorf("the configuration that instances pass on holds a key:\n%s", got)
+	}
+}
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"slices"
 	"strings"
 	"time"
@@ -161,7 +162,7 @@
 func (c *control) applyConfig(now time.Time, value []byte, from changeSource) bool {
 	next, err := platform.DecodeConfig(value)
 	if err != nil {
-		c.log.Error("invalid configuration; keeping the one in force", "error", err.Error())
+		c.refuse(value, err)
 		return false
 	}
 	if c.config != nil && next.Version <= c.config.Version {
@@ -173,11 +174,21 @@
 	if !c.firstBehind.IsZero() {
 		behind = now.Sub(c.firstBehind)
 	}
-	c.log.Info("configuration in force", "version", next.Version.String(), "routes", len(next.Routes), "services", len(next.Services),
+	c.log.Info("configuration in force", "version", next.Version.String(), "routes", len(next.Routes), "services", len(next.Services), "accounts", len(next.Accounts),
 		"source", string(from), "behind_ms", behind.Milliseconds())
 	return true
 }
 
+// refuse logs and counts an invalid configuration, once however often it is read.
+func (c *control) refuse(value []byte, err error) {
+	if bytes.Equal(value, c.refusedValue) {
+		return
+	}
+	c.refusedValue = value
+	c.refusedConfigs.Add(1)
+	c.log.Error("invalid configuration; keeping the one in force", "error", err.Error())
+}
+
 // logNewWarnings logs the parts of the configuration that are not supported: each once, not again
 // with each version that still has it.
 func (c *control) logNewWarnings(warnings []string) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/damaskcove/damaskcove/coord/accounts"
 	"github.com/damaskcove/damaskcove/coord/broker"
 	"github.com/damaskcove/damaskcove/coord/dispatch"
 	"github.com/damaskcove/damaskcove/coord/following"
@@ -42,7 +43,8 @@
 // Snapshot is the control loop's state as other goroutines read it. It is immutable.
 type Snapshot struct {
 	Version    platform.ConfigVersion
-	router     *router // Nil before the first configuration.
+	router     *router             // Nil before the first configuration.
+	accounts   *accounts.Directory // Nil if the configuration has no client accounts.
 	limits     callers.Limits
 	pause      pause.Detector
 	leaving    dispatch.LeavingCounts
@@ -81,12 +83,14 @@
 	respondedAt       atomic.Pointer[time.Time] // When the store last answered a watch or read; nil if never.
 	unansweredWatches atomic.Int64              // Watches that ended without a response of the store.
 
+	refusedConfigs atomic.Int64 // Configurations that were refused as invalid.
 	brokerTimeouts atomic.Int64 // Placement requests that a broker did not answer in time.
 
 	// Owned by the loop.
 	machine         *dispatch.Machine
 	config          *platform.Config
-	configValue     []byte   // The configuration as the operator wrote it.
+	configValue     []byte   // The configuration as the operator wrote it, with digests in place of keys.
+	refusedValue    []byte   // The last value that was refused as invalid.
 	warnings        []string // About the configuration in force; they are logged already.
 	registry        *registry
 	members         *members
@@ -363,9 +367,9 @@
 		next.Version = c.config.Version
 		next.limits = limitsOf(c.config.Limits)
 		if old := c.snapshot.Load(); old.router != nil && old.Version == next.Version {
-			next.router = old.router
+			next.router, next.accounts = old.router, old.accounts
 		} else {
-			next.router = newRouter(c.config)
+			next.router, next.accounts = newRouter(c.config), newDirectory(c.config)
 		}
 	}
 	peers := make(map[string]int)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/coord/accounts"
 	"github.com/damaskcove/damaskcove/coord/following"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/internal/accept"
@@ -75,7 +76,8 @@
 	g.forwarder = forward.New(g.control)
 	g.bodies = body.NewBudget(bodyBudget(s.Instance.MemoryMB))
 	g.acceptFailures = accept.NewFailures(g.log)
-	g.handler = &handler{control: g.control, forwarder: g.forwarder, metrics: g.metrics, log: g.log, logAll: func() bool { return g.current().Log.Requests == LogAll }, mayStart: g.mayStart}
+	g.handler = &handler{control: g.control, forwarder: g.forwarder, metrics: g.metrics, log: g.log, logAll: func() bool { return g.current().Log.Requests == LogAll }, mayStart: g.mayStart,
+		bounds: func() accounts.Bounds { return g.current().Promises.bounds() }}
 	if g.server, err = callers.Listen(s.Listen.Callers, g.handler, callers.Options{
 		ObserveAccept: g.acceptFailures.Observe, Descriptors: descriptorLimit(s.Instance.MaxFDs), Use: g.otherConnections, Bodies: g.bodies,
 	}); err != nil {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/coord/accounts"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/coord/shutdown"
 	"github.com/damaskcove/damaskcove/internal/callers"
@@ -35,6 +36,7 @@
 	logAll    func() bool
 	stop      atomic.Pointer[shutdown.Plan] // Nil until a planned stop begins.
 	mayStart  func(now, deadline time.Time) bool
+	bounds    func() accounts.Bounds // Of the age of the configuration that a key is looked up in.
 }
 
 // Expects implements callers.Handler. A request that a planned stop leaves no time for is rejected before its
@@ -90,6 +92,12 @@
 		h.rejectAndLog(r, id, resp, result.CodeNoEndpoint, "route "+route.Name+" is not understood", unsupportedRouteRetryAfter)
 		return
 	}
+	identify := h.identifier(&r, route)
+	identity, unauthorized := identify()
+	if unauthorized != nil {
+		h.rejectAndLog(r, id, resp, unauthorized.Code, unauthorized.Detail, unauthorized.RetryAfter)
+		return
+	}
 	in := forward.Request{
 		ID: id, Route: route, Service: pickService(route.Split), HTTP: r.HTTP, Body: r.Body, Arrived: r.Arrived,
 		Deadline: r.Arrived.Add(route.Timeout),
@@ -97,6 +105,11 @@
 	if left, ok := platform.TimeLeft(&r.HTTP.Header); ok && left < route.Timeout {
 		in.Deadline = r.Arrived.Add(left)
 	}
+	in.Identify = func() (forward.Identity, *forward.Unauthorized) {
+		now, unauthorized := identify()
+		now.Accounts = now.Accounts || identity.Accounts // The headers of a request that was read with accounts are never sent as they are.
+		return now, unauthorized
+	}
 	in.MayStart = func(now time.Time) bool { return h.mayStart(now, in.Deadline) }
 	r.SetInfo(id, route.Name)
 	report := h.forwarder.Serve(ctx, in, resp)
@@ -114,6 +127,9 @@
 // a server error, took more than one attempt or were answered later than their route's objective.
 func (h *handler) logRequest(ctx context.Context, r *forward.Request, s *Snapshot, report forward.Report) {
 	took := time.Since(r.Arrived)
+	if report.Account != "" {
+		h.metrics.withAccount.Add(1)
+	}
 	unremarkable := report.Code == result.CodeAnswered && report.Status < fasthttp.StatusInternalServerError && len(report.Attempts) == 1 && took <= r.Route.Objective
 	if unremarkable && !h.logAll() {
 		return
@@ -125,6 +141,7 @@
 		slog.String("detail", report.Detail),
 		slog.String("route", r.Route.Name),
 		slog.String("service", r.Service),
+		slog.String("account", report.Account),
 		slog.String("version", s.Version.String()),
 		slog.Int64("ms", took.Milliseconds()),
 		slog.Bool("caller_left", ctx.Err() != nil),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,7 @@
 	latency *hdrhistogram.Histogram // Milliseconds.
 
 	credentials atomic.Int64 // Requests that carried a credential.
+	withAccount atomic.Int64 // Requests that were sent to an upstream for a client account.
 
 	cutOff atomic.Int64 // Requests without a complete answer at the end of a planned stop.
 }
