internal/callers: rejections quote no value, trailers set nothing that is read from the head

Cause: the answer and the log of a request that cannot be read had fasthttp's error with a part of its head, or the value of a length or coding. Fields of a trailer were merged into the head: a trailer could set the request id, the deadline and the account's name, also by a name that begins with "0", of which fasthttp skips three bytes. Trailers were not checked for blanks in names, folds, bare carriage returns and line feeds.

Change: errors name a line or a field alone. Trailers are checked like heads, have the bound of the head (431) and lose the fields that Options.DropTrailer names; platform.IsReadFromHead lists those that the instance reads from the head. A request whose trailer breaks off is not served. Other fields of trailers are merged as before.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -256,7 +256,7 @@
 // readRequest reads a request whose head is buffered and reports whether it is complete.
 func (c *conn) readRequest(req *fasthttp.Request, limits Limits) (*body.Body, bool) {
 	if err := req.Header.Read(c.br); err != nil {
-		c.reject(result.CodeMalformedRequest, err.Error())
+		c.reject(result.CodeMalformedRequest, errRequestLine.Error()) // The error quotes the head.
 		return nil, false
 	}
 	if req.Header.ContentLength() > limits.BodyBytes {
@@ -268,7 +268,7 @@
 		return nil, false
 	}
 	c.awaitBody(bodyTimeout)
-	payload, err := c.readBody(req, max(limits.BodyBytes, 1))
+	payload, err := c.readBody(req, limits)
 	switch {
 	case err == nil:
 		return payload, true
@@ -276,6 +276,8 @@
 		c.reject(result.CodeBodiesFull, err.Error())
 	case errors.Is(err, body.ErrTooLarge):
 		c.reject(result.CodeBodyTooLarge, err.Error())
+	case errors.Is(err, errTrailerSize):
+		c.reject(result.CodeHeadTooLarge, err.Error())
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.server.ending.Load():
 		c.reject(result.CodeStopping, "")
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -288,8 +290,8 @@
 	return nil, false
 }
 
-// readBody reads the body of a request, of at most limit bytes, as its head announces it.
-func (c *conn) readBody(req *fasthttp.Request, limit int) (*body.Body, error) {
+// readBody reads the body of a request, and its trailer, as its head announces them.
+func (c *conn) readBody(req *fasthttp.Request, limits Limits) (*body.Body, error) {
 	size := req.Header.ContentLength() // Negative: chunked, or no body.
 	chunked := size == chunkedLength
 	if size <= 0 && !chunked {
@@ -299,11 +301,11 @@
 	if chunked {
 		reader.r = httputil.NewChunkedReader(c.br)
 	}
-	payload, err := c.server.options.Bodies.Read(reader, size, limit, c.interruptBody)
+	payload, err := c.server.options.Bodies.Read(reader, size, max(limits.BodyBytes, 1), c.interruptBody)
 	if err != nil || !chunked {
 		return payload, err
 	}
-	if err := req.Header.ReadTrailer(c.br); err != nil && err != io.EOF {
+	if err := c.readTrailer(&req.Header, limits.HeadBytes); err != nil {
 		payload.Release()
 		return nil, err
 	}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -86,10 +86,11 @@
 
 // Options configure a Server. The zero value sets no limits.
 type Options struct {
-	ObserveAccept accept.Observer      // Told of accepts that fail and are tried again.
-	Descriptors   int                  // File descriptors that the process may have open; 0: no limit.
-	Use           func() admission.Use // Counts the other connections of the process.
-	Bodies        *body.Budget         // Bounds the bytes of bodies in service; nil: no limit.
+	ObserveAccept accept.Observer        // Told of accepts that fail and are tried again.
+	Descriptors   int                    // File descriptors that the process may have open; 0: no limit.
+	Use           func() admission.Use   // Counts the other connections of the process.
+	Bodies        *body.Budget           // Bounds the bytes of bodies in service; nil: no limit.
+	DropTrailer   func(name string) bool // Whether a field of a trailer, whose name has any letter case, is dropped; nil: none is.
 }
 
 // Listen listens on an IP number and port.
