--- a/coord/confirmation/confirmation_test.go
+++ b/coord/confirmation/confirmation_test.go
@@ -29,8 +29,8 @@
 		"late and duplicated": {func(t *Tracker) {
 			t.InForce(7)
 			t.Confirm(18*time.Second, 7)
-			t.Confirm(15*time.Second, 7)
 			t.Confirm(18*time.Second, 7)
+			t.Confirm(15*time.Second, 7)
 		}, 2 * time.Second},
 		"not in force yet":      {func(t *Tracker) { t.InForce(7); t.Confirm(10*time.Second, 7); t.Confirm(18*time.Second, 8) }, 10 * time.Second},
 		"in force after it":     {func(t *Tracker) { t.InForce(7); t.Confirm(18*time.Second, 8); t.InForce(8) }, 2 * time.Second},
@@ -40,6 +40,7 @@
 			t.InForce(7)
 			t.Confirm(10*time.Second, 7)
 			t.Heard(11*time.Second, 9)
+			t.Heard(12*time.Second, 7)
 			t.Confirm(18*time.Second, 8)
 		}, 10 * time.Second},
 		"until that is in force": {func(t *Tracker) {
