Setting promises.revoke_within

The operator bounds how long a removed key may work; the setting was unknown, and the template did not fill it in. It is validated like the other times, and 0 or absence means no bound. The tests of the settings and of the template cover it.

--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -54,6 +54,7 @@
 	DrainWithin  time.Duration `toml:"drain_within"`  // From an upstream's draining to its last new request.
 	StopWithin   time.Duration `toml:"stop_within"`   // From SIGTERM to the end of the process.
 	DiscoveryTTL time.Duration `toml:"discovery_ttl"` // How long callers may keep a discovery answer.
+	RevokeWithin time.Duration `toml:"revoke_within"` // From the acceptance of a configuration without a key to the last request with it that runs; 0: no such bound.
 }
 
 // schedule returns the schedule of a follower of the store, for the time in which changes must take effect.
@@ -141,6 +142,9 @@
 	checkDuration(c, "promises.drain_within", s.Promises.DrainWithin)
 	checkDuration(c, "promises.stop_within", s.Promises.StopWithin)
 	checkDuration(c, "promises.discovery_ttl", s.Promises.DiscoveryTTL)
+	if s.Promises.RevokeWithin != 0 {
+		checkDuration(c, "promises.revoke_within", s.Promises.RevokeWithin)
+	}
 	checkDuration(c, "retry.window", s.Retry.Window)
 	if s.Retry.Ratio < 0 || s.Retry.Ratio > 1 {
 		c.Add("retry.ratio", tomlfile.FormatValue(s.Retry.Ratio), "must be from 0 to 1")
--- a/internal/gateway/unit_test.go
+++ b/internal/gateway/unit_test.go
@@ -63,6 +63,7 @@
 floor_share = 1.5
 [promises]
 drain_within = "1h1s"
+revoke_within = "-1s"
 [log]
 requests = "some"
 `))
@@ -70,7 +71,7 @@
 	if !errors.As(err, &faults) {
 		t.Fatalf("got %v", err)
 	}
-	for _, key := range []string{"instance.id", "instance.link_mbps", "instance.colour", "listen.callers", "listen.ready", "store.address", "retry.ratio", "place.floor_share", "promises.drain_within", "log.requests"} {
+	for _, key := range []string{"instance.id", "instance.link_mbps", "instance.colour", "listen.callers", "listen.ready", "store.address", "retry.ratio", "place.floor_share", "promises.drain_within", "promises.revoke_within", "log.requests"} {
 		if !slices.ContainsFunc(faults.Fields, func(f tomlfile.FieldError) bool { return f.Key == key }) {
 			t.Errorf("no error about %s in\n%v", key, err)
 		}
@@ -286,6 +287,7 @@
 	}
 	all := map[string]string{
 		"region": `"r"`, "bootstrap": "true", "limits.link_mbps": "200.0", "bounds.config_apply": `"2000ms"`, "bounds.drain": `"2.5s"`, "bounds.grace": `"6s"`,
+		"bounds.strict_revocation": "true", "bounds.revoke": `"5s"`,
 		"bounds.retry_window": `"10s"`, "bounds.retry_budget_ratio": "0.25", "bounds.retry_extra": "62", "bounds.floor_share": "0.6",
 	}
 	maps.Copy(all, least)
@@ -307,7 +309,7 @@
 			t.Errorf("%s: %v", name, err)
 			continue
 		}
-		if s.Listen.Peers != "10.1.0.34:7540" || s.Retry != tc.retry || s.Promises.DrainWithin != tc.drain || s.Place.FloorShare != tc.floor || s.Instance.LinkMbps != tc.link || s.Instance.FirstStart != (name != "least") {
+		if s.Listen.Peers != "10.1.0.34:7540" || s.Retry != tc.retry || s.Promises.DrainWithin != tc.drain || s.Place.FloorShare != tc.floor || s.Instance.LinkMbps != tc.link || s.Instance.FirstStart != (name != "least") || (s.Promises.RevokeWithin == 5*time.Second) != (name != "least") {
 			t.Errorf("%s: got %+v", name, s)
 		}
 	}
