Instances confirm the age of their configuration

An instance did not know how old its configuration may be. It now confirms it by its reads and watches of the store, dated by the time at which they were sent and counted once their changes are applied. An instance whose confirmation is too old asks followers of its zone, and other zones when their replies do not come or do not help. Only deployments with accounts ask, reply and watch more often; until the configuration carries accounts, none does.

A watch that returns no changes although the revision has advanced confirms nothing, and the store is read again.

Tests: nine instances of three zones, a third of which has no store for 9 s; all without the store; a copy of an older configuration at a start; watches without events.

--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -143,6 +143,9 @@
 	if at := g.control.respondedAt.Load(); at != nil {
 		gauges["store_response_age_ms"] = time.Since(*at).Milliseconds()
 	}
+	if age, known := g.control.configurationAge(); known {
+		gauges["configuration_age_ms"] = age.Milliseconds()
+	}
 	bodies := g.bodies.Counts()
 	gauges["bodies_bytes"], gauges["bodies_peak_bytes"], gauges["bodies_limit_bytes"] = bodies.Reserved, bodies.Peak, bodies.Limit
 	gauges["bodies_refused"], gauges["bodies_yielded"] = bodies.Refused, bodies.Yielded
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -16,6 +16,7 @@
 	"github.com/damaskcove/damaskcove/coord/outlook"
 	"github.com/damaskcove/damaskcove/coord/pause"
 	"github.com/damaskcove/damaskcove/coord/retrybudget"
+	"github.com/damaskcove/damaskcove/internal/boottime"
 	"github.com/damaskcove/damaskcove/internal/callers"
 	"github.com/damaskcove/damaskcove/internal/forward"
 	"github.com/damaskcove/damaskcove/platform"
@@ -80,6 +81,10 @@
 	preferredFollower atomic.Bool   // This instance would have to follow the store if the store rejected none.
 
 	schedule          func() following.Schedule
+	promises          func() PromiseSettings
+	clock             func() time.Duration      // Includes the time that the machine spent suspended.
+	accountsEnabled   atomic.Bool               // By the configuration in force.
+	confirmedAt       atomic.Int64              // Time of clock from which the age of the configuration in force counts, or notConfirmed.
 	respondedAt       atomic.Pointer[time.Time] // When the store last answered a watch or read; nil if never.
 	unansweredWatches atomic.Int64              // Watches that ended without a response of the store.
 
@@ -106,6 +111,7 @@
 	followPolicy    *following.Machine
 	following       bool // This instance follows the store, and its last call succeeded; isFollowing tells what is reported to others.
 	placement       placementClient
+	confirmations   confirmations
 	broker          *brokerState // Nil until the first placement request.
 
 	coordinators       []broker.Instance            // Of this zone; empty in a small fleet.
@@ -138,12 +144,16 @@
 		done:          make(chan struct{}),
 		dropIdle:      func() {},
 		schedule:      s.Promises.schedule,
+		promises:      func() PromiseSettings { return s.Promises },
+		clock:         boottime.Now,
+		confirmations: newConfirmations(),
 		followChanged: make(chan struct{}, 1),
 		deregistered:  make(chan struct{}, 1),
 		placement:     newPlacementClient(),
 		registry:      newRegistry(log),
 		members:       newMembers(s.Instance.ID, s.Instance.Zone, log),
 	}
+	c.confirmedAt.Store(notConfirmed)
 	c.machine = dispatch.New(c.dispatchConfig(), c.countingSince(time.Now()), rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	c.snapshot.Store(&Snapshot{limits: limitsOf(platform.DefaultLimits), peerRoutes: &peerRoutes{}})
 	c.relay = newRelay(socket.send, func() []netip.AddrPort { return c.snapshot.Load().peerRoutes.zone })
@@ -178,6 +188,8 @@
 	defer close(c.done)
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	ask := time.NewTicker(confirmationInterval)
+	defer ask.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -187,6 +199,8 @@
 			command()
 		case <-tick.C:
 			c.tick(time.Now())
+		case <-ask.C:
+			c.tickConfirmation(time.Now())
 		}
 		c.logNotices()
 		c.collectReports()
@@ -378,6 +392,7 @@
 	}
 	c.machine.SetPeers(peers)
 	c.snapshot.Store(next)
+	c.publishConfirmation()
 }
 
 func limitsOf(l platform.Limits) callers.Limits {
@@ -389,6 +404,7 @@
 	if m.From == c.peer {
 		return
 	}
+	c.confirmations.tracker.Heard(c.clock(), uint32(m.Config))
 	if c.members.recordMessage(now, m) {
 		c.updateFollowing(now)
 		if c.isCoordinator() {
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -143,7 +143,7 @@
 
 // readAll reads all keys and posts them to the control loop.
 func (f *follower) readAll(ctx context.Context) (platform.Revision, error) {
-	requestedAt := time.Now()
+	requestedAt, sentAt := time.Now(), f.control.clock()
 	items, at, err := f.store.Range(ctx, allKeys, readTimeout)
 	if err != nil {
 		return 0, err
@@ -152,6 +152,7 @@
 	f.control.post(func() {
 		f.control.pause.Refreshed(requestedAt)
 		f.control.applyFullRead(time.Now(), items, at)
+		f.control.confirmRead(time.Now(), sentAt, 0, at)
 	})
 	return at, nil
 }
@@ -201,7 +202,10 @@
 // watchOnce waits for changes after a revision, delivers them, and then waits while further changes
 // collect in the store. A watch that outlasts the schedule's limit fails: its response was lost.
 func (f *follower) watchOnce(ctx context.Context, after platform.Revision) (platform.Revision, error) {
-	schedule, start := f.control.schedule(), time.Now()
+	schedule, start, sentAt := f.control.schedule(), time.Now(), f.control.clock()
+	if f.control.hasAccounts() {
+		schedule.Wait = f.control.promises().watchWait()
+	}
 	watchCtx, cancel := context.WithTimeout(ctx, schedule.WatchLimit())
 	defer cancel()
 	items, at, err := f.store.Watch(watchCtx, allKeys, after, schedule.Wait)
@@ -211,8 +215,10 @@
 	}
 	f.control.recordStoreResponse()
 	if len(items) > 0 {
-		f.deliver(items, after, at, sourceWatch)
+		f.deliver(items, after, at, sourceWatch, sentAt)
 		sleep(ctx, schedule.Batch)
+	} else if at <= after { // Else it lacks changes.
+		f.control.post(func() { f.control.confirmRead(time.Now(), sentAt, after, after) })
 	}
 	return max(after, at), nil
 }
@@ -228,13 +234,17 @@
 }
 
 // deliver posts changes to the control loop, which forwards them to the zone if this instance is
-// to follow the store.
-func (f *follower) deliver(items []platform.Item, after, at platform.Revision, from changeSource) {
+// to follow the store. The call that returned them was sent at sentAt.
+func (f *follower) deliver(items []platform.Item, after, at platform.Revision, from changeSource, sentAt time.Duration) {
 	f.control.post(func() {
 		if f.control.shouldFollow.Load() {
 			f.control.forwardChanges(items, after, at)
 		}
+		complete := after <= f.control.revision && (len(items) > 0 || at <= after)
 		f.control.applyChanges(time.Now(), items, at, from)
+		if complete {
+			f.control.confirmRead(time.Now(), sentAt, after, at)
+		}
 	})
 }
 
@@ -258,12 +268,13 @@
 func (f *follower) readMissed(ctx context.Context, after platform.Revision) (platform.Revision, error) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	sentAt := f.control.clock()
 	items, at, err := f.store.Watch(readCtx, allKeys, after, missedWatchWait)
 	if err != nil {
 		return after, err
 	}
 	f.control.recordStoreResponse()
-	f.deliver(items, after, at, sourceMissed)
+	f.deliver(items, after, at, sourceMissed, sentAt)
 	return max(after, at), nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 	g.store = platform.NewStore(s.Store.Address)
 	g.control = newControl(s, g.log, g.socket)
 	g.control.schedule = g.schedule
+	g.control.promises = func() PromiseSettings { return g.current().Promises }
 	g.forwarder = forward.New(g.control)
 	g.bodies = body.NewBudget(bodyBudget(s.Instance.MemoryMB))
 	g.acceptFailures = accept.NewFailures(g.log)
@@ -236,6 +237,10 @@
 		decodeAndPost(g, data, g.control.handleHandover)
 	case datagramConfigRequest:
 		decodeAndPost(g, data, g.control.handleConfigRequest)
+	case datagramConfirmationRequest:
+		decodeAndPost(g, data, g.control.handleConfirmationRequest)
+	case datagramConfirmationReply:
+		decodeAndPost(g, data, g.control.handleConfirmationReply)
 	default:
 		g.handleMessages(data)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -37,6 +37,7 @@
 	brokersFrom  int              // place.brokers_from of the instances; 0 for the default.
 	stopWithin   time.Duration    // promises.stop_within of the instances; 0 for 4 s.
 	discoveryTTL time.Duration    // promises.discovery_ttl of the instances; 0 for 200 ms.
+	revokeWithin time.Duration    // promises.revoke_within of the instances; 0 for none.
 	noStopBefore func() time.Time // Nil: a stop counts from its signal's effect.
 }
 
@@ -133,6 +134,9 @@
 	if fleet.memoryMB > 0 {
 		text = strings.Replace(text, "[listen]", fmt.Sprintf("memory_mb = %d\n[listen]", fleet.memoryMB), 1)
 	}
+	if fleet.revokeWithin > 0 {
+		text = strings.Replace(text, "[place]", fmt.Sprintf("revoke_within = %q\n[place]", fleet.revokeWithin.String()), 1)
+	}
 	path := filepath.Join(fleet.t.TempDir(), id+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		fleet.t.Fatal(err)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -32,19 +32,21 @@
 
 // Kinds of datagram, by the first byte. Only datagramRelay and datagramRelayNow are forwarded.
 const (
-	datagramMessages         byte = iota // One or more of message.
-	datagramRelay                        // A message, to be forwarded to all instances of the receiver's zone.
-	datagramRelayNow                     // The same, without waiting for other messages.
-	datagramChanges                      // A changeBatch.
-	datagramFragment                     // A fragment of a changeBatch.
-	datagramResendRequest                // A resendRequest.
-	datagramLiveness                     // A livenessReport.
-	datagramPlacementRequest             // A placementRequest.
-	datagramPlacementReply               // A placementReply.
-	datagramGrantEnd                     // A grantEnd.
-	datagramHandoverRequest              // A handoverRequest.
-	datagramHandover                     // A dispatch.Handover.
-	datagramConfigRequest                // A configRequest.
+	datagramMessages            byte = iota // One or more of message.
+	datagramRelay                           // A message, to be forwarded to all instances of the receiver's zone.
+	datagramRelayNow                        // The same, without waiting for other messages.
+	datagramChanges                         // A changeBatch.
+	datagramFragment                        // A fragment of a changeBatch.
+	datagramResendRequest                   // A resendRequest.
+	datagramLiveness                        // A livenessReport.
+	datagramPlacementRequest                // A placementRequest.
+	datagramPlacementReply                  // A placementReply.
+	datagramGrantEnd                        // A grantEnd.
+	datagramHandoverRequest                 // A handoverRequest.
+	datagramHandover                        // A dispatch.Handover.
+	datagramConfigRequest                   // A configRequest.
+	datagramConfirmationRequest             // A confirmationRequest.
+	datagramConfirmationReply               // A confirmationReply.
 )
 
 const (
