Tests and design note: confirmation replies and the instances that are asked

Late, repeated, unexpected and implausible replies, an age that includes a suspension, and the order of the instances that are asked. They pass with the race detector.

--- a/internal/gateway/confirmation_test.go
+++ b/internal/gateway/confirmation_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"log/slog"
+	"math"
 	"os"
 	"strings"
 	"testing"
@@ -143,3 +145,78 @@
 		return in.isConfirmed() && in.gateway.control.snapshot.Load().Version == platform.ConfigVersion(fleet.version)
 	})
 }
+
+func TestConfirmationReplies(t *testing.T) {
+	const sent, now = 10 * time.Second, 14 * time.Second
+	for name, tc := range map[string]struct {
+		replies []confirmationReply
+		want    time.Duration // Age at now; 0 if it is not known.
+	}{
+		"late":                  {[]confirmationReply{{Nonce: 1, Version: 5, AgeMillis: 500}}, 4500 * time.Millisecond},
+		"twice":                 {[]confirmationReply{{Nonce: 1, Version: 5, AgeMillis: 500}, {Nonce: 1, Version: 5}}, 4500 * time.Millisecond},
+		"of two instances":      {[]confirmationReply{{Nonce: 2, Version: 5, AgeMillis: 300}, {Nonce: 1, Version: 4, AgeMillis: 500}}, 4300 * time.Millisecond},
+		"to nothing asked":      {[]confirmationReply{{Nonce: 3, Version: 5}}, 0},
+		"of a later version":    {[]confirmationReply{{Nonce: 1, Version: 6}}, 0},
+		"of an impossible age":  {[]confirmationReply{{Nonce: 1, Version: 5, AgeMillis: math.MaxUint64}}, 0},
+		"of an earlier version": {[]confirmationReply{{Nonce: 1, Version: 4, AgeMillis: 1}}, 4001 * time.Millisecond},
+	} {
+		s := DefaultSettings()
+		c := newControl(&s, slog.New(slog.DiscardHandler), nil)
+		c.clock = func() time.Duration { return now }
+		c.confirmations.tracker.InForce(5)
+		c.confirmations.asks = []confirmationAsk{{nonce: 1, at: sent}, {nonce: 2, at: sent}}
+		for _, reply := range tc.replies {
+			data, err := encodeKind(datagramConfirmationReply, reply)
+			if err != nil {
+				t.Fatal(err)
+			}
+			decoded, err := decodeKind[confirmationReply](data[1:])
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.handleConfirmationReply(time.Now(), decoded)
+		}
+		if age, known := c.configurationAge(); known != (tc.want > 0) || age != tc.want {
+			t.Errorf("%s: age %v, known: %t, want %v", name, age, known, tc.want)
+		}
+		const suspended = time.Minute
+		c.clock = func() time.Duration { return now + suspended }
+		if age, known := c.configurationAge(); known && age != tc.want+suspended {
+			t.Errorf("%s: age %v after a suspension", name, age)
+		}
+	}
+}
+
+func TestConfirmersAreNearFollowersFirst(t *testing.T) {
+	now := time.Now()
+	m := newMembers("self", "a", slog.New(slog.DiscardHandler))
+	add := func(name, zone string, following, leaving bool) {
+		m.byKey[name] = &member{memberRecord: memberRecord{CallerAddr: name, Zone: zone}, key: name, lastSeen: now, following: following, leaving: leaving}
+	}
+	add("far 1", "b", true, false)
+	add("far 2", "c", true, false)
+	add("idle", "a", false, false)
+	add("leaving", "a", true, true)
+	want := func(far bool, kinds string) {
+		t.Helper()
+		var got []string
+		for _, e := range m.confirmers(now, far) {
+			got = append(got, strings.Fields(e.CallerAddr)[0])
+		}
+		if strings.Join(got, " ") != kinds {
+			t.Errorf("far %t: got %v, want %s", far, got, kinds)
+		}
+	}
+	want(false, "far far")
+	add("near 1", "a", true, false)
+	want(false, "near")
+	want(true, "near far")
+	add("near 2", "a", true, false)
+	want(false, "near near")
+	want(true, "near far")
+	m.drop("far 1")
+	m.drop("far 2")
+	want(true, "near idle")
+	clear(m.byKey)
+	want(true, "")
+}
