Reads confirm nothing after changes that a watch has passed over

A later change raised the revision over one that a watch had left out, and the next watch would have confirmed a configuration without it. A gap is now remembered until a full read is applied, which is requested. The new test of the gap and those of confirmations pass with the race detector.

--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -53,6 +53,7 @@
 	tracker   *confirmation.Tracker
 	asks      []confirmationAsk // In the order of their times.
 	heldSince time.Time         // When the tracker began to hold the reads of a restored store.
+	gap       bool              // Changes of the store may not be applied although later ones are.
 
 	confirmedOnce bool
 	lostAt        time.Duration // When the age passed its bound, as logged; zero while it has not.
@@ -107,14 +108,24 @@
 	return 2*p.watchWait() + 2*confirmationInterval
 }
 
+// noticeGap records that changes after a revision are about to be applied. If those up to it are not applied, a watch
+// has passed over some without returning them.
+func (c *control) noticeGap(after platform.Revision) {
+	if after > c.revision {
+		c.confirmations.gap = true
+	}
+}
+
 // confirmRead records that the changes of the store up to a revision are applied, as a read has returned that was sent
-// at a time. A read of the changes after a revision shows nothing if those up to that one are not applied; a full read
-// follows revision 0.
-func (c *control) confirmRead(now time.Time, sentAt time.Duration, after, at platform.Revision) {
-	if at.Era() < c.revision.Era() {
-		return
+// at a time. After a gap, reads confirm nothing until a full one is applied, which it requests.
+func (c *control) confirmRead(now time.Time, sentAt time.Duration, at platform.Revision, full bool) {
+	if full && at >= c.revision {
+		c.confirmations.gap = false
 	}
-	if after > c.revision {
+	switch {
+	case at.Era() < c.revision.Era():
+		return
+	case c.confirmations.gap:
 		if c.hasAccounts() {
 			c.requestResync(true)
 		}
--- a/internal/gateway/confirmation_test.go
+++ b/internal/gateway/confirmation_test.go
@@ -220,3 +220,22 @@
 	clear(m.byKey)
 	want(true, "")
 }
+
+// Guards against a later change that hides one that a watch has passed over.
+func TestChangesAfterAGapConfirmNothing(t *testing.T) {
+	s := DefaultSettings()
+	c := newControl(&s, slog.New(slog.DiscardHandler), nil)
+	c.revision = 4
+	c.noticeGap(5)
+	c.revision = 6
+	for i, step := range []struct {
+		at   platform.Revision
+		full bool
+		want bool
+	}{{6, false, false}, {5, true, false}, {6, true, true}, {7, false, true}} {
+		c.confirmRead(time.Now(), c.clock(), step.at, step.full)
+		if _, known := c.configurationAge(); known != step.want {
+			t.Errorf("step %d: confirmed: %t", i, known)
+		}
+	}
+}
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -152,7 +152,7 @@
 	f.control.post(func() {
 		f.control.pause.Refreshed(requestedAt)
 		f.control.applyFullRead(time.Now(), items, at)
-		f.control.confirmRead(time.Now(), sentAt, 0, at)
+		f.control.confirmRead(time.Now(), sentAt, at, true)
 	})
 	return at, nil
 }
@@ -218,7 +218,10 @@
 		f.deliver(items, after, at, sourceWatch, sentAt)
 		sleep(ctx, schedule.Batch)
 	} else if at <= after { // Else it lacks changes.
-		f.control.post(func() { f.control.confirmRead(time.Now(), sentAt, after, after) })
+		f.control.post(func() {
+			f.control.noticeGap(after)
+			f.control.confirmRead(time.Now(), sentAt, after, false)
+		})
 	}
 	return max(after, at), nil
 }
@@ -240,10 +243,10 @@
 		if f.control.shouldFollow.Load() {
 			f.control.forwardChanges(items, after, at)
 		}
-		complete := after <= f.control.revision && (len(items) > 0 || at <= after)
+		f.control.noticeGap(after)
 		f.control.applyChanges(time.Now(), items, at, from)
-		if complete {
-			f.control.confirmRead(time.Now(), sentAt, after, at)
+		if len(items) > 0 || at <= after {
+			f.control.confirmRead(time.Now(), sentAt, at, false)
 		}
 	})
 }
