Keys are decided on by the age of the configuration

Cause: the age counted as zero, so that an instance that had lost the store called keys unknown that it had not learned of, and went on with removed ones.

Change: the authentication takes the age that the instance's reads or other instances confirm: an unknown key is answered 401 up to promises.apply_within and 503 beyond; with promises.revoke_within a known one is not accepted beyond that.

--- a/internal/gateway/accounts_test.go
+++ b/internal/gateway/accounts_test.go
@@ -126,8 +126,10 @@
 	fleet.t.Helper()
 	fleet.putAccounts(accounts)
 	version := fleet.version
-	eventually(fleet.t, "the configuration is in force", func() bool {
-		return !slices.ContainsFunc(fleet.instances, func(in *instance) bool { return int(in.gateway.control.snapshot.Load().Version) < version })
+	eventually(fleet.t, "the configuration is in force and confirmed", func() bool {
+		return !slices.ContainsFunc(fleet.instances, func(in *instance) bool {
+			return int(in.gateway.control.snapshot.Load().Version) < version || !in.isConfirmed()
+		})
 	})
 }
 
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -169,7 +169,7 @@
 		return false
 	}
 	c.config, c.configValue, c.olderConfigAt = next, value, time.Time{}
-	c.accountsEnabled.Store(enablesAccounts(next))
+	c.accountsEnabled.Store(next.HasAccounts)
 	c.confirmations.tracker.InForce(uint32(next.Version))
 	c.logNewWarnings(next.Warnings)
 	behind := time.Duration(0)
--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -40,11 +40,12 @@
 func (h *handler) identifier(r *callers.Request, route platform.Route) func() (forward.Identity, *forward.Unauthorized) {
 	digest, state := platform.Credential(&r.HTTP.Header)
 	return func() (forward.Identity, *forward.Unauthorized) {
+		var age accounts.Age
+		age.Age, age.Known = h.control.configurationAge() // Before the snapshot: a later one may be confirmed at a later time.
 		s := h.control.snapshot.Load()
 		if s.accounts == nil {
 			return forward.Identity{}, nil
 		}
-		age := h.control.configurationAge()
 		account, outcome := s.accounts.Authenticate(route.Anonymous, credentialStates[state], digest, age, h.bounds())
 		if outcome != accounts.Accepted {
 			return forward.Identity{Accounts: true}, unauthorized(s.Version, digest, age, outcome)
@@ -91,7 +92,5 @@
 
 // bounds returns the promises that decide on a request whose key is not known, or may have been removed.
 func (p PromiseSettings) bounds() accounts.Bounds {
-	return accounts.Bounds{ApplyWithin: p.ApplyWithin}
+	return accounts.Bounds{ApplyWithin: p.ApplyWithin, RevokeWithin: p.RevokeWithin}
 }
-
-func (c *control) configurationAge() accounts.Age { return accounts.Age{Known: true} }
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -68,11 +68,6 @@
 	return c.accountsEnabled.Load()
 }
 
-// enablesAccounts reports whether a configuration enables client accounts.
-func enablesAccounts(*platform.Config) bool {
-	return false
-}
-
 // configurationAge returns the age of the configuration in force: the store held it, or an earlier one, at some time
 // since. known is false while nothing confirms it; then no key may be accepted. Any goroutine may call it. A caller
 // has to do so before it loads the snapshot, since a later configuration may be confirmed at a later time.
