An answer that ends with its connection needs one without an error

Cause: a failed write takes the error that the kernel holds for a socket, so that the read after it sees a plain end of the stream; so does a read after a FIN that a reset has followed. A body that only the end of the connection marks was complete then.

Change: a connection keeps whether any call failed, and asks for a pending error at the end of such a body. A connection whose request was not written completely is not reusable, whatever its answer says.

The test of a FIN and a reset in internal/httpconn fails without the query.

--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -75,7 +75,7 @@
 
 // put returns a connection to the pool after an answer, or closes it if it cannot be reused.
 func (p *pool) put(t target, conn *httpconn.Conn, resp *fasthttp.Response, now time.Time) {
-	if resp.ConnectionClose() || !conn.FullyRead() || conn.SetKeepAlive(true) != nil {
+	if resp.ConnectionClose() || !conn.Reusable() || conn.SetKeepAlive(true) != nil {
 		_ = conn.Close()
 		return
 	}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -36,6 +36,8 @@
 	ErrTimedOut = errors.New("no complete answer before the deadline")
 	// ErrClosed is returned when the peer has closed an idle connection.
 	ErrClosed = errors.New("the connection was closed while idle")
+	// ErrNoEnd is returned for an answer that ends with its connection, if the connection was broken.
+	ErrNoEnd = errors.New("the answer ends with its connection, and the connection was broken")
 )
 
 // Conn is a client connection that carries one request at a time. Only Close is safe for concurrent
@@ -47,6 +49,7 @@
 	bw      *bufio.Writer
 	watched chan struct{} // Closed when WatchIdle's goroutine has ended; nil if there is none.
 	closed  atomic.Bool
+	broken  atomic.Bool // A call other than a read has failed or found the connection closed.
 }
 
 // open counts the open connections of the process.
@@ -102,10 +105,14 @@
 	if c.br.Buffered() > 0 {
 		return ErrUnsolicitedData
 	}
+	if c.broken.Load() {
+		return ErrClosed
+	}
 	switch sockpeek.Peek(c.conn) {
 	case sockpeek.Readable:
 		return ErrUnsolicitedData
 	case sockpeek.Closed:
+		c.broken.Store(true)
 		return ErrClosed
 	default:
 		return nil
@@ -123,6 +130,9 @@
 	c.watched = watched
 	go func() {
 		state := sockpeek.Wait(c.conn)
+		if state == sockpeek.Closed {
+			c.broken.Store(true)
+		}
 		close(watched)
 		if state == sockpeek.Readable || state == sockpeek.Closed {
 			unusable()
@@ -150,32 +160,21 @@
 		return nil
 	}
 	if err := tcp.SetKeepAlive(on); err != nil {
+		c.broken.Store(true)
 		return fmt.Errorf("set keep-alive: %w", err)
 	}
 	return nil
 }
 
 // Send writes a request. sent reports whether any byte of it may have been sent. deadline also applies
-// to reading the answer.
+// to reading the answer, which may be complete even if the request could not be written.
 func (c *Conn) Send(req *fasthttp.Request, deadline time.Time) (sent bool, err error) {
-	if err := c.conn.SetDeadline(deadline); err != nil {
-		return false, fmt.Errorf("set the deadline of a connection: %w", err)
-	}
-	if err := req.Write(c.bw); err != nil {
-		return true, fmt.Errorf("write a request: %w", err)
-	}
-	if err := c.bw.Flush(); err != nil {
-		return true, fmt.Errorf("write a request: %w", err)
-	}
-	return true, nil
+	return c.send(deadline, func() error { return req.Write(c.bw) })
 }
 
 // SendBody is Send for a request whose body is in segments, which are not modified. It sets the length in
 // the header.
 func (c *Conn) SendBody(header *fasthttp.RequestHeader, body [][]byte, deadline time.Time) (sent bool, err error) {
-	if err := c.conn.SetDeadline(deadline); err != nil {
-		return false, fmt.Errorf("set the deadline of a connection: %w", err)
-	}
 	size := 0
 	for _, segment := range body {
 		size += len(segment)
@@ -183,23 +182,44 @@
 	if size > 0 || !header.IsGet() && !header.IsHead() {
 		header.SetContentLength(size)
 	}
-	if err := header.Write(c.bw); err != nil {
-		return true, fmt.Errorf("write a request: %w", err)
-	}
-	for _, segment := range body {
-		if _, err := c.bw.Write(segment); err != nil {
-			return true, fmt.Errorf("write a request: %w", err)
+	return c.send(deadline, func() error {
+		if err := header.Write(c.bw); err != nil {
+			return err
+		}
+		for _, segment := range body {
+			if _, err := c.bw.Write(segment); err != nil {
+				return err
+			}
 		}
+		return nil
+	})
+}
+
+// send runs write and flushes what it wrote.
+func (c *Conn) send(deadline time.Time, write func() error) (sent bool, err error) {
+	if err := c.conn.SetDeadline(deadline); err != nil {
+		c.broken.Store(true)
+		return false, fmt.Errorf("set the deadline of a connection: %w", err)
+	}
+	if err = write(); err == nil {
+		err = c.bw.Flush()
 	}
-	if err := c.bw.Flush(); err != nil {
+	if err != nil {
+		c.broken.Store(true) // A failed write takes the socket's error, so that no read returns it.
 		return true, fmt.Errorf("write a request: %w", err)
 	}
 	return true, nil
 }
 
-// FullyRead reports whether no received data is left in the buffer after an answer.
-func (c *Conn) FullyRead() bool {
-	return c.br.Buffered() == 0
+// Reusable reports whether another request may be sent after an answer: the former one was written completely, and
+// nothing follows its answer in the buffer.
+func (c *Conn) Reusable() bool {
+	return !c.broken.Load() && c.br.Buffered() == 0
+}
+
+// endedCleanly reports whether the peer has closed the connection without a reset, after a read returned io.EOF.
+func (c *Conn) endedCleanly() bool {
+	return !c.broken.Load() && sockpeek.PendingError(c.conn) == nil
 }
 
 // Close closes the connection and aborts a running Send or Receive.
--- a/internal/httpconn/receive.go
+++ b/internal/httpconn/receive.go
@@ -56,7 +56,7 @@
 // Body is the body of an answer that was not buffered completely: first the buffered part, then the
 // rest as it arrives. Its errors come from the connection. It is not safe for concurrent use.
 type Body struct {
-	limiter  *readLimiter
+	conn     *Conn
 	buffered []byte
 	stream   io.Reader
 	size     int // Of the whole body; -1 for a chunked body or one that ends with the connection.
@@ -92,12 +92,14 @@
 	}
 	n, err := b.stream.Read(p)
 	b.read += n
-	b.limiter.allowBody(n)
+	b.conn.limiter.allowBody(n)
 	switch {
 	case b.read > maxStreamBytes:
 		err = ErrTooLarge
 	case errors.Is(err, io.EOF) && b.truncated():
 		err = io.ErrUnexpectedEOF
+	case errors.Is(err, io.EOF) && b.endsWithConn() && !b.conn.endedCleanly():
+		err = ErrNoEnd
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		b.err = err
@@ -108,7 +110,12 @@
 // truncated reports whether a body whose stream is at its end is incomplete. fasthttp takes the end of
 // the connection between two chunks, or before the last line, for the end of the body.
 func (b *Body) truncated() bool {
-	return b.size >= 0 && b.read < b.size || b.chunked && b.limiter.ended
+	return b.size >= 0 && b.read < b.size || b.chunked && b.conn.limiter.ended
+}
+
+// endsWithConn reports whether only the end of the connection marks the end of the body.
+func (b *Body) endsWithConn() bool {
+	return b.size < 0 && !b.chunked
 }
 
 // buffer reads up to limit bytes of the body and reports whether that is all of it.
@@ -136,7 +143,7 @@
 const initialBufferBytes = 8 << 10
 
 // Receive reads one complete answer, with a body of at most maxBody bytes. An answer that ends with
-// the connection is complete only if the peer closed it without a reset.
+// the connection is complete only if the request was written and the peer closed the connection without a reset.
 func (c *Conn) Receive(resp *fasthttp.Response, maxBody int) error {
 	rest, err := c.ReceiveBuffered(resp, maxBody)
 	if err == nil && rest != nil {
@@ -180,7 +187,7 @@
 	if err := resp.ReadBody(c.br, bufferBytes); err != nil {
 		return nil, err
 	}
-	body := &Body{limiter: c.limiter, stream: resp.BodyStream(), size: size, chunked: resp.Header.ContentLength() == chunked}
+	body := &Body{conn: c, stream: resp.BodyStream(), size: size, chunked: resp.Header.ContentLength() == chunked}
 	complete, err := body.buffer(bufferBytes)
 	if err != nil {
 		return nil, err
--- a/internal/sockpeek/sockpeek.go
+++ b/internal/sockpeek/sockpeek.go
@@ -21,7 +21,8 @@
 )
 
 // Peek returns the state of a connection, whether or not its read deadline has passed. It must not
-// run concurrently with a Read of it.
+// run concurrently with a Read of it. Peek and Wait take the connection's pending error: a read after Closed
+// may return a plain io.EOF where a reset has come.
 func Peek(c net.Conn) State {
 	access, state := socketOf(c)
 	if access == nil {
@@ -33,6 +34,24 @@
 	return state
 }
 
+// PendingError takes the error that the kernel holds for a connection, of which no call has been informed yet. A read
+// after a FIN does not return it.
+func PendingError(c net.Conn) error {
+	access, _ := socketOf(c)
+	if access == nil {
+		return nil
+	}
+	var code int
+	var err error
+	controlErr := access.Control(func(fd uintptr) {
+		code, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+	})
+	if err == nil && code != 0 {
+		err = syscall.Errno(code)
+	}
+	return errors.Join(controlErr, err)
+}
+
 // Wait blocks until a connection is no longer Idle or its read deadline has passed, and returns its
 // state. It must not run concurrently with a Read of it.
 func Wait(c net.Conn) State {
