Chunks and trailers of answers are checked, trailers discarded

Cause: the library skips what follows a chunk's size, accepts blanks and folded lines in trailers, checks no control bytes there, and merges the trailers of a buffered answer into its head, which is read afterwards.

Change: httpconn decodes chunked bodies itself. A field of a head or of trailers has one check: the name is a token of RFC 9110, the value has no control bytes but tabs, no status line within. Trailers that may not be trailers are rejected, the others checked and discarded, as docs/PROMISES.md already says of them. The three ways in which a body can end are three readers, each of which returns io.EOF only after a complete body.

The test of a 503 with Not-Executed in a trailer now wants 502: a 503 without a proof in its head promises nothing. It wanted 503 before, which is the bare answer passed on; 502 is stricter.

--- a/internal/forward/malformed_answer_test.go
+++ b/internal/forward/malformed_answer_test.go
@@ -81,7 +81,7 @@
 		status int
 	}{
 		"valid":                  {"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: 3e\r\n" + framing + "\r\n", 200},
-		"not executed":           {"HTTP/1.1 503 X\r\nRequest-Id: %s\r\nServer-Stamp: 3e\r\n" + framing + "Not-Executed: 1\r\n\r\n", 503},
+		"not executed":           {"HTTP/1.1 503 X\r\nRequest-Id: %s\r\nServer-Stamp: 3e\r\n" + framing + "Not-Executed: 1\r\n\r\n", 502},
 		"encoded":                {"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: 3e\r\n" + framing + "X-Content-Encoding: gzip\r\n\r\n", 200},
 		"ID only in a trailer":   {"HTTP/1.1 200 OK\r\nServer-Stamp: 3e\r\n" + framing + "Request-Id: %s\r\n\r\n", 502},
 		"sign only in a trailer": {"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n" + framing + "Server-Stamp: 3e\r\n\r\n", 502},
--- a/internal/httpconn/receive.go
+++ b/internal/httpconn/receive.go
@@ -32,8 +32,7 @@
 // keep a reader busy.
 type readLimiter struct {
 	net.Conn
-	left  int  // Bytes that may still be read.
-	ended bool // The peer has closed or reset the connection, or a read has failed otherwise.
+	left int // Bytes that may still be read.
 }
 
 // Read implements io.Reader.
@@ -44,7 +43,6 @@
 	n, err := l.Conn.Read(p[:min(len(p), l.left)])
 	l.left -= n
 	received.Add(int64(n))
-	l.ended = l.ended || err != nil
 	return n, err
 }
 
@@ -56,15 +54,29 @@
 // Body is the body of an answer that was not buffered completely: first the buffered part, then the
 // rest as it arrives. Its errors come from the connection. It is not safe for concurrent use.
 type Body struct {
-	conn     *Conn
+	limiter  *readLimiter
 	buffered []byte
 	stream   io.Reader
 	size     int // Of the whole body; -1 for a chunked body or one that ends with the connection.
-	chunked  bool
 	read     int // Bytes read from stream.
 	err      error
 }
 
+// newBody returns the body of an answer whose head has been read; size is -1 for a chunked body and smaller for one that
+// ends with the connection.
+func (c *Conn) newBody(size int) *Body {
+	b := &Body{limiter: c.limiter, size: max(size, -1)}
+	switch {
+	case size >= 0:
+		b.stream = &sizedReader{br: c.br, left: size}
+	case size == -1:
+		b.stream = &chunkedReader{br: c.br}
+	default:
+		b.stream = endReader{conn: c}
+	}
+	return b
+}
+
 // Size returns the size of the whole body, or -1 if it is not known in advance.
 func (b *Body) Size() int {
 	return b.size
@@ -85,21 +97,15 @@
 	return b.readStream(p)
 }
 
-// readStream reads from the connection and turns an early end into io.ErrUnexpectedEOF.
 func (b *Body) readStream(p []byte) (int, error) {
 	if b.err != nil {
 		return 0, b.err
 	}
 	n, err := b.stream.Read(p)
 	b.read += n
-	b.conn.limiter.allowBody(n)
-	switch {
-	case b.read > maxStreamBytes:
+	b.limiter.allowBody(n)
+	if b.read > maxStreamBytes {
 		err = ErrTooLarge
-	case errors.Is(err, io.EOF) && b.truncated():
-		err = io.ErrUnexpectedEOF
-	case errors.Is(err, io.EOF) && b.endsWithConn() && !b.conn.endedCleanly():
-		err = ErrNoEnd
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		b.err = err
@@ -107,17 +113,6 @@
 	return n, err
 }
 
-// truncated reports whether a body whose stream is at its end is incomplete. fasthttp takes the end of
-// the connection between two chunks, or before the last line, for the end of the body.
-func (b *Body) truncated() bool {
-	return b.size >= 0 && b.read < b.size || b.chunked && b.conn.limiter.ended
-}
-
-// endsWithConn reports whether only the end of the connection marks the end of the body.
-func (b *Body) endsWithConn() bool {
-	return b.size < 0 && !b.chunked
-}
-
 // buffer reads up to limit bytes of the body and reports whether that is all of it.
 func (b *Body) buffer(limit int) (complete bool, err error) {
 	buf := make([]byte, 0, min(limit, initialBufferBytes))
@@ -177,17 +172,12 @@
 	if resp.SkipBody || hasNoBody(resp.StatusCode()) {
 		return nil, nil
 	}
-	const chunked = -1 // fasthttp's value; a smaller one means that the body ends with the connection.
-	size := max(resp.Header.ContentLength(), -1)
+	size := resp.Header.ContentLength()
 	if size >= 0 && size <= bufferBytes {
 		c.limiter.allowBody(size)
 		return nil, resp.ReadBody(c.br, 0)
 	}
-	resp.StreamBody = true
-	if err := resp.ReadBody(c.br, bufferBytes); err != nil {
-		return nil, err
-	}
-	body := &Body{conn: c, stream: resp.BodyStream(), size: size, chunked: resp.Header.ContentLength() == chunked}
+	body := c.newBody(size)
 	complete, err := body.buffer(bufferBytes)
 	if err != nil {
 		return nil, err
