internal/dispatch reads answers with the reader of internal/httpconn

Cause: the library's client takes statuses outside of 100 to 599, blanks in names and folded lines for an answer, and skips chunk extensions without a bound.

Change: a client of an endpoint keeps its one connection as an httpconn.Conn, so that both engines read answers with the same checks and bounds. As before, an answer that ends with its connection, an informational one other than 100 and bytes after the end are no answer, and an idle connection is closed after its timeout. After a write of which no byte was sent, nothing is read: what is there answers no request. A declared length above the bound fails at once, and the buffer of a body grows with what arrives. The test of the source address calls dial as it is now; it asks the same.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -53,11 +53,11 @@
 	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
 	buildRequest(req, endpoint, r, traceParent, remaining)
 	err := c.do(ctx, req, resp)
-	conn := c.attemptConn()
+	tracked, conn := c.attemptConn()
 	if err != nil {
-		return failedAttempt(ctx, c, conn, endpoint, err)
+		return failedAttempt(ctx, c, tracked, endpoint, err)
 	}
-	return checkAnswer(conn, endpoint, r.Method, resp)
+	return checkAnswer(tracked, conn, endpoint, r.Method, resp)
 }
 
 // buildRequest fills req from a caller's request. Path and query are forwarded unchanged.
@@ -82,38 +82,22 @@
 	req.SetBodyRaw(r.Body)
 }
 
-// checkAnswer checks an answer that fasthttp accepted as complete.
-func checkAnswer(conn *trackedConn, endpoint fleet.Endpoint, method string, resp *fasthttp.Response) outcome {
+// checkAnswer checks an answer that was received completely.
+func checkAnswer(tracked *trackedConn, conn *httpconn.Conn, endpoint fleet.Endpoint, method string, resp *fasthttp.Response) outcome {
 	status := resp.StatusCode()
-	if conn == nil || conn.readErr != nil {
-		// The answer has neither a length nor chunks, so fasthttp read until the connection
-		// closed, and a cut-off answer would look the same.
+	if tracked == nil || tracked.readErr != nil {
 		return incomplete(result.CodeAnswerCutOff, endpoint, "the answer's end is not marked", true)
 	}
 	if status < fasthttp.StatusOK {
 		return incomplete(result.CodeAnswerMalformed, endpoint, "status "+strconv.Itoa(status)+" is not final", true)
 	}
-	bodiless := method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
-	if !noTrailingBytes(conn.tail, resp, bodiless) {
+	if !conn.FullyRead() {
 		return incomplete(result.CodeAnswerMalformed, endpoint, "bytes follow the answer's end", true)
 	}
-	if mergesTwoHeads(resp) {
-		return incomplete(result.CodeAnswerMalformed, endpoint, "a status line within the head", true)
-	}
-	return readAnswer(endpoint, resp, bodiless)
-}
-
-// mergesTwoHeads reports whether an answer broke off in its head and the next one was read as its rest.
-func mergesTwoHeads(resp *fasthttp.Response) bool {
-	if httpconn.ContainsStatusLine(string(resp.Header.StatusMessage())) {
-		return true
-	}
-	for _, value := range resp.Header.All() {
-		if httpconn.ContainsStatusLine(string(value)) {
-			return true
-		}
-	}
-	return false
+	bodiless := method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+	o := readAnswer(endpoint, resp, bodiless)
+	o.reusable = o.reusable && conn.Reusable()
+	return o
 }
 
 func readAnswer(endpoint fleet.Endpoint, resp *fasthttp.Response, bodiless bool) outcome {
@@ -141,16 +125,6 @@
 	return o
 }
 
-// noTrailingBytes reports whether the last bytes read from the connection are the end of the answer.
-func noTrailingBytes(tail []byte, resp *fasthttp.Response, bodiless bool) bool {
-	body := resp.Body()
-	if !bodiless && resp.Header.ContentLength() > 0 {
-		n := min(len(tail), len(body))
-		return bytes.Equal(tail[len(tail)-n:], body[len(body)-n:])
-	}
-	return bytes.HasSuffix(tail, []byte("\r\n\r\n")) || bytes.HasSuffix(tail, []byte("\n\n"))
-}
-
 // failedAttempt classifies an attempt that ended without an answer.
 func failedAttempt(ctx context.Context, c *connClient, conn *trackedConn, endpoint fleet.Endpoint, err error) outcome {
 	aborted := c.wasAborted() || ctx.Err() != nil
@@ -162,7 +136,7 @@
 		return cancelled(endpoint)
 	case aborted:
 		return incomplete(result.CodeAnswerTimedOut, endpoint, "", true)
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, httpconn.ErrTooLarge):
 		return incomplete(result.CodeAnswerMalformed, endpoint, "the body is over its bound", true)
 	case conn.readErr != nil || !conn.hasRead:
 		return incomplete(result.CodeAnswerCutOff, endpoint, err.Error(), true)
--- a/internal/dispatch/conn_client.go
+++ b/internal/dispatch/conn_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -9,44 +10,30 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/httpconn"
 )
 
-// An answer's header must fit the read buffer.
-const (
-	readBufferBytes  = 16 << 10
-	writeBufferBytes = 4 << 10
-)
+// readBufferBytes bounds the head of an answer.
+const readBufferBytes = 16 << 10
 
-// connClient is a fasthttp client with at most one connection to one endpoint. This makes
-// the connection of an attempt known, so that its bytes can be counted and it can be closed
-// to cancel the attempt. One attempt uses a connClient at a time.
+// connClient has at most one connection to one endpoint. This makes the connection of an attempt known, so
+// that its bytes can be counted and it can be closed to cancel the attempt. One attempt uses a connClient at
+// a time.
 type connClient struct {
-	client *fasthttp.HostClient
-	dialer net.Dialer
+	endpoint fleet.Endpoint
+	settings Settings
 
-	mu      sync.Mutex
-	ctx     context.Context // Of the running attempt.
-	conn    *trackedConn
-	aborted bool
+	mu        sync.Mutex
+	tracked   *trackedConn   // Nil if there is no connection.
+	conn      *httpconn.Conn // The same connection.
+	running   bool           // An attempt uses the connection.
+	aborted   bool
+	idleSince time.Time
+	expiry    *time.Timer // Closes the connection when it has been idle for too long; nil before the first attempt.
 }
 
 func newConnClient(endpoint fleet.Endpoint, s Settings) *connClient {
-	c := &connClient{dialer: net.Dialer{Timeout: s.DialTimeout, LocalAddr: localAddr(s.SourceIP)}}
-	c.client = &fasthttp.HostClient{
-		Addr:                          string(endpoint),
-		Dial:                          c.dial,
-		MaxConns:                      1,
-		MaxIdleConnDuration:           s.IdleTimeout,
-		MaxIdemponentCallAttempts:     1,
-		RetryIfErr:                    neverRetry,
-		ReadBufferSize:                readBufferBytes,
-		WriteBufferSize:               writeBufferBytes,
-		MaxResponseBodySize:           s.MaxAnswerBytes,
-		NoDefaultUserAgentHeader:      true,
-		DisableHeaderNamesNormalizing: true,
-		DisablePathNormalizing:        true,
-	}
-	return c
+	return &connClient{endpoint: endpoint, settings: s}
 }
 
 // localAddr returns the address to connect from, or nil to let the system choose.
@@ -58,56 +45,94 @@
 	return &net.TCPAddr{IP: addr}
 }
 
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
-
 // dial opens the connection for the running attempt.
-func (c *connClient) dial(addr string) (net.Conn, error) {
+func (c *connClient) dial(ctx context.Context) (*httpconn.Conn, error) {
 	counters.Add(countDials, 1)
-	c.mu.Lock()
-	ctx := c.ctx
-	c.mu.Unlock()
-	raw, err := c.dialer.DialContext(ctx, "tcp", addr)
+	dialer := net.Dialer{Timeout: c.settings.DialTimeout, LocalAddr: localAddr(c.settings.SourceIP)}
+	raw, err := dialer.DialContext(ctx, "tcp", string(c.endpoint))
 	if err != nil {
 		return nil, err
 	}
-	conn := &trackedConn{Conn: raw}
-	conn.reset()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.aborted {
 		_ = raw.Close()
 		return nil, context.Canceled
 	}
-	c.conn = conn
-	return conn, nil
+	c.tracked = &trackedConn{Conn: raw}
+	c.conn = httpconn.New(c.tracked, readBufferBytes)
+	c.conn.ReturnInterim()
+	return c.conn, nil
 }
 
 // do sends one request and reads its answer. It returns soon after ctx ends.
 func (c *connClient) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
-	c.prepare(ctx)
+	conn := c.begin()
 	stop := context.AfterFunc(ctx, c.abort)
-	err := c.client.Do(req, resp)
-	stop()
-	return err
+	defer stop()
+	if conn == nil {
+		var err error
+		if conn, err = c.dial(ctx); err != nil {
+			return err
+		}
+	}
+	resp.Header.DisableNormalizing()
+	resp.SkipBody = req.Header.IsHead()
+	_, sendErr := conn.Send(req, time.Time{})
+	if tracked, _ := c.attemptConn(); sendErr != nil && tracked.written == 0 {
+		return sendErr // What is there to read answers no request.
+	}
+	// An endpoint may answer a long request before it has read all of it, which makes the write fail.
+	if err := conn.Receive(resp, c.settings.MaxAnswerBytes); err != nil {
+		return errors.Join(sendErr, err)
+	}
+	return nil
 }
 
-// prepare starts an attempt and closes an idle connection that the endpoint has closed or
-// that has bytes to read.
-func (c *connClient) prepare(ctx context.Context) {
+// begin starts an attempt and returns the idle connection, or nil if there is none. It closes one that has expired, that
+// the endpoint has closed or that has bytes to read.
+func (c *connClient) begin() *httpconn.Conn {
 	c.mu.Lock()
-	c.ctx = ctx
+	c.running = true
 	c.aborted = false
 	conn := c.conn
 	c.mu.Unlock()
 	if conn == nil {
-		return
+		return nil
 	}
-	if conn.isIdle() {
-		conn.reset()
-		return
+	if time.Since(c.idleSince) < c.settings.IdleTimeout && conn.CheckIdle() == nil {
+		c.tracked.reset()
+		return conn
 	}
 	counters.Add(countStale, 1)
 	c.closeConn()
+	return nil
+}
+
+// end ends an attempt if one was begun. From then on the connection is idle.
+func (c *connClient) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.running {
+		return
+	}
+	c.running = false
+	c.idleSince = time.Now()
+	if c.expiry == nil {
+		c.expiry = time.AfterFunc(c.settings.IdleTimeout, c.closeExpired)
+	} else {
+		c.expiry.Reset(c.settings.IdleTimeout)
+	}
+}
+
+// closeExpired closes a connection that has been idle for the idle timeout.
+func (c *connClient) closeExpired() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.running && c.conn != nil && time.Since(c.idleSince) >= c.settings.IdleTimeout {
+		_ = c.conn.Close()
+		c.conn, c.tracked = nil, nil
+	}
 }
 
 // abort closes the connection of the running attempt.
@@ -121,10 +146,10 @@
 }
 
 // attemptConn returns the connection that the attempt used, or nil when it had none.
-func (c *connClient) attemptConn() *trackedConn {
+func (c *connClient) attemptConn() (*trackedConn, *httpconn.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.conn
+	return c.tracked, c.conn
 }
 
 func (c *connClient) wasAborted() bool {
@@ -133,16 +158,14 @@
 	return c.aborted
 }
 
-// closeConn closes the connection, if any. No attempt may be running.
+// closeConn closes the connection, if any. No attempt may be using it.
 func (c *connClient) closeConn() {
 	c.mu.Lock()
-	conn := c.conn
-	c.conn = nil
-	c.mu.Unlock()
-	if conn != nil {
-		_ = conn.Close()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		_ = c.conn.Close()
 	}
-	c.client.CloseIdleConnections()
+	c.conn, c.tracked = nil, nil
 }
 
 // connPool holds the clients of one endpoint and limits how many are in use.
@@ -206,6 +229,7 @@
 	if !reusable {
 		c.closeConn()
 	}
+	c.end()
 	p.mu.Lock()
 	p.inUse--
 	p.idle = append(p.idle, c)
--- a/internal/dispatch/source_ip_test.go
+++ b/internal/dispatch/source_ip_test.go
@@ -16,8 +16,7 @@
 	defer func() { _ = listener.Close() }()
 	for sourceIP, want := range map[string]string{"": "127.0.0.1", "127.0.0.9": "127.0.0.9"} {
 		client := newConnClient(fleet.Endpoint(listener.Addr().String()), Settings{SourceIP: sourceIP}.withDefaults())
-		client.ctx = context.Background()
-		conn, err := client.dial(listener.Addr().String())
+		conn, err := client.dial(context.Background())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -50,6 +50,7 @@
 	watched chan struct{} // Closed when WatchIdle's goroutine has ended; nil if there is none.
 	closed  atomic.Bool
 	broken  atomic.Bool // A call other than a read has failed or found the connection closed.
+	interim bool        // Informational answers are returned.
 }
 
 // open counts the open connections of the process.
@@ -90,14 +91,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
+	return New(conn, readBufferBytes), nil
+}
+
+// New returns a Conn that takes over a connection. headBytes is the size of the read buffer in bytes, which bounds the
+// head of an answer.
+func New(conn net.Conn, headBytes int) *Conn {
 	open.Add(1)
 	limiter := &readLimiter{Conn: conn}
 	return &Conn{
 		conn:    conn,
 		limiter: limiter,
-		br:      bufio.NewReaderSize(limiter, readBufferBytes),
+		br:      bufio.NewReaderSize(limiter, headBytes),
 		bw:      bufio.NewWriterSize(conn, writeBufferBytes),
-	}, nil
+	}
 }
 
 // CheckIdle returns an error if the connection cannot be reused: ErrClosed or ErrUnsolicitedData.
@@ -211,10 +218,21 @@
 	return true, nil
 }
 
+// ReturnInterim makes Receive and ReceiveBuffered return informational answers other than 100 Continue as if they were
+// final, instead of skipping them.
+func (c *Conn) ReturnInterim() {
+	c.interim = true
+}
+
+// FullyRead reports whether no received data is left in the buffer after an answer.
+func (c *Conn) FullyRead() bool {
+	return c.br.Buffered() == 0
+}
+
 // Reusable reports whether another request may be sent after an answer: the former one was written completely, and
 // nothing follows its answer in the buffer.
 func (c *Conn) Reusable() bool {
-	return !c.broken.Load() && c.br.Buffered() == 0
+	return !c.broken.Load() && c.FullyRead()
 }
 
 // endedCleanly reports whether the peer has closed the connection without a reset, after a read returned io.EOF.
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -57,7 +57,7 @@
 func checkHead(head string) error {
 	lines := strings.Split(strings.TrimSuffix(head, "\r\n\r\n"), "\r\n")
 	first, lines := lines[0], lines[1:]
-	if !isStatusLine(first) || !isFieldValue(first) || ContainsStatusLine(first[len(versionPrefix):]) {
+	if !isStatusLine(first) || !isFieldValue(first) || containsStatusLine(first[len(versionPrefix):]) {
 		return fmt.Errorf("%w: status line %q", errHead, shorten(first))
 	}
 	framing := 0
@@ -85,7 +85,7 @@
 // parseField parses a line of a head or of trailers without its end, by RFC 9110, section 5.
 func parseField(line string) (name, value string, err error) {
 	name, value, ok := strings.Cut(line, ":")
-	if !ok || !isToken(name) || !isFieldValue(value) || ContainsStatusLine(line) {
+	if !ok || !isToken(name) || !isFieldValue(value) || containsStatusLine(line) {
 		return "", "", fmt.Errorf("%w: line %q", errHead, shorten(line))
 	}
 	return name, value, nil
@@ -122,9 +122,9 @@
 // versionPrefix begins a status line.
 const versionPrefix = "HTTP/1."
 
-// ContainsStatusLine reports whether a status line begins anywhere in a line. One within another line of a
+// containsStatusLine reports whether a status line begins anywhere in a line. One within another line of a
 // head shows that the head broke off there and another answer follows.
-func ContainsStatusLine(line string) bool {
+func containsStatusLine(line string) bool {
 	for i := strings.Index(line, versionPrefix); i >= 0; i = strings.Index(line, versionPrefix) {
 		if line = line[i:]; isStatusLine(line) {
 			return true
--- a/internal/httpconn/receive.go
+++ b/internal/httpconn/receive.go
@@ -140,8 +140,21 @@
 // Receive reads one complete answer, with a body of at most maxBody bytes. An answer that ends with
 // the connection is complete only if the request was written and the peer closed the connection without a reset.
 func (c *Conn) Receive(resp *fasthttp.Response, maxBody int) error {
-	rest, err := c.ReceiveBuffered(resp, maxBody)
-	if err == nil && rest != nil {
+	if err := c.receiveWhole(resp, maxBody); err != nil {
+		return wrapReadError(err)
+	}
+	return nil
+}
+
+func (c *Conn) receiveWhole(resp *fasthttp.Response, maxBody int) error {
+	if err := c.receiveHead(resp); err != nil {
+		return err
+	}
+	if !hasNoBody(resp) && resp.Header.ContentLength() > maxBody {
+		return ErrTooLarge
+	}
+	rest, err := c.receiveBody(resp, maxBody+1)
+	if err == nil && (rest != nil || len(resp.Body()) > maxBody) {
 		err = ErrTooLarge
 	}
 	return err
@@ -150,35 +163,46 @@
 // ReceiveBuffered reads one answer: its head, and at most bufferBytes of its body. rest is nil if that
 // is the complete answer; otherwise the whole body must be read from it.
 func (c *Conn) ReceiveBuffered(resp *fasthttp.Response, bufferBytes int) (rest *Body, err error) {
-	rest, err = c.receiveBuffered(resp, bufferBytes)
+	if err = c.receiveHead(resp); err == nil {
+		rest, err = c.receiveBody(resp, bufferBytes)
+	}
 	if err != nil {
 		return nil, wrapReadError(err)
 	}
 	return rest, nil
 }
 
-func (c *Conn) receiveBuffered(resp *fasthttp.Response, bufferBytes int) (*Body, error) {
+// receiveHead reads the head of a final answer.
+func (c *Conn) receiveHead(resp *fasthttp.Response) error {
 	c.limiter.left = framingBytes
 	resp.ResetBody()
 	resp.StreamBody = false
 	for {
 		if err := readHead(c.br, &resp.Header); err != nil {
-			return nil, err
+			return err
 		}
-		if !isInformational(resp.StatusCode()) {
-			break
+		if !c.isInformational(resp.StatusCode()) {
+			return nil
 		}
 	}
-	if resp.SkipBody || hasNoBody(resp.StatusCode()) {
+}
+
+// receiveBody reads the body of an answer as ReceiveBuffered does.
+func (c *Conn) receiveBody(resp *fasthttp.Response, bufferBytes int) (*Body, error) {
+	if hasNoBody(resp) {
 		return nil, nil
 	}
 	size := resp.Header.ContentLength()
+	limit := bufferBytes
 	if size >= 0 && size <= bufferBytes {
 		c.limiter.allowBody(size)
-		return nil, resp.ReadBody(c.br, 0)
+		if size <= initialBufferBytes {
+			return nil, resp.ReadBody(c.br, 0)
+		}
+		limit = size + 1 // The buffer is larger than the body, so that its end is read.
 	}
 	body := c.newBody(size)
-	complete, err := body.buffer(bufferBytes)
+	complete, err := body.buffer(limit)
 	if err != nil {
 		return nil, err
 	}
@@ -192,12 +216,16 @@
 
 // isInformational reports whether the final answer is still to follow. 101 Switching Protocols counts as
 // final, since no request asks for an upgrade.
-func isInformational(status int) bool {
+func (c *Conn) isInformational(status int) bool {
+	if c.interim {
+		return status == fasthttp.StatusContinue
+	}
 	return status >= fasthttp.StatusContinue && status < fasthttp.StatusOK && status != fasthttp.StatusSwitchingProtocols
 }
 
-func hasNoBody(status int) bool {
-	return status < fasthttp.StatusOK || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+func hasNoBody(resp *fasthttp.Response) bool {
+	status := resp.StatusCode()
+	return resp.SkipBody || status < fasthttp.StatusOK || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
 func wrapReadError(err error) error {
