Clients on net/http share the checks of answers

Cause: net/http takes any three digits for a status and blanks in names of fields and trailers, and package client read bodies without a bound.

Change: internal/httpanswer checks the status, fields, trailers and the bound of a body, for package client (requests and discovery), the client of the former platform's store and that of the operator endpoints. The checks of names and values are those of internal/httpconn, which uses them from there. An answer to a request with a body needs a marked end. Heads are bounded to 64 KiB in the first two. Package client takes answers of up to 64 MiB, the largest limits.max_answer of an entry.

--- a/client/client.go
+++ b/client/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/httpanswer"
 )
 
 // Defaults of Options.
@@ -114,6 +115,8 @@
 			MaxIdleConnsPerHost: idlePerEntry,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: httpanswer.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/client/discover.go
+++ b/client/discover.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/httpanswer"
 )
 
 // maxDiscoveryBytes bounds a discovery response.
@@ -106,7 +106,7 @@
 		return Discovery{}, fmt.Errorf("discover at %s: %w", address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxDiscoveryBytes))
+	data, err := httpanswer.ReadBody(response, maxDiscoveryBytes)
 	if err != nil {
 		return Discovery{}, fmt.Errorf("discover at %s: %w", address, err)
 	}
--- a/client/send.go
+++ b/client/send.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -13,8 +12,12 @@
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
 	"github.com/damaskcove/damaskcove/coord/result"
+	"github.com/damaskcove/damaskcove/internal/httpanswer"
 )
 
+// maxAnswerBytes bounds the body of an answer. Entries pass on no larger one: it is the largest limits.max_answer.
+const maxAnswerBytes = 64 << 20
+
 // lowerCaseHeaderKey is HeaderKey in lower case. net/http retries requests on its own if the header
 // map contains the canonical spelling, but this package must count attempts and retry by itself.
 const lowerCaseHeaderKey = "idempotency-key"
@@ -33,9 +36,9 @@
 		return Answer{}, connected.Load(), fmt.Errorf("request to entry %s: %w", entry, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := httpanswer.ReadBody(response, maxAnswerBytes)
 	if err != nil {
-		return Answer{}, true, fmt.Errorf("read answer of entry %s, failed after %d bytes: %w", entry, len(body), err)
+		return Answer{}, true, fmt.Errorf("read answer of entry %s: %w", entry, err)
 	}
 	return newAnswer(response, body, entry, key), true, nil
 }
--- a/internal/httpconn/body.go
+++ b/internal/httpconn/body.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/damaskcove/damaskcove/internal/httpanswer"
 )
 
 // errChunk is wrapped by the errors of a malformed chunked body.
@@ -100,7 +102,7 @@
 		}
 	}
 	extension := strings.TrimLeft(line[digits:], " \t")
-	if digits == 0 || extension != "" && extension[0] != ';' || !isFieldValue(extension) {
+	if digits == 0 || extension != "" && extension[0] != ';' || !httpanswer.IsValue(extension) {
 		return 0, fmt.Errorf("%w: size %q", errChunk, shorten(line))
 	}
 	return size, nil
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/damaskcove/damaskcove/internal/httpanswer"
 )
 
 // errHead is wrapped by the errors of a malformed head.
@@ -57,7 +59,7 @@
 func checkHead(head string) error {
 	lines := strings.Split(strings.TrimSuffix(head, "\r\n\r\n"), "\r\n")
 	first, lines := lines[0], lines[1:]
-	if !isStatusLine(first) || !isFieldValue(first) || containsStatusLine(first[len(versionPrefix):]) {
+	if !isStatusLine(first) || !httpanswer.IsValue(first) || containsStatusLine(first[len(versionPrefix):]) {
 		return fmt.Errorf("%w: status line %q", errHead, shorten(first))
 	}
 	framing := 0
@@ -85,40 +87,12 @@
 // parseField parses a line of a head or of trailers without its end, by RFC 9110, section 5.
 func parseField(line string) (name, value string, err error) {
 	name, value, ok := strings.Cut(line, ":")
-	if !ok || !isToken(name) || !isFieldValue(value) || containsStatusLine(line) {
+	if !ok || !httpanswer.IsName(name) || !httpanswer.IsValue(value) || containsStatusLine(line) {
 		return "", "", fmt.Errorf("%w: line %q", errHead, shorten(line))
 	}
 	return name, value, nil
 }
 
-// isToken reports whether a string is a token of RFC 9110, section 5.6.2.
-func isToken(s string) bool {
-	for _, c := range []byte(s) {
-		if !tokenBytes[c] {
-			return false
-		}
-	}
-	return s != ""
-}
-
-// tokenBytes are the bytes of a token.
-var tokenBytes = func() (set [256]bool) {
-	for _, c := range []byte("0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ!#$%&'*+-.^_`|~") {
-		set[c] = true
-	}
-	return set
-}()
-
-// isFieldValue reports whether a string has no control bytes but tabs.
-func isFieldValue(s string) bool {
-	for _, c := range []byte(s) {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
 // versionPrefix begins a status line.
 const versionPrefix = "HTTP/1."
 
--- a/internal/metastore/client/client.go
+++ b/internal/metastore/client/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -14,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/damaskcove/damaskcove/internal/httpanswer"
 	"github.com/damaskcove/damaskcove/internal/metastore"
 	"github.com/damaskcove/damaskcove/internal/metastore/protocol"
 )
@@ -46,6 +46,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: httpanswer.MaxHeadBytes,
 	}
 	return &Client{
 		base: "http://" + addr,
@@ -187,13 +189,10 @@
 		return storeReply{}, connected.Load(), err
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
+	data, err := httpanswer.ReadBody(response, int64(limit))
 	if err != nil {
 		return storeReply{}, true, fmt.Errorf("read response: %w", err)
 	}
-	if len(data) > limit {
-		return storeReply{}, true, fmt.Errorf("response exceeds %d bytes", limit)
-	}
 	return storeReply{status: response.StatusCode, header: response.Header, body: data}, true, nil
 }
 
--- a/internal/operator/query/query.go
+++ b/internal/operator/query/query.go
@@ -7,13 +7,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/fleet"
+	"github.com/damaskcove/damaskcove/internal/httpanswer"
 	"github.com/damaskcove/damaskcove/internal/operator/api"
 )
 
@@ -85,9 +85,9 @@
 		return fmt.Errorf("%w: %s: %w", ErrUnreachable, c.address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	data, err := httpanswer.ReadBody(response, maxAnswerBytes)
 	if err != nil {
-		return fmt.Errorf("%w: %s after %d bytes: %w", ErrUnreachable, c.address, len(data), err)
+		return fmt.Errorf("%w: %s: %w", ErrUnreachable, c.address, err)
 	}
 	switch response.StatusCode {
 	case http.StatusOK:
