Soak: the oracle judges keys of client accounts and early answers

Records get a request's credential, the account names and keys that reached upstreams, and keys seen elsewhere. UNASKED: a run for an account that held the key in no version that may be in force, or without a valid credential; a key or two account names at an upstream. ROUTE: a key that no version held runs. CONFIG: one that was removed earlier than apply_within ago, or than revoke_within ago at any machine. DENIED: a 401 that no version that may be in force allows; an instance that cannot confirm its configuration answers 503, so this holds for machines that are cut off too. KEY: a key in a log, a metric, a value in the store, an answer or a datagram. LOST: a complete early answer did not arrive.

Without accounts nothing changes.

--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -22,7 +22,7 @@
 	RuleOwnEnd   Rule = "OWN-END"  // A process ended by itself.
 	RuleTwice    Rule = "TWICE"    // A request that may run once ran more often.
 	RuleRefused  Rule = "REFUSED"  // A request was answered "not run" and ran.
-	RuleUnasked  Rule = "UNASKED"  // A request ran that no caller sent.
+	RuleUnasked  Rule = "UNASKED"  // A request ran that no caller sent, or for an account that none asked for.
 	RuleRoute    Rule = "ROUTE"    // A request ran at a service to which no configuration allowed it to go.
 	RuleDrain    Rule = "DRAIN"    // A request reached an upstream that had left, or had announced it.
 	RuleBudget   Rule = "BUDGET"   // Upstreams got more than they want: in a hold-off, or more attempts, retries or time than allowed.
@@ -30,6 +30,7 @@
 	RuleGone     Rule = "GONE"     // Upstreams worked for callers that had left.
 	RuleMixed    Rule = "MIXED"    // An answer isn't the upstream's.
 	RuleOverdue  Rule = "OVERDUE"  // Requests outlast their route's timeout.
+	RuleKey      Rule = "KEY"      // A key left the instance that read it, other than to an upstream.
 	RuleReplaced Rule = "REPLACED" // During a planned stop an upstream at work was given up for an answer of the fleet's own.
 )
 
@@ -79,12 +80,14 @@
 
 	terms    Terms
 	runs     map[string][]Run
+	accounts bool // A version enables accounts.
 	findings []Finding
 }
 
 // Judge returns the findings in the records of a run, in the order of time.
 func Judge(terms Terms, r Records) []Finding {
 	j := &judge{Records: r, terms: terms, runs: map[string][]Run{}}
+	j.accounts = slices.ContainsFunc(r.Versions, func(v Version) bool { return v.hasAccounts() })
 	for _, run := range r.Runs {
 		j.runs[run.Request] = append(j.runs[run.Request], run)
 	}
@@ -105,6 +108,8 @@
 	j.judgeRetries()
 	j.judgeOwnEnds()
 	j.judgeMemory()
+	j.checkAccounts()
+	j.checkEarly()
 	slices.SortStableFunc(j.findings, func(a, b Finding) int {
 		return cmp.Or(strings.Compare(string(a.Rule), string(b.Rule)), a.At.Compare(b.At))
 	})
@@ -246,6 +251,10 @@
 		switch a.Status {
 		case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
 			continue
+		case http.StatusUnauthorized:
+			if j.accounts {
+				continue // See checkUnauthorized.
+			}
 		}
 		denied = append(denied, Finding{Rule: RuleDenied, Request: a.ID, Machine: a.Machine, At: a.Sent, Text: fmt.Sprintf("answered %d", a.Status)})
 	}
@@ -332,7 +341,7 @@
 		a := &j.Attempts[k]
 		t := j.touch(a.Machine, a.Sent, a.Ended)
 		oldest := j.oldest(a.Sent, j.within(t))
-		if t == outOfTouch || oldest < 0 {
+		if t == outOfTouch || oldest < 0 || j.accounts && a.Status == http.StatusUnauthorized {
 			continue
 		}
 		if _, ok := j.Versions[oldest].route(a.Host, a.Path); !ok {
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -64,7 +64,7 @@
 		got[f.Rule]++
 		w.t.Logf("%s: %s", f.Rule, f.Text)
 	}
-	for _, rule := range []Rule{RuleConfig, RuleRegress, RuleShare, RuleDenied, RuleLost, RuleOwnEnd, RuleTwice, RuleRefused, RuleUnasked, RuleRoute, RuleDrain, RuleBudget, RuleGone, RuleMixed, RuleOverdue, RuleReplaced} {
+	for _, rule := range []Rule{RuleConfig, RuleRegress, RuleShare, RuleDenied, RuleLost, RuleOwnEnd, RuleTwice, RuleRefused, RuleUnasked, RuleKey, RuleRoute, RuleDrain, RuleBudget, RuleGone, RuleMixed, RuleOverdue, RuleReplaced} {
 		if got[rule] != want[rule] {
 			w.t.Errorf("%s: %d findings, want %d", rule, got[rule], want[rule])
 		}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -30,8 +30,21 @@
 	HoldOff        time.Duration // For which the upstream wanted no more requests of the machine, from Ended.
 	Outcome        Outcome
 	Status         int
+	Accounts       []string // The account names that it received, from the head and the trailer.
+	KeyIn          string   // The part of the request that holds a key: "header", "trailer" or "body"; empty for none.
+	Early          Early
 }
 
+// Early is how an upstream answered a request whose body it had not read.
+type Early string
+
+// Early answers.
+const (
+	EarlyNone     Early = ""
+	EarlyPart     Early = "part" // It broke off within the answer.
+	EarlyComplete Early = "complete"
+)
+
 // unlimitedTime is the time left of a run that was given none.
 const unlimitedTime = 24 * time.Hour
 
@@ -45,7 +58,10 @@
 	Kept           bool   // An earlier request was answered on the connection.
 	Behind         bool   // Sent behind another that was unanswered.
 
-	Sent     time.Time // When its last byte was sent.
+	Credential Credential
+
+	Began    time.Time // When its first byte was sent.
+	Sent     time.Time // When its last byte was sent; when the first one was, if the caller did not send all.
 	Ended    time.Time
 	Deadline time.Duration
 	Status   int    // 0 without a complete answer.
@@ -61,13 +77,15 @@
 	Host, Prefix string
 	Services     []string // More than one for a split.
 	Safe         bool
+	Anonymous    bool // It needs no key.
 	Timeout      time.Duration
 }
 
 // Version is one version of the configuration.
 type Version struct {
 	Number      uint32
-	Routes      map[string]Route // By name.
+	Routes      map[string]Route    // By name.
+	Accounts    map[string][]string // Keys by account; nil if accounts are not enabled.
 	Sent, Acked time.Time
 }
 
@@ -114,7 +132,8 @@
 	Ended    map[string]time.Time // When an upstream ended.
 	OwnEnds  []OwnEnd             // Processes that ended by themselves.
 	Memory   map[string]int64     // Most bytes that a process of a machine used.
-	Logs     map[string][]string  `json:"-"` // Lines that an instance logged, by machine.
+	Leaks    []Leak
+	Logs     map[string][]string `json:"-"` // Lines that an instance logged, by machine.
 }
 
 // recorder collects Records.
@@ -213,6 +232,14 @@
 	r.records.Memory[machine] = max(r.records.Memory[machine], bytes)
 }
 
+// leak records a key that was seen where none may be.
+func (r *recorder) leak(l Leak) {
+	l.At = time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.Leaks = append(r.records.Leaks, l)
+}
+
 // timeFormat is the format of the times in a report.
 const timeFormat = "15:04:05.000"
 
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -11,6 +11,8 @@
 
 const (
 	saveEvery = time.Second
+	// windowRestored names the windows in which the store is put back to a copy.
+	windowRestored = "store-restored"
 	// maxSaved bounds the copies, and so the age of the one that is restored.
 	maxSaved = 12
 	// rewriteWithin is how long the operator takes at most to write again what the store has lost.
@@ -57,7 +59,7 @@
 	saved := r.saved[random.IntN(len(r.saved))]
 	r.mu.Unlock()
 	state := standin.State{Fault: []standin.Fault{standin.Silent, standin.Unavailable, standin.Reset}[random.IntN(3)]}
-	end := r.recorder.window(Window{What: "store-restored", Kind: WindowStore})
+	end := r.recorder.window(Window{What: windowRestored, Kind: WindowStore})
 	r.operator.setDown(true)
 	r.setDoors(r.fleet.all(), state)
 	time.Sleep(time.Duration(random.IntN(2500)) * time.Millisecond)
--- a/internal/soak/terms.go
+++ b/internal/soak/terms.go
@@ -5,6 +5,7 @@
 // Terms are the bounds of a deployment.
 type Terms struct {
 	ApplyWithin  time.Duration // From a configuration's acknowledgement to its effect.
+	RevokeWithin time.Duration // From the acknowledgement of a key's removal to its effect everywhere; 0 for no bound.
 	MaxStretch   time.Duration // How much longer that may take while the store serves some machines only or forgets its history.
 	RevertSlack  time.Duration // From an effect of a version to the last effect of an older one.
 	DrainWithin  time.Duration // From an upstream's leaving to its last request.
