Soak: accounts, keys that move, and callers that send them

Callers send known keys, of late changed ones more often, and no key, unknown ones, other schemes, repeated headers; their own account names, Connection options and trailers that name both headers; HEAD and HTTP/1.0. All keys of a run share a mark without letters, for which the bytes to upstreams, datagrams between instances, values written to the store, logs, metrics and answers are searched. The relay sees all datagrams; without it, links are not searched. Without accounts, the draws and the bytes are what they were.

--- a/cmd/damaskctl/soak.go
+++ b/cmd/damaskctl/soak.go
@@ -53,6 +53,8 @@
 	c.Flags().Float64Var(&o.Stale, "stale", o.Stale, "share of the callers that get no addresses after the first")
 	c.Flags().DurationVar(&o.Direct, "direct", o.Direct, "interval of the direct checks of each instance")
 	c.Flags().Float64Var(&o.Loss, "loss", o.Loss, "share of the datagrams between instances that is always lost")
+	c.Flags().IntVar(&o.Accounts, "accounts", 0, "client accounts in the configuration (a few if faults change their keys, else none)")
+	c.Flags().DurationVar(&o.RevokeWithin, "revoke-within", 0, "promises.revoke_within of the instances (not set)")
 	c.Flags().IntVar(&o.Load, "load", 0, "busy processes beside the instances")
 	c.Flags().IntVar(&o.Cores, "cores", 0, "cores for the instances and the busy processes (all)")
 	c.Flags().IntVar(&o.MemoryMB, "memory", 0, "memory that an instance may use, in MB (any)")
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -35,6 +35,37 @@
 	patience           time.Duration // The caller leaves after it; zero for the deadline.
 	body               int           // Bytes.
 	sendTime           time.Duration // From the head to the end of the body.
+	credential         Credential
+	headers            []string // Further lines of the head.
+	trailers           []string // Lines behind the body, which is then sent in chunks.
+	oldProto           bool     // HTTP/1.0.
+	own                bool     // It is sent on a connection of its own.
+}
+
+// text returns the head of a request, and its body unless that is sent slowly.
+func (r request) text(id string) string {
+	var text strings.Builder
+	proto := "HTTP/1.1"
+	if r.oldProto {
+		proto = "HTTP/1.0"
+	}
+	fmt.Fprintf(&text, "%s %s %s\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n%s: %d\r\n", r.method, r.path, proto, r.host, id,
+		r.deadline.Milliseconds(), headerWork, r.work.Milliseconds())
+	for _, line := range r.headers {
+		text.WriteString(line + "\r\n")
+	}
+	switch {
+	case len(r.trailers) > 0:
+		fmt.Fprintf(&text, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n\r\n", r.body, strings.Repeat("x", r.body), strings.Join(r.trailers, "\r\n"))
+		return text.String()
+	case r.method != http.MethodGet && r.method != http.MethodHead:
+		fmt.Fprintf(&text, "Content-Length: %d\r\n", r.body)
+	}
+	text.WriteString("\r\n")
+	if r.sendTime == 0 {
+		text.WriteString(strings.Repeat("x", r.body))
+	}
+	return text.String()
 }
 
 func newRequestID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -43,6 +74,8 @@
 type callerConn struct {
 	net.Conn
 	br       *bufio.Reader
+	scan     *keyScanner // Of what is received.
+	recorder *recorder
 	addr     string
 	machine  string
 	life     int
@@ -61,7 +94,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, br: bufio.NewReader(c), addr: addr, machine: m.name, life: life}, nil
+	scan := &keyScanner{mark: f.mark}
+	return &callerConn{Conn: c, br: bufio.NewReader(io.TeeReader(c, scan)), scan: scan, recorder: f.recorder, addr: addr, machine: m.name, life: life}, nil
 }
 
 // do sends requests one behind the other and reads their answers.
@@ -71,18 +105,11 @@
 	for k, r := range list {
 		out[k] = Attempt{
 			ID: newRequestID(), Host: r.host, Path: r.path, Safe: r.safe, Direct: direct,
-			Machine: c.machine, Life: c.life, Kept: c.answered > 0, Behind: k > 0, Deadline: r.deadline,
-		}
-		fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n%s: %d\r\n", r.method, r.path, r.host, out[k].ID,
-			r.deadline.Milliseconds(), headerWork, r.work.Milliseconds())
-		if r.method != http.MethodGet {
-			fmt.Fprintf(&text, "Content-Length: %d\r\n", r.body)
-		}
-		text.WriteString("\r\n")
-		if r.sendTime == 0 {
-			text.WriteString(strings.Repeat("x", r.body))
+			Machine: c.machine, Life: c.life, Kept: c.answered > 0, Behind: k > 0, Deadline: r.deadline, Credential: r.credential,
 		}
+		text.WriteString(r.text(out[k].ID))
 	}
+	began := time.Now()
 	_, err := io.WriteString(c, text.String())
 	if last := list[len(list)-1]; err == nil && last.sendTime > 0 {
 		err = c.sendSlowly(last)
@@ -90,14 +117,14 @@
 	sent := time.Now()
 	for k := range out {
 		a := &out[k]
-		a.Sent = sent
+		a.Began, a.Sent = began, sent
 		if err == nil {
 			patience := a.Deadline
 			if list[k].patience > 0 {
 				patience = min(patience, list[k].patience)
 			}
 			_ = c.SetReadDeadline(sent.Add(patience))
-			err = c.read(a)
+			err = c.read(a, list[k].method)
 		}
 		if err != nil {
 			a.Err, a.GaveUp = err.Error(), errors.Is(err, os.ErrDeadlineExceeded)
@@ -105,6 +132,10 @@
 		}
 		a.Ended = time.Now()
 	}
+	if c.scan.found {
+		c.recorder.leak(Leak{Place: LeakAnswer, Machine: c.machine, Text: "on the connection of request " + out[0].ID})
+		c.scan.found = false
+	}
 	c.idle = time.Now()
 	return out
 }
@@ -127,8 +158,8 @@
 	return nil
 }
 
-func (c *callerConn) read(a *Attempt) error {
-	resp, err := http.ReadResponse(c.br, nil)
+func (c *callerConn) read(a *Attempt, method string) error {
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 	if err != nil {
 		return err
 	}
@@ -138,7 +169,7 @@
 	}
 	a.Status, a.Stamp, a.Leaving = resp.StatusCode, resp.Header.Get("Server-Stamp"), resp.Header.Get(headerLeaving) == "1"
 	parts := strings.SplitN(string(body), " ", 3)
-	a.Whole = len(parts) == 3 && string(body) == responseBody(parts[0], parts[1], a.ID)
+	a.Whole = len(parts) == 3 && string(body) == responseBody(parts[0], parts[1], a.ID) || method == http.MethodHead && len(body) == 0
 	if after := resp.Header.Get("Retry-After"); after != "" {
 		a.Err = "retry after " + after
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -18,6 +18,9 @@
 	play func(r *run, random *rand.Rand) error
 }
 
+// faultKeysMove is the fault that changes the keys of accounts; it needs accounts in the configuration.
+const faultKeysMove = "keys-move"
+
 // faults are the kinds from which a schedule is drawn.
 var faults = []fault{
 	{"store-silent", func(r *run, random *rand.Rand) error {
@@ -113,6 +116,7 @@
 		time.Sleep(3 * time.Second)
 		return nil
 	}},
+	{faultKeysMove, keysMove},
 	{"give-up", func(r *run, _ *rand.Rand) error {
 		r.impatient.Store(true)
 		defer r.impatient.Store(false)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -56,6 +56,9 @@
 	name, zone                string
 	zoneIndex, number         int
 	callers, ready, discovery string
+	metrics                   string
+	mark                      keyMark
+	revokeWithin              time.Duration // Of its settings; 0 for none.
 	peers, announced          netip.AddrPort
 	settings                  string
 	door                      *standin.Door
@@ -89,6 +92,7 @@
 	options  Options
 	folder   string
 	store    *standin.Store
+	mark     keyMark // Of the keys of accounts.
 	network  *network
 	recorder *recorder
 
@@ -98,8 +102,13 @@
 	names    map[netip.Addr]string
 }
 
-func newFleet(o Options, r *recorder) *fleet {
-	return &fleet{options: o, folder: o.Folder, store: standin.New(standin.Options{Latency: storeLatency, History: storeHistory, PageItems: storePage, ReadsPerSecond: readsPerSecond}), network: newNetwork(o.Loss), recorder: r, byAddr: map[string]*machine{}, names: map[netip.Addr]string{}}
+func newFleet(o Options, r *recorder, mark keyMark) *fleet {
+	store := standin.New(standin.Options{Latency: storeLatency, History: storeHistory, PageItems: storePage, ReadsPerSecond: readsPerSecond})
+	n := newNetwork(o.Loss)
+	n.mark, n.leaked = mark, func(from, to string) {
+		r.leak(Leak{Place: LeakLink, Machine: from, Text: "to " + to})
+	}
+	return &fleet{options: o, folder: o.Folder, store: store, mark: mark, network: n, recorder: r, byAddr: map[string]*machine{}, names: map[netip.Addr]string{}}
 }
 
 func (f *fleet) addr(octet, zone, number int, port uint16) netip.AddrPort {
@@ -115,7 +124,9 @@
 		discovery: f.addr(machineOctet, zone, number, discoveryPort).String(),
 		peers:     f.addr(machineOctet, zone, number, peersPort),
 		announced: f.addr(proxyOctet, zone, number, peersPort),
-		recorder:  f.recorder, gate: f.options.Gate, cores: f.options.Cores,
+		metrics:   f.addr(machineOctet, zone, number, metricsPort).String(),
+		mark:      f.mark, revokeWithin: f.options.RevokeWithin,
+		recorder: f.recorder, gate: f.options.Gate, cores: f.options.Cores,
 		memoryMB: f.options.MemoryMB, descriptors: f.options.Descriptors,
 	}
 	m.settings = filepath.Join(f.folder, m.name+".toml")
@@ -139,8 +150,11 @@
 	return m, nil
 }
 
-// rewrite replaces the address at which the other instances reach this one by that of the relay.
+// rewrite searches a value that the instance writes for keys, and replaces the address at which the other instances reach this one by that of the relay.
 func (m *machine) rewrite(value []byte) []byte {
+	if m.mark.in(value) {
+		m.recorder.leak(Leak{Place: LeakStore, Machine: m.name})
+	}
 	if m.proxy == nil {
 		return value
 	}
@@ -204,7 +218,7 @@
 apply_within = "2000ms"
 drain_within = "2000ms"
 stop_within = "6s"
-[retry]
+%s[retry]
 window = "10s"
 ratio = 0.2
 extra = 62
@@ -218,8 +232,11 @@
 	if first {
 		firstStart = "first_start = true\n"
 	}
-	metrics := netip.AddrPortFrom(m.peers.Addr(), metricsPort)
-	text := fmt.Sprintf(settingsText, m.name, m.zone, regionName, firstStart, m.memoryMB, m.descriptors, m.callers, m.ready, m.discovery, m.peers, metrics, m.door.Addr())
+	revocation := ""
+	if m.revokeWithin > 0 {
+		revocation = fmt.Sprintf("revoke_within = %q\n", m.revokeWithin)
+	}
+	text := fmt.Sprintf(settingsText, m.name, m.zone, regionName, firstStart, m.memoryMB, m.descriptors, m.callers, m.ready, m.discovery, m.peers, m.metrics, m.door.Addr(), revocation)
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write the settings of %s: %w", m.name, err)
 	}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -21,6 +21,8 @@
 	changed *sync.Cond
 	state   linkState
 	conns   []*linkConn
+	mark    keyMark
+	leaked  func() // Called when bytes to the upstream hold a key; nil for never.
 }
 
 func newLink(l net.Listener) *link {
@@ -37,7 +39,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	wrapped := &linkConn{Conn: c, link: n}
+	wrapped := &linkConn{Conn: c, link: n, scan: keyScanner{mark: n.mark}}
 	n.conns = append(n.conns, wrapped)
 	return wrapped, nil
 }
@@ -73,13 +75,18 @@
 type linkConn struct {
 	net.Conn
 	link   *link
-	muted  bool // Guarded by the link's mutex, as closed is.
+	scan   keyScanner // Of what is read.
+	muted  bool       // Guarded by the link's mutex, as closed is.
 	closed bool
 }
 
 // Read implements net.Conn.
 func (c *linkConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if _, _ = c.scan.Write(p[:n]); c.scan.found {
+		c.scan.found = false
+		c.link.leaked()
+	}
 	if err == nil && !c.passes(func(s linkState) bool { return s.cutIn }) {
 		return 0, os.ErrClosed
 	}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -34,23 +34,31 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	number  uint32
+	valid   uint32 // The last version that is valid.
 	routes  map[string]Route
 	created int
 	recent  []Route // Lately changed, newest first.
 	down    bool    // The store takes no calls.
 	cond    *sync.Cond
+
+	accounts *accountBook
 }
 
 // maxAttempts is the number of upstreams to which a request may be sent, on all routes.
 const maxAttempts = 2
 
-func newOperator(s *standin.Store, r *recorder, random *rand.Rand) *operator {
-	o := &operator{store: s, recorder: r, random: random, routes: map[string]Route{
+func newOperator(s *standin.Store, r *recorder, random *rand.Rand, accounts *accountBook) *operator {
+	o := &operator{store: s, recorder: r, random: random, accounts: accounts, routes: map[string]Route{
 		"lookup": {Host: mainHost, Prefix: lookupPrefix, Services: []string{"lotbook"}, Safe: true, Timeout: 4 * time.Second},
 		"order":  {Host: mainHost, Prefix: orderPrefix, Services: []string{"orderhive"}, Timeout: 5 * time.Second},
 		"pickup": {Host: mainHost, Prefix: pickupPrefix, Services: []string{"freightcomb"}, Timeout: 4 * time.Second},
 	}}
 	o.cond = sync.NewCond(&o.mu)
+	if accounts.keys != nil {
+		pickup := o.routes["pickup"]
+		pickup.Anonymous = true
+		o.routes["pickup"] = pickup
+	}
 	for range 3 {
 		o.addRoute()
 	}
@@ -76,8 +84,9 @@
 		apply()
 	}
 	o.number += 1 + uint32(o.random.IntN(6))
-	v := Version{Number: o.number, Routes: maps.Clone(o.routes), Sent: time.Now()}
-	acked, err := o.store.PutJSON("op/config", o.encode())
+	o.valid = o.number
+	v := Version{Number: o.number, Routes: maps.Clone(o.routes), Accounts: o.accounts.snapshot(), Sent: time.Now()}
+	acked, err := o.store.PutJSON("op/config", o.encode(o.number))
 	if err != nil {
 		return err
 	}
@@ -91,12 +100,13 @@
 func (o *operator) rewrite() error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	_, err := o.store.PutJSON("op/config", o.encode())
-	o.recorder.printf("version %08x is written again", o.number)
+	_, err := o.store.PutJSON("op/config", o.encode(o.valid))
+	o.recorder.printf("version %08x is written again", o.valid)
 	return err
 }
 
-func (o *operator) encode() map[string]any {
+// encode returns the configuration as the store holds it, with a version number.
+func (o *operator) encode(number uint32) map[string]any {
 	routes := map[string]any{}
 	for name, r := range o.routes {
 		kind := "unsafe"
@@ -107,6 +117,9 @@
 			"host": r.Host, "path_prefix": r.Prefix, "route_kind": kind, "max_attempts": maxAttempts, "timeout": fmt.Sprintf("%dms", r.Timeout.Milliseconds()),
 			"target_latency": routeObjective, "priority": 1,
 		}
+		if r.Anonymous {
+			route["anonymous"] = true
+		}
 		if len(r.Services) == 1 {
 			route["service"] = r.Services[0]
 		} else {
@@ -122,10 +135,14 @@
 	for _, s := range serviceNames {
 		services[s] = map[string]any{"health_path": "/healthz", "max_connections": upstreamConns}
 	}
-	return map[string]any{
-		"version": fmt.Sprintf("%08x", o.number), "routes": routes, "services": services,
+	value := map[string]any{
+		"version": fmt.Sprintf("%08x", number), "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3s", "idle_timeout": "15s"},
 	}
+	if o.accounts.keys != nil {
+		value["tenants"] = o.accounts.encode()
+	}
+	return value
 }
 
 // touch notes a changed route for the direct checks; the caller holds mu.
@@ -138,6 +155,7 @@
 func (o *operator) addRoute() {
 	o.created++
 	r := Route{Host: idleHost, Prefix: fmt.Sprintf("/r%d/", o.created), Services: []string{o.anyService()}, Safe: true, Timeout: 3 * time.Second}
+	r.Anonymous = o.accounts.keys != nil && o.random.IntN(3) == 0
 	o.routes[fmt.Sprintf("idle-%d", o.created)] = r
 	o.touch(r)
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -23,6 +23,9 @@
 	loss  float64                                         // Between all machines, without a fault.
 	rules map[int]func(from, to string) (linkFault, bool) // By number of the fault.
 	last  int
+
+	mark   keyMark
+	leaked func(from, to string) // Called when a datagram holds a key; nil for never.
 }
 
 func newNetwork(loss float64) *network {
@@ -74,7 +77,11 @@
 			if err != nil {
 				return
 			}
-			f := n.between(name(from.Addr().Unmap()), machine)
+			sender := name(from.Addr().Unmap())
+			if n.mark.in(buffer[:size]) {
+				n.leaked(sender, machine)
+			}
+			f := n.between(sender, machine)
 			switch {
 			case rand.Float64() < f.loss:
 			case f.delay > 0:
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -33,8 +33,11 @@
 	Stale     float64       // Share of the callers that get no new addresses after the first.
 	Load      int           // Busy processes beside the instances.
 	Cores     int           // Cores for the instances and the busy processes; 0 for all.
+	Accounts  int           // Client accounts in the configuration; 0 for none, or for a few in a run whose faults change them.
 	MemoryMB  int           // Memory that an instance may use, in MB; 0 for any.
 
+	RevokeWithin time.Duration // Of the instances' settings; 0 for none.
+
 	Descriptors int      // Descriptors that an instance may open; 0 for any number.
 	Busy        []string // Command of a busy process.
 }
@@ -71,6 +74,8 @@
 		return fmt.Errorf("a rate of %g requests a second; it must be positive", o.Rate)
 	case o.Direct <= 0:
 		return fmt.Errorf("an interval of %s between direct checks; it must be positive", o.Direct)
+	case o.Accounts < 0 || o.RevokeWithin < 0:
+		return fmt.Errorf("%d accounts, and keys that are revoked within %s; neither may be negative", o.Accounts, o.RevokeWithin)
 	case o.MemoryMB < 0 || o.Descriptors < 0:
 		return fmt.Errorf("limits of %d MB and %d descriptors; neither may be negative", o.MemoryMB, o.Descriptors)
 	case o.Load < 0 || o.Cores < 0:
@@ -93,6 +98,7 @@
 	callersZone = 40 // Callers in each zone.
 	pollEvery   = time.Second
 	lagEvery    = 20 * time.Millisecond
+	fewAccounts = 6
 	checkWork   = 2 * time.Millisecond
 
 	burstFactor    = 1.7
@@ -169,14 +175,18 @@
 		return nil, fmt.Errorf("create the run's folder: %w", err)
 	}
 	random := rand.New(rand.NewPCG(o.Seed, 1))
-	rec := newRecorder()
-	r := &run{options: o, terms: DefaultTerms(), recorder: rec, fleet: newFleet(o, rec)}
-	r.terms.MemoryBytes = int64(o.MemoryMB) << 20
-	r.operator = newOperator(r.fleet.store, rec, rand.New(rand.NewPCG(o.Seed, 2)))
 	plan, err := schedule(o, random)
 	if err != nil {
 		return nil, err
 	}
+	if o.Accounts == 0 && slices.ContainsFunc(plan, func(s scheduled) bool { return s.fault.name == faultKeysMove }) {
+		o.Accounts = fewAccounts
+	}
+	accounts := newAccountBook(o.Accounts, rand.New(rand.NewPCG(o.Seed, 6)))
+	rec := newRecorder()
+	r := &run{options: o, terms: DefaultTerms(), recorder: rec, fleet: newFleet(o, rec, accounts.mark)}
+	r.terms.MemoryBytes, r.terms.RevokeWithin = int64(o.MemoryMB)<<20, o.RevokeWithin
+	r.operator = newOperator(r.fleet.store, rec, rand.New(rand.NewPCG(o.Seed, 2)), accounts)
 	lag := r.play(ctx, plan, random)
 	r.check(r.fleet.end())
 	r.check(r.readLogs())
@@ -213,6 +223,9 @@
 	wg.Go(func() { lag = r.watchLag(lasting) })
 	wg.Go(func() { every(lasting, pollEvery, r.poll) })
 	wg.Go(func() { every(lasting, saveEvery, r.saveStore) })
+	if r.options.Accounts > 0 {
+		wg.Go(func() { every(lasting, metricsEvery, r.searchMetrics) })
+	}
 	sleep(lasting, leadTime)
 	for zone := range zoneNames {
 		for k := range callersZone {
@@ -247,6 +260,9 @@
 	<-lasting.Done()
 	r.ended.Store(true)
 	wg.Wait()
+	if r.options.Accounts > 0 {
+		r.searchMetrics()
+	}
 	for _, m := range r.fleet.all() {
 		if r.options.Relay && m.rewritten.Load() == 0 {
 			r.check(fmt.Errorf("the relay is not in use: %s registered no address that it could replace", m.name))
@@ -262,7 +278,13 @@
 		if err != nil {
 			return fmt.Errorf("read the log of %s: %w", m.name, err)
 		}
-		r.recorder.logs(m.name, strings.Split(strings.TrimSpace(string(data)), "\n"))
+		lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+		r.recorder.logs(m.name, lines)
+		for _, line := range lines {
+			if r.fleet.mark.in([]byte(line)) {
+				r.recorder.leak(Leak{Place: LeakLog, Machine: m.name, Text: line})
+			}
+		}
 	}
 	return nil
 }
@@ -331,7 +353,7 @@
 
 // startIncarnation starts an upstream and registers it.
 func (r *run) startIncarnation(id, name, service, zone, addr string) (*upstream, error) {
-	u, err := startUpstream(r.fleet.store, r.recorder, id, name, service, zone, addr)
+	u, err := startUpstream(r.fleet.store, r.recorder, r.fleet.mark, id, name, service, zone, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -412,6 +434,8 @@
 				q.sendTime = time.Duration(random.Int64N(int64(q.deadline) / 2))
 			}
 			q.path += fmt.Sprintf("%x", random.Uint32())
+			q.own = kinds[k].habit == "fresh"
+			r.operator.authorize(&q, random)
 			list = append(list, q)
 		}
 		c.send(ctx, list, kinds[k].habit != "fresh")
@@ -439,7 +463,8 @@
 					return
 				}
 				defer func() { _ = conn.Close() }()
-				q := request{method: http.MethodGet, host: route.Host, path: route.Prefix + "check", safe: true, work: checkWork, deadline: 3 * time.Second}
+				q := request{method: http.MethodGet, host: route.Host, path: route.Prefix + "check", safe: true, work: checkWork, deadline: 3 * time.Second, own: true}
+				r.operator.authorize(&q, rand.New(rand.NewPCG(rand.Uint64(), 7)))
 				for _, a := range conn.do([]request{q}, true) {
 					r.recorder.attempt(a)
 				}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -42,6 +42,7 @@
 	link                    *link
 	slots                   chan struct{}
 	waiting                 atomic.Int64
+	mark                    keyMark
 	started                 time.Time
 
 	mu        sync.Mutex
@@ -57,15 +58,17 @@
 	gone      bool
 }
 
-func startUpstream(s *standin.Store, r *recorder, id, name, service, zone, addr string) (*upstream, error) {
+func startUpstream(s *standin.Store, r *recorder, mark keyMark, id, name, service, zone, addr string) (*upstream, error) {
 	l, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return nil, fmt.Errorf("start upstream %s: %w", name, err)
 	}
 	u := &upstream{
-		id: id, name: name, service: service, zone: zone, addr: addr, store: s, recorder: r,
+		id: id, name: name, service: service, zone: zone, addr: addr, store: s, recorder: r, mark: mark,
 		slots: make(chan struct{}, upstreamSlots), started: time.Now(), slow: 1, link: newLink(l),
 	}
+	u.link.mark = mark
+	u.link.leaked = func() { r.leak(Leak{Place: LeakUpstream, Upstream: name, Text: name}) }
 	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), IdleTimeout: upstreamIdle}
 	go func() { _ = u.server.Serve(u.link) }()
 	return u, nil
@@ -207,9 +210,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body) // Only then does the request's context end with its connection.
+	scan := &keyScanner{mark: u.mark}
+	_, _ = io.Copy(scan, r.Body) // Only then does the request's context end with its connection.
 	left := headerMs(r, "Deadline-Ms")
 	run := &Run{Request: id, Upstream: u.name, Service: u.service, Host: r.Host, Path: r.URL.Path, Arrived: arrived, Given: left, Lasts: f.takes(r), Limit: f.limit}
+	run.Accounts, run.KeyIn = accountNames(r), u.mark.keyIn(r, scan)
 	deadline := time.NewTimer(left)
 	defer deadline.Stop()
 	if f.holdOff > 0 {
