Soak: upstreams answer long uploads early, and without end

early-answers lets upstreams answer uploads of 64 KiB to 16 MiB before they have read them: a part of a 200 without length, in chunks or up to the end of the connection, or a complete 200 or 413, followed by a reset, a later reset, a half-close or the rest of the upload. Callers read the answer while they send. An orderly end behind a part without length is drawn for chunks and for 16 MiB only: after less, nothing tells it from a whole answer. endless lets them send heads, header lines, status lines, interim answers, bodies, chunk sizes, extensions and trailers without end; the peak memory and the processes' own ends are the measure. Callers read 1 MiB of an answer at most.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -25,6 +25,7 @@
 	resolveTries   = 3
 	resolvePause   = 500 * time.Millisecond // After no instance has answered.
 	maxTTL         = 5 * time.Second
+	maxAnswer      = 1 << 20 // Bytes; no upstream sends as many, but for those without end.
 )
 
 // request is one request of a caller.
@@ -39,6 +40,7 @@
 	headers            []string // Further lines of the head.
 	trailers           []string // Lines behind the body, which is then sent in chunks.
 	oldProto           bool     // HTTP/1.0.
+	upload             bool     // Its answer is read while it is sent.
 	own                bool     // It is sent on a connection of its own.
 }
 
@@ -109,6 +111,11 @@
 		}
 		text.WriteString(r.text(out[k].ID))
 	}
+	if list[0].upload {
+		c.upload(list[0], &out[0])
+		c.finish(&out[0])
+		return out
+	}
 	began := time.Now()
 	_, err := io.WriteString(c, text.String())
 	if last := list[len(list)-1]; err == nil && last.sendTime > 0 {
@@ -132,12 +139,17 @@
 		}
 		a.Ended = time.Now()
 	}
+	c.finish(&out[0])
+	return out
+}
+
+// finish records a key in what was received, and when the connection became idle.
+func (c *callerConn) finish(a *Attempt) {
 	if c.scan.found {
-		c.recorder.leak(Leak{Place: LeakAnswer, Machine: c.machine, Text: "on the connection of request " + out[0].ID})
+		c.recorder.leak(Leak{Place: LeakAnswer, Machine: c.machine, Text: "on the connection of request " + a.ID})
 		c.scan.found = false
 	}
 	c.idle = time.Now()
-	return out
 }
 
 // sendParts is the number of parts in which a slow body is sent.
@@ -163,10 +175,13 @@
 	if err != nil {
 		return err
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		return err
 	}
+	if len(body) == maxAnswer {
+		return fmt.Errorf("an answer of %d bytes or more", maxAnswer)
+	}
 	a.Status, a.Stamp, a.Leaving = resp.StatusCode, resp.Header.Get("Server-Stamp"), resp.Header.Get(headerLeaving) == "1"
 	parts := strings.SplitN(string(body), " ", 3)
 	a.Whole = len(parts) == 3 && string(body) == responseBody(parts[0], parts[1], a.ID) || method == http.MethodHead && len(body) == 0
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -117,6 +117,8 @@
 		return nil
 	}},
 	{faultKeysMove, keysMove},
+	{"early-answers", earlyAnswers},
+	{"endless", endlessBytes},
 	{"give-up", func(r *run, _ *rand.Rand) error {
 		r.impatient.Store(true)
 		defer r.impatient.Store(false)
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -33,6 +33,7 @@
 	Accounts       []string // The account names that it received, from the head and the trailer.
 	KeyIn          string   // The part of the request that holds a key: "header", "trailer" or "body"; empty for none.
 	Early          Early
+	How            string // Describes an early answer, or one without end.
 }
 
 // Early is how an upstream answered a request whose body it had not read.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -142,7 +142,8 @@
 	impatient atomic.Bool // Some callers leave early.
 	large     atomic.Bool // Some bodies are largeBody long.
 
-	slowBodies atomic.Bool // Some bodies take a while to be sent.
+	uploads    atomic.Int32 // Faults for which some bodies are up to unboundBody long.
+	slowBodies atomic.Bool  // Some bodies take a while to be sent.
 	storeBusy  sync.Mutex
 	spares     sync.Mutex
 	added      [3]bool
@@ -433,6 +434,9 @@
 			if q.body > 0 && r.slowBodies.Load() && random.Float64() < largeShare {
 				q.sendTime = time.Duration(random.Int64N(int64(q.deadline) / 2))
 			}
+			if q.body > 0 && r.uploads.Load() > 0 && random.Float64() < uploadShare {
+				q.body, q.upload, q.sendTime = uploadSizes[random.IntN(len(uploadSizes))], true, 0
+			}
 			q.path += fmt.Sprintf("%x", random.Uint32())
 			q.own = kinds[k].habit == "fresh"
 			r.operator.authorize(&q, random)
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -45,17 +45,19 @@
 	mark                    keyMark
 	started                 time.Time
 
-	mu        sync.Mutex
-	sequence  int
-	slow      float64  // Factor of the work time.
-	failShare float64  // Share of the requests that fail.
-	failHow   string   // "errors", "hang" or "reset".
-	lostShare float64  // Share of the requests whose answer is lost.
-	garbled   float64  // Share of the answers that are garbled.
-	holdOff   int      // Seconds for which a caller that is turned away is to send nothing; zero while none is.
-	limit     *float64 // Requests a second that it names in its answers; nil for none.
-	leaving   bool
-	gone      bool
+	mu           sync.Mutex
+	sequence     int
+	slow         float64  // Factor of the work time.
+	failShare    float64  // Share of the requests that fail.
+	failHow      string   // "errors", "hang" or "reset".
+	lostShare    float64  // Share of the requests whose answer is lost.
+	garbled      float64  // Share of the answers that are garbled.
+	holdOff      int      // Seconds for which a caller that is turned away is to send nothing; zero while none is.
+	limit        *float64 // Requests a second that it names in its answers; nil for none.
+	earlyShare   float64  // Share of the long requests that are answered before they are read.
+	endlessShare float64  // Share of the requests that get an answer without end.
+	leaving      bool
+	gone         bool
 }
 
 func startUpstream(s *standin.Store, r *recorder, mark keyMark, id, name, service, zone, addr string) (*upstream, error) {
@@ -163,6 +165,8 @@
 	fail    string
 	garble  string // Empty for a whole answer.
 	lost    bool
+	early   bool
+	endless bool
 	leaving bool
 	limit   *float64
 	holdOff int // Seconds; the request is turned away unless it is zero.
@@ -175,6 +179,8 @@
 	if rand.Float64() < u.failShare {
 		f.fail = u.failHow
 	}
+	f.early = u.earlyShare > 0 && rand.Float64() < u.earlyShare
+	f.endless = u.endlessShare > 0 && rand.Float64() < u.endlessShare
 	if rand.Float64() < u.garbled {
 		f.garble = garbles[rand.IntN(len(garbles))]
 	}
@@ -210,10 +216,20 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	scan := &keyScanner{mark: u.mark}
-	_, _ = io.Copy(scan, r.Body) // Only then does the request's context end with its connection.
 	left := headerMs(r, "Deadline-Ms")
 	run := &Run{Request: id, Upstream: u.name, Service: u.service, Host: r.Host, Path: r.URL.Path, Arrived: arrived, Given: left, Lasts: f.takes(r), Limit: f.limit}
+	scan := &keyScanner{mark: u.mark}
+	run.Accounts, run.KeyIn = accountNames(r), u.mark.keyIn(r, scan)
+	switch {
+	case f.holdOff > 0:
+	case f.early && (r.ContentLength < 0 || r.ContentLength >= earlyBody):
+		u.answerEarly(w, r, run)
+		return
+	case f.endless:
+		u.answerEndlessly(w, run)
+		return
+	}
+	_, _ = io.Copy(scan, r.Body) // Only then does the request's context end with its connection.
 	run.Accounts, run.KeyIn = accountNames(r), u.mark.keyIn(r, scan)
 	deadline := time.NewTimer(left)
 	defer deadline.Stop()
