Soak: a malformed credential runs on no route

The oracle let it run without an account on an anonymous route, where only the absence of a credential is allowed.

--- a/internal/soak/oracle_accounts.go
+++ b/internal/soak/oracle_accounts.go
@@ -67,6 +67,8 @@
 	case CredentialPresent:
 		owner, ok := v.owner(a.Credential.Key)
 		return ok && len(accounts) == 1 && accounts[0] == owner
+	case CredentialMalformed:
+		return false
 	default:
 		r, ok := v.route(a.Host, a.Path)
 		return ok && r.Anonymous && len(accounts) == 0
--- a/internal/soak/oracle_accounts_test.go
+++ b/internal/soak/oracle_accounts_test.go
@@ -49,6 +49,7 @@
 		"without a key":                         {5, "/a/", absent, nil, nil, map[Rule]int{RuleUnasked: 1}},
 		"without a key, on an anonymous route":  {5, "/free/", absent, nil, nil, nil},
 		"malformed":                             {5, "/a/", malformed, nil, nil, map[Rule]int{RuleUnasked: 1}},
+		"malformed, on an anonymous route":      {5, "/free/", malformed, nil, nil, map[Rule]int{RuleUnasked: 1}},
 		"malformed, with an account":            {5, "/a/", malformed, []string{"a"}, nil, map[Rule]int{RuleUnasked: 1}},
 		"a key that never was":                  {5, "/a/", present("never"), []string{"a"}, nil, map[Rule]int{RuleRoute: 1}},
 		"a key that never was, anonymous route": {5, "/free/", present("never"), nil, nil, map[Rule]int{RuleRoute: 1}},
