Soak: general changes of the configuration concern keys too

With accounts, half of the changes beside the faults and within them, such as before a store is restored, change keys; an invalid configuration is followed by further changes.

--- a/internal/soak/accounts.go
+++ b/internal/soak/accounts.go
@@ -343,7 +343,10 @@
 		time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
 		return o.change("a key is added again", b.addAgain)
 	case 3:
-		return o.writeTwice()
+		if err := o.writeTwice(); err != nil {
+			return err
+		}
+		time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
 	case 4:
 		return o.change("a route needs a key, or needs none any more", func() {
 			name := o.idle()
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -198,11 +198,18 @@
 	}
 }
 
-// random changes the configuration in one of the usual ways.
+// randomChange changes the configuration in one of the usual ways: routes, or keys of accounts if there are some.
 func (o *operator) randomChange() error {
 	o.mu.Lock()
 	kind := o.random.IntN(7)
+	var ofKeys *rand.Rand
+	if o.accounts.keys != nil && o.random.IntN(2) == 0 {
+		ofKeys = rand.New(rand.NewPCG(o.random.Uint64(), 8))
+	}
 	o.mu.Unlock()
+	if ofKeys != nil {
+		return o.changeKeys(ofKeys)
+	}
 	switch kind {
 	case 0:
 		return o.change("time-outs", func() {
