--- a/internal/soak/accounts_test.go
+++ b/internal/soak/accounts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -239,3 +240,45 @@
 		}
 	}
 }
+
+// What a restored store gets again is the last valid configuration, under the number under which it is recorded.
+func TestInvalidConfigurationsAreNotWrittenAgain(t *testing.T) {
+	store, rec := standin.New(standin.Options{}), newRecorder()
+	defer store.Close()
+	o := newOperator(store, rec, rand.New(rand.NewPCG(1, 2)), newAccountBook(3, rand.New(rand.NewPCG(1, 6))))
+	read := func() (version string, keys []string) {
+		var value struct {
+			Version string
+			Tenants map[string]struct {
+				Keys []string `json:"api_keys"`
+			}
+		}
+		if err := json.Unmarshal(store.Value("op/config"), &value); err != nil {
+			t.Fatal(err)
+		}
+		for _, account := range value.Tenants {
+			keys = append(keys, account.Keys...)
+		}
+		slices.Sort(keys)
+		return value.Version, keys
+	}
+	if err := o.change("the first", nil); err != nil {
+		t.Fatal(err)
+	}
+	version, keys := read()
+	if err := o.writeTwice(); err != nil {
+		t.Fatal(err)
+	}
+	if other, twice := read(); other == version || len(slices.Compact(slices.Clone(twice))) != len(twice)-1 {
+		t.Fatalf("version %s is written with the keys %q", other, twice)
+	}
+	if err := o.rewrite(); err != nil {
+		t.Fatal(err)
+	}
+	if again, same := read(); again != version || !slices.Equal(keys, same) {
+		t.Errorf("version %s is written again with the keys %q, want %s with %q", again, same, version, keys)
+	}
+	if records, _ := rec.finish(); len(records.Versions) != 1 {
+		t.Errorf("%d versions are recorded, want the valid one", len(records.Versions))
+	}
+}
