--- a/internal/soak/accounts.go
+++ b/internal/soak/accounts.go
@@ -362,7 +362,7 @@
 	return o.change("a key is moved", b.move)
 }
 
-// writeTwice writes a configuration that names a key twice, which is invalid as a whole.
+// writeTwice writes a configuration that names a key twice, which invalidates all of it.
 func (o *operator) writeTwice() error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/soak/early.go
+++ b/internal/soak/early.go
@@ -33,11 +33,10 @@
 
 // How an upstream ends a connection after an early answer.
 const (
-	endReset  = "reset"
-	endLater  = "reset later"
-	endHalf   = "half-close" // It ends its side and leaves the upload unread.
-	endDrain  = "drain"      // It reads the upload to its end.
-	headStart = "HTTP/1.1 200 OK\r\n"
+	endReset = "reset"
+	endLater = "reset later"
+	endHalf  = "half-close" // It ends its side and leaves the upload unread.
+	endDrain = "drain"      // It reads the upload to its end.
 )
 
 // earlyAnswer is how an upstream answers a request whose body it has not read.
@@ -152,6 +151,9 @@
 	return conn
 }
 
+// headStart begins answers without end.
+const headStart = "HTTP/1.1 200 OK\r\n"
+
 // endless is an answer of which a part has no end.
 type endless struct {
 	name  string
--- a/internal/soak/early_test.go
+++ b/internal/soak/early_test.go
@@ -78,12 +78,12 @@
 	}
 }
 
-// A caller gets an answer that arrives while it sends, and takes no part as a whole.
+// A caller gets an answer that arrives while it sends, and takes no part as complete.
 func TestUploadsAreAnsweredEarly(t *testing.T) {
 	for name, c := range map[string]struct {
-		answer string
-		status int
-		whole  bool
+		answer   string
+		status   int
+		complete bool
 	}{
 		"complete": {"HTTP/1.1 413 Request Entity Too Large\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", 413, true},
 		"cut":      {"HTTP/1.1 200 OK\r\nContent-Length: 1%d\r\n\r\n%s", 0, false},
@@ -117,7 +117,7 @@
 			}
 			defer func() { _ = conn.Close() }()
 			a := conn.do([]request{{method: http.MethodPost, host: "h", path: "/", deadline: 10 * time.Second, body: unboundBody, upload: true}}, false)[0]
-			if a.Status != c.status || a.Whole != c.whole || a.GaveUp || !conn.closes || c.status == 0 && a.Err == "" {
+			if a.Status != c.status || a.Whole != c.complete || a.GaveUp || !conn.closes || c.status == 0 && a.Err == "" {
 				t.Errorf("%+v", a)
 			}
 		})
--- a/internal/soak/oracle_accounts.go
+++ b/internal/soak/oracle_accounts.go
@@ -224,7 +224,7 @@
 	}
 }
 
-// checkEarly looks for complete answers that an upstream sent before it had the whole request, and that the caller
+// checkEarly looks for complete answers that an upstream sent before it had read the request, and that the caller
 // didn't get.
 func (j *judge) checkEarly() {
 	for k := range j.Attempts {
