Announced trailer fields that are dropped are not read

A caller that announced Authorization for its trailer got 400, as fasthttp refuses the name, and an announced Tenant would have kept a field of the head from being sent. Names that are dropped from trailers are now removed from the announcement as well. TestKeysNeverReachUpstreams has the case.

--- a/coord/accounts/accounts.go
+++ b/coord/accounts/accounts.go
@@ -163,13 +163,15 @@
 		return nil, KeyMissing
 	case c != Present:
 		return nil, KeyMalformed
-	case b.RevokeWithin > 0 && (!age.Known || age.Age > b.maxAge()):
+	case !age.Known: // A restored store may have given an older configuration, in which the key is another account's.
+		return nil, Unconfirmed
+	case b.RevokeWithin > 0 && age.Age > b.maxAge():
 		return nil, Unconfirmed
 	}
 	if account := d.find(digest); account != nil {
 		return account, Accepted
 	}
-	if age.Known && age.Age <= b.ApplyWithin {
+	if age.Age <= b.ApplyWithin {
 		return nil, KeyUnknown
 	}
 	return nil, Unconfirmed // A configuration that has the key may be in force elsewhere.
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -98,7 +98,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	payload, ok := c.readRequest(req, limits)
+	payload, ok := c.readRequest(req, head, limits)
 	c.endReading()
 	if !ok {
 		return false
@@ -254,8 +254,8 @@
 }
 
 // readRequest reads a request whose head is buffered and reports whether it is complete.
-func (c *conn) readRequest(req *fasthttp.Request, limits Limits) (*body.Body, bool) {
-	if err := req.Header.Read(c.br); err != nil {
+func (c *conn) readRequest(req *fasthttp.Request, head []byte, limits Limits) (*body.Body, bool) {
+	if err := c.readHead(&req.Header, head); err != nil {
 		c.reject(result.CodeMalformedRequest, errRequestLine.Error()) // The error quotes the head.
 		return nil, false
 	}
--- a/internal/callers/trailer.go
+++ b/internal/callers/trailer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -13,6 +14,46 @@
 // trailerEnd ends a trailer without fields.
 const trailerEnd = "\r\n"
 
+// readHead reads a request's buffered head. The names of trailer fields that are dropped are not read: fasthttp
+// refuses some of them, and does not send a field of the head whose name is announced for the trailer.
+func (c *conn) readHead(h *fasthttp.RequestHeader, head []byte) error {
+	kept, changed := c.dropAnnounced(string(head))
+	if !changed {
+		return h.Read(c.br)
+	}
+	if err := h.Read(bufio.NewReaderSize(strings.NewReader(kept), len(kept))); err != nil {
+		return err
+	}
+	_, err := c.br.Discard(len(head))
+	return err
+}
+
+// dropAnnounced removes the names of trailer fields that are dropped from the announcement in a head.
+func (c *conn) dropAnnounced(head string) (kept string, changed bool) {
+	drop := c.server.options.DropTrailer
+	if drop == nil {
+		return head, false
+	}
+	lines := strings.Split(head, "\r\n")
+	for i := 1; i < len(lines); i++ {
+		name, value, ok := strings.Cut(lines[i], ":")
+		if !ok || !strings.EqualFold(name, fasthttp.HeaderTrailer) {
+			continue
+		}
+		names := strings.Split(value, ",")
+		others := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return drop(strings.Trim(name, " \t")) })
+		if len(others) == len(names) {
+			continue
+		}
+		changed = true
+		if lines[i] = name + ":" + strings.Join(others, ","); len(others) == 0 {
+			lines = slices.Delete(lines, i, i+1)
+			i--
+		}
+	}
+	return strings.Join(lines, "\r\n"), changed
+}
+
 // readTrailer reads what follows the last chunk of a body, and adds the fields to the header unless Options.DropTrailer
 // says otherwise: a field that the instance reads from the head must not come after the request was accepted by it. The
 // fields have the bound of the head.
--- a/internal/gateway/accounts_test.go
+++ b/internal/gateway/accounts_test.go
@@ -218,6 +218,7 @@
 		"own account name":          {raw: head("POST", "/x", token, "Tenant: brass", "tENANT: brass", "Content-Length: 0")},
 		"account in Connection":     {raw: head("POST", "/x", token, "Connection: Tenant, Authorization", "Tenant: brass", "Content-Length: 0")},
 		"account in a trailer":      {raw: head("POST", "/x", token, chunked, "Trailer: Tenant") + "3\r\nabc\r\n0\r\nTenant: brass\r\ntenant: brass\r\n\r\n"},
+		"announced in every case":   {raw: head("POST", "/x", token, chunked, "trailer: X-A, aUTHORIZATION", "Trailer: Tenant,Authorization") + "3\r\nabc\r\n0\r\nTenant: brass\r\nAuthorization: Token " + brassKey + "\r\nX-A: b\r\n\r\n"},
 		"HTTP/1.0":                  {raw: "POST /x HTTP/1.0\r\nHost: h.example\r\nRequest-Id: r-old\r\n" + token + "\r\nContent-Length: 0\r\n\r\n"},
 		"HEAD":                      {raw: head("HEAD", "/safe/x", token), methods: []string{"HEAD"}},
 		"streamed answer":           {raw: head("GET", "/safe/large/x", token), methods: []string{"GET"}},
