Soak: a process's memory is its own

The system's peak of a process that has ended begins with the memory of the process that started it, which shares it until the new program runs. The check was wrong, not the instances. The test starts a small process beside 200 MB of its own.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -256,9 +256,10 @@
 	m.mu.Lock()
 	m.process = p
 	m.mu.Unlock()
+	meter := meterMemory(cmd.Process.Pid, p.exited)
 	go func() {
 		err := cmd.Wait()
-		m.recorder.memory(m.name, peakMemory(cmd.ProcessState))
+		m.recorder.memory(m.name, meter.bytes(cmd.ProcessState))
 		if !p.ordered.Load() {
 			m.recorder.ownEnd(m.name, fmt.Sprintf("process %d: %v", cmd.Process.Pid, err))
 		}
--- a/internal/soak/process_linux.go
+++ b/internal/soak/process_linux.go
@@ -5,7 +5,10 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"strings"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -51,11 +54,54 @@
 	return nil
 }
 
-// peakMemory returns the memory that a process that has ended used at its peak, in bytes; 0 if it is not known.
-func peakMemory(state *os.ProcessState) int64 {
-	usage, ok := state.SysUsage().(*syscall.Rusage)
-	if !ok {
+// memoryInterval is how often the peak of a process that runs is read: an end by itself counts in any case.
+const memoryInterval = 100 * time.Millisecond
+
+// memoryMeter measures the memory that a process uses at its peak. The system's own figure for a process that has ended
+// begins with that of the process that started it, so it counts only if it is larger.
+type memoryMeter struct {
+	inherited int64 // Bytes.
+	peak      atomic.Int64
+}
+
+// meterMemory measures a process that has just been started, until it ends.
+func meterMemory(pid int, ended <-chan struct{}) *memoryMeter {
+	m := &memoryMeter{inherited: peakResident(os.Getpid())}
+	m.peak.Store(peakResident(pid))
+	go func() {
+		tick := time.NewTicker(memoryInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ended:
+				return
+			case <-tick.C:
+				m.peak.Store(max(m.peak.Load(), peakResident(pid)))
+			}
+		}
+	}()
+	return m
+}
+
+// bytes returns the peak of a process that has ended.
+func (m *memoryMeter) bytes(state *os.ProcessState) int64 {
+	if usage, ok := state.SysUsage().(*syscall.Rusage); ok && usage.Maxrss<<10 > m.inherited {
+		return usage.Maxrss << 10 // It is in kilobytes.
+	}
+	return m.peak.Load()
+}
+
+// peakResident returns the peak of the memory of a process that runs, in bytes; 0 if it has ended.
+func peakResident(pid int) int64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
 		return 0
 	}
-	return usage.Maxrss << 10 // It is in kilobytes.
+	for line := range strings.Lines(string(status)) {
+		var kilobytes int64
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil {
+			return kilobytes << 10
+		}
+	}
+	return 0
 }
--- a/internal/soak/process_linux_test.go
+++ b/internal/soak/process_linux_test.go
@@ -32,7 +32,9 @@
 }
 
 func TestDescriptorsAreLimitedAndMemoryIsMeasured(t *testing.T) {
-	cmd := exec.Command("cat") // It waits for its input.
+	const large = 200 << 20
+	own := bytes.Repeat([]byte{1}, large) // The peak of this process is not that of the one that it starts.
+	cmd := exec.Command("cat")            // It waits for its input.
 	input, err := cmd.StdinPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -40,6 +42,8 @@
 	if err := startOn(0, cmd); err != nil {
 		t.Fatal(err)
 	}
+	ended := make(chan struct{})
+	meter := meterMemory(cmd.Process.Pid, ended)
 	const limit = 40
 	if err := limitDescriptors(cmd.Process.Pid, limit); err != nil {
 		t.Fatal(err)
@@ -52,7 +56,8 @@
 	if err := cmd.Wait(); err != nil {
 		t.Fatal(err)
 	}
-	if bytes := peakMemory(cmd.ProcessState); bytes < 100<<10 || bytes > 1<<30 {
-		t.Errorf("a peak of %d bytes", bytes)
+	close(ended)
+	if peak := meter.bytes(cmd.ProcessState); peak < 100<<10 || peak >= large {
+		t.Errorf("a peak of %d bytes, beside %d of this process", peak, len(own))
 	}
 }
--- a/internal/soak/process_other.go
+++ b/internal/soak/process_other.go
@@ -31,5 +31,9 @@
 // limitDescriptors sets how many descriptors a process that runs may open.
 func limitDescriptors(_, _ int) error { return errDescriptors }
 
-// peakMemory returns the memory that a process that has ended used at its peak, in bytes; 0 if it is not known.
-func peakMemory(*os.ProcessState) int64 { return 0 }
+// memoryMeter measures the memory that a process uses at its peak; here it is not known.
+type memoryMeter struct{}
+
+func meterMemory(int, <-chan struct{}) *memoryMeter { return &memoryMeter{} }
+
+func (*memoryMeter) bytes(*os.ProcessState) int64 { return 0 }
