Accounts are limited over all instances: 429 with code 1027

Cause: nothing applied the limits of accounts to requests.

Change: the control loop takes a request from its account's limit when its first attempt is placed; a request that is not placed, or that no upstream has run, is given back, and one whose key moved to another account is taken from that one's limit. Messages between instances are followed by the uses of accounts, if there are any, and a handover by levels; messages without uses keep their bytes. Settings quota.window, quota.excess and quota.tolerance. In a fleet with brokers each instance uses an equal part of every limit; placement requests do not carry the account yet.

In coord/quota: accounts are identified by accounts.ID; an instance that has taken over levels deducts of a peer's recent use only the part that is later.

Result: the tests of internal/forward, coord/quota and coord/result pass with the race detector. Seen to fail: a request without an upstream that is not given back, one that may have run and is given back, and one that is taken twice.

--- a/coord/dispatch/types.go
+++ b/coord/dispatch/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/damaskcove/damaskcove/coord/accounts"
 	"github.com/damaskcove/damaskcove/coord/outlook"
 	"github.com/damaskcove/damaskcove/coord/retrybudget"
 )
@@ -38,11 +39,12 @@
 	Objective     time.Time
 	Deadline      time.Time
 	Tried         []EndpointID
-	CrossZoneCost float64 // Part of its credit that a response from another zone costs; see Machine.CrossZoneCost.
-	Priority      int     // 0 is the most urgent.
-	Waiting       bool    // It has waited for room already.
-	Substitute    bool    // This instance places it in place of the one that usually does.
-	MinScore      float64 // It gets an endpoint of at least this score, or none.
+	CrossZoneCost float64     // Part of its credit that a response from another zone costs; see Machine.CrossZoneCost.
+	Priority      int         // 0 is the most urgent.
+	Waiting       bool        // It has waited for room already.
+	Account       accounts.ID // Of the caller; 0 if there is none or its limit has been taken from.
+	Substitute    bool        // This instance places it in place of the one that usually does.
+	MinScore      float64     // It gets an endpoint of at least this score, or none.
 
 	retryable bool // If it fails it is tried again: its kind, its attempts and the budget allow it.
 }
@@ -57,6 +59,7 @@
 	RetryBudgetExhausted                   // The retry budget is spent.
 	NoSpareSlot                            // No healthy endpoint has a spare slot for a Hedge.
 	ScoreTooLow                            // No endpoint reaches the Request's MinScore.
+	AccountLimit                           // The account's limit over all instances has no room.
 )
 
 // Grant assigns an endpoint to a request, which counts as in flight there until Ended.
@@ -80,7 +83,7 @@
 	HeldOff         int           // Set for NoEndpoint: endpoints that want no requests for a time; RetryAfter is when the first returns, spread over time.
 	Limited         int           // Set for NoEndpoint: endpoints whose limit of requests a second leaves no room.
 	LimitEndpoint   string        // Set if Limited: the id of the one that has room first; empty if a broker placed the request.
-	LimitRate       float64       // Its limit in requests a second.
+	LimitRate       float64       // Its limit in requests a second; for AccountLimit that of the account.
 	Wait            time.Duration // Set for NoEndpoint if the request can wait for the first to return, or to have room, and still meet its objective.
 }
 
--- a/coord/quota/fleet_test.go
+++ b/coord/quota/fleet_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/damaskcove/damaskcove/coord/accounts"
 	"pgregory.net/rapid"
 )
 
@@ -23,9 +24,9 @@
 	queue     eventQueue
 	queued    int
 	instances []*testInstance
-	limits    map[Account]Limit
-	inForce   map[Account][]limitChange
-	runs      map[Account][]time.Time
+	limits    map[accounts.ID]Limit
+	inForce   map[accounts.ID][]limitChange
+	runs      map[accounts.ID][]time.Time
 	loss      float64 // Share of the messages.
 	late      float64 // Share of the messages that take up to 400 ms; others take up to 40 ms.
 	returned  float64 // Share of the requests that don't run.
@@ -68,10 +69,10 @@
 	return e
 }
 
-func newTestFleet(seed uint64, instances int, full bool, limits map[Account]Limit) *testFleet {
+func newTestFleet(seed uint64, instances int, full bool, limits map[accounts.ID]Limit) *testFleet {
 	f := &testFleet{
 		random: rand.New(rand.NewPCG(seed, 1)), now: epoch, limits: limits,
-		inForce: map[Account][]limitChange{}, runs: map[Account][]time.Time{},
+		inForce: map[accounts.ID][]limitChange{}, runs: map[accounts.ID][]time.Time{},
 	}
 	for range instances {
 		f.start(full)
@@ -124,7 +125,7 @@
 }
 
 // setLimits replaces the limits; each instance uses the new ones within 500 ms.
-func (f *testFleet) setLimits(limits map[Account]Limit) {
+func (f *testFleet) setLimits(limits map[accounts.ID]Limit) {
 	for a := range f.limits {
 		f.inForce[a] = append(f.inForce[a], limitChange{f.now.Add(500 * time.Millisecond), limits[a]})
 	}
@@ -176,7 +177,7 @@
 	}
 }
 
-func (f *testFleet) request(i *testInstance, a Account) bool {
+func (f *testFleet) request(i *testInstance, a accounts.ID) bool {
 	ok, _ := i.l.Take(f.now, a, f.random.IntN(3))
 	switch {
 	case !ok:
@@ -196,7 +197,7 @@
 }
 
 // load sends an account's requests at a mean rate a second, in groups that arrive together.
-func (f *testFleet) load(a Account, rate float64, group int, to func() *testInstance) {
+func (f *testFleet) load(a accounts.ID, rate float64, group int, to func() *testInstance) {
 	f.after(time.Duration(f.random.ExpFloat64()/rate*float64(group)*float64(time.Second)), func() {
 		for range group {
 			if len(f.instances) > 0 {
@@ -211,7 +212,7 @@
 
 // allowed returns the most requests of an account in the window from a time on. A lowered limit binds a window after it
 // has come into force.
-func (f *testFleet) allowed(a Account, from time.Time) float64 {
+func (f *testFleet) allowed(a accounts.ID, from time.Time) float64 {
 	most, previous := 0.0, Limit{}
 	for _, c := range f.inForce[a] {
 		if previous.Rate > 0 && c.at.Add(testConfig.Window).After(from) {
@@ -267,15 +268,15 @@
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		size := rapid.IntRange(1, 12).Draw(t, "instances")
-		limits := map[Account]Limit{}
-		for a := range Account(3) {
+		limits := map[accounts.ID]Limit{}
+		for a := range accounts.ID(3) {
 			limits[a] = drawLimit(t)
 		}
 		f := newTestFleet(seed, size, rapid.Bool().Draw(t, "full"), limits)
 		f.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
 		f.late = rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "late")
 		f.returned = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "returned")
-		for a := range Account(3) {
+		for a := range accounts.ID(3) {
 			to := f.anyInstance
 			if rapid.Bool().Draw(t, "at one") {
 				to = func() *testInstance { return f.instances[0] }
@@ -330,8 +331,8 @@
 		}
 		f.setPeers()
 	case 5:
-		limits := map[Account]Limit{}
-		for a := range Account(3) {
+		limits := map[accounts.ID]Limit{}
+		for a := range accounts.ID(3) {
 			limits[a] = drawLimit(t)
 		}
 		f.setLimits(limits)
@@ -361,7 +362,7 @@
 		"demand just below the limit":        {30, Limit{50, 50}, 15, false, 0.9},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newTestFleet(7, tc.instances, false, map[Account]Limit{1: tc.limit})
+			f := newTestFleet(7, tc.instances, false, map[accounts.ID]Limit{1: tc.limit})
 			to := f.anyInstance
 			if tc.atOne {
 				to = func() *testInstance { return f.instances[0] }
@@ -390,7 +391,7 @@
 func TestPartitionOfFullBuckets(t *testing.T) {
 	for _, limit := range []Limit{{0.25, 200}, {1, 1}, {5, 60}, {40, 30}, {100, 200}} {
 		for seed := range uint64(5) {
-			f := newTestFleet(seed, 12, true, map[Account]Limit{1: limit})
+			f := newTestFleet(seed, 12, true, map[accounts.ID]Limit{1: limit})
 			f.runUntil(epoch.Add(4 * time.Second))
 			for k, i := range f.instances {
 				i.side = k % 2
@@ -413,7 +414,7 @@
 // Few of the requests that arrive between reports run.
 func TestManyRequestsBetweenReports(t *testing.T) {
 	for seed := range uint64(3) {
-		f := newTestFleet(seed, 80, false, map[Account]Limit{1: {Rate: 2, Burst: 2}})
+		f := newTestFleet(seed, 80, false, map[accounts.ID]Limit{1: {Rate: 2, Burst: 2}})
 		f.load(1, 300, 1, f.anyInstance)
 		f.runUntil(epoch.Add(4 * time.Second))
 		f.load(1, 5000, 1, f.anyInstance)
--- a/coord/quota/handover.go
+++ b/coord/quota/handover.go
@@ -1,11 +1,15 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"github.com/damaskcove/damaskcove/coord/accounts"
+)
 
 // Level is the level of a bucket that is not full.
 type Level struct {
 	_       struct{} `cbor:",toarray"`
-	Account Account
+	Account accounts.ID
 	Tokens  float32 // Negative after too many requests.
 }
 
@@ -35,7 +39,10 @@
 		return
 	}
 	l.advance(now)
-	adopt := func(a Account, tokens float64) {
+	if l.adoptedAt.IsZero() {
+		l.adoptedAt = now
+	}
+	adopt := func(a accounts.ID, tokens float64) {
 		limit := l.limits[a]
 		if limit.Rate <= 0 || tokens != tokens {
 			return
--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -3,10 +3,9 @@
 import (
 	"math/rand/v2"
 	"time"
-)
 
-// Account identifies a client account.
-type Account uint64
+	"github.com/damaskcove/damaskcove/coord/accounts"
+)
 
 // Limit is what an account may use over all instances. A rate of 0 limits nothing.
 type Limit struct {
@@ -26,10 +25,10 @@
 // start, and wrap.
 type Use struct {
 	_        struct{} `cbor:",toarray"`
-	Account  Account
+	Account  accounts.ID
 	Taken    uint32
 	Returned uint32 // Of those taken, requests that have not run.
-	Recent   uint32 // Of those taken, requests of the last one to two recentSlices.
+	Recent   uint32 // Taken and not returned in the last one to two recentSlices.
 }
 
 const (
@@ -65,10 +64,11 @@
 	random  *rand.Rand
 	started time.Time
 	full    bool // Buckets without a state were full at a credit of 0; else they were empty.
-	limits  map[Account]Limit
-	buckets map[Account]*bucket
+	limits  map[accounts.ID]Limit
+	buckets map[accounts.ID]*bucket
 
-	hasLimits bool // SetLimits was called.
+	hasLimits bool      // SetLimits was called.
+	adoptedAt time.Time // When levels were first adopted; zero if they were not.
 
 	instances  int // Including this one; 0 until it is known.
 	creditFrom time.Time
@@ -81,8 +81,8 @@
 	counts, olderCounts map[countKey]count // Reported by peers, in two generations.
 	countsSince         time.Time
 
-	changed []Account // To be reported, oldest change first.
-	repeats []repeat  // By due time.
+	changed []accounts.ID // To be reported, oldest change first.
+	repeats []repeat      // By due time.
 }
 
 type peer struct {
@@ -92,13 +92,13 @@
 
 type countKey struct {
 	from    uint64
-	account Account
+	account accounts.ID
 }
 
 type count struct{ taken, returned uint32 }
 
 type repeat struct {
-	account Account
+	account accounts.ID
 	due     time.Time
 }
 
@@ -118,8 +118,11 @@
 	urgencies []urgencySeen
 }
 
-// recent counts requests in a recentSlice.
-type recent struct{ taken, others int }
+// recent counts requests in a recentSlice. Returns are deducted in the slice in which they come.
+type recent struct {
+	taken  int
+	others float64
+}
 
 type urgencySeen struct {
 	urgency int
@@ -131,14 +134,14 @@
 func New(cfg Config, now time.Time, full bool, random rand.Source) *Limiter {
 	return &Limiter{
 		cfg: cfg, random: rand.New(random), started: now, full: full, ownAt: now, countsSince: now,
-		buckets: make(map[Account]*bucket), peers: make(map[uint64]peer),
+		buckets: make(map[accounts.ID]*bucket), peers: make(map[uint64]peer),
 		counts: make(map[countKey]count), olderCounts: make(map[countKey]count),
 	}
 }
 
 // SetLimits replaces the limits of all accounts. The Limiter keeps the map, which must not change. A limit that is added
 // later than a window after the start has a full bucket.
-func (l *Limiter) SetLimits(now time.Time, limits map[Account]Limit) {
+func (l *Limiter) SetLimits(now time.Time, limits map[accounts.ID]Limit) {
 	l.advance(now)
 	old := l.limits
 	for a, b := range l.buckets {
@@ -262,7 +265,7 @@
 }
 
 // bucket returns an account's bucket, settled.
-func (l *Limiter) bucket(a Account, limit Limit) *bucket {
+func (l *Limiter) bucket(a accounts.ID, limit Limit) *bucket {
 	b := l.buckets[a]
 	if b == nil {
 		b = &bucket{}
@@ -292,7 +295,7 @@
 
 // Take takes a request of an account from its limit. If it may not run now, ok is false and retryAfter says when the
 // limit has room. An urgency of 0 is the most urgent.
-func (l *Limiter) Take(now time.Time, a Account, urgency int) (ok bool, retryAfter time.Duration) {
+func (l *Limiter) Take(now time.Time, a accounts.ID, urgency int) (ok bool, retryAfter time.Duration) {
 	limit := l.limits[a]
 	if limit.Rate <= 0 {
 		return true, 0
@@ -361,7 +364,7 @@
 }
 
 // Return gives back a request that Take accepted and that has not run.
-func (l *Limiter) Return(now time.Time, a Account) {
+func (l *Limiter) Return(now time.Time, a accounts.ID) {
 	b, limit := l.buckets[a], l.limits[a]
 	if b == nil || limit.Rate <= 0 || b.returned == b.taken {
 		return
@@ -370,10 +373,12 @@
 	l.settle(b, limit)
 	l.add(b, limit, 1)
 	b.returned++
+	b.rotate(now)
+	b.now.taken--
 	l.noteChange(now, a, b)
 }
 
-func (l *Limiter) noteChange(now time.Time, a Account, b *bucket) {
+func (l *Limiter) noteChange(now time.Time, a accounts.ID, b *bucket) {
 	b.changedAt = now
 	if !b.queued {
 		b.queued = true
@@ -410,13 +415,13 @@
 	return uses
 }
 
-func (l *Limiter) use(now time.Time, a Account, b *bucket) Use {
+func (l *Limiter) use(now time.Time, a accounts.ID, b *bucket) Use {
 	if !b.repeated {
 		b.repeated = true
 		l.repeats = append(l.repeats, repeat{a, now.Add(repeatInterval)})
 	}
 	b.rotate(now)
-	return Use{Account: a, Taken: b.taken, Returned: b.returned, Recent: uint32(b.recent().taken)}
+	return Use{Account: a, Taken: b.taken, Returned: b.returned, Recent: uint32(max(b.recent().taken, 0))}
 }
 
 // HandleReport deducts what a peer has used. What it took in a gap is not deducted, as its contribution in the gap is
@@ -434,27 +439,39 @@
 			known, ok = l.olderCounts[key]
 		}
 		taken, returned := int32(u.Taken-known.taken), int32(u.Returned-known.returned)
+		recently := int(min(u.Recent, 1<<30))
+		used := float64(min(int(taken)-int(returned), recently))
 		switch {
 		case !ok:
-			taken, returned = int32(min(u.Recent, 1<<30)), 0
+			used = float64(recently) * l.partSinceAdoption(now)
 		case taken < 0 || returned < 0:
 			continue // Late.
 		}
-		taken = min(taken, int32(min(u.Recent, 1<<30)))
 		l.counts[key] = count{u.Taken, u.Returned}
 		limit := l.limits[u.Account]
-		if inGap || limit.Rate <= 0 || taken == 0 && returned == 0 {
+		if inGap || limit.Rate <= 0 || used == 0 {
 			continue
 		}
 		b := l.bucket(u.Account, limit)
 		b.rotate(now)
-		b.now.others += int(taken)
-		l.add(b, limit, float64(returned)-float64(taken))
+		b.now.others += used
+		l.add(b, limit, -used)
 	}
 }
 
+// partSinceAdoption returns the part of a peer's recent use that adopted levels don't include: use is taken as even.
+func (l *Limiter) partSinceAdoption(now time.Time) float64 {
+	if l.adoptedAt.IsZero() {
+		return 1
+	}
+	return min(max(now.Sub(l.adoptedAt), 0).Seconds()/(recentSlice+recentSlice/2).Seconds(), 1)
+}
+
+// Limit returns the limit of an account; its rate is 0 if it has none.
+func (l *Limiter) Limit(a accounts.ID) Limit { return l.limits[a] }
+
 // Load returns the recent use of an account by all instances, as a share of its limit; 0 without a limit.
-func (l *Limiter) Load(now time.Time, a Account) float64 {
+func (l *Limiter) Load(now time.Time, a accounts.ID) float64 {
 	b, limit := l.buckets[a], l.limits[a]
 	if b == nil || limit.Rate <= 0 {
 		return 0
@@ -462,5 +479,5 @@
 	b.rotate(now)
 	r := b.recent()
 	period := now.Sub(b.sliceAt) + recentSlice
-	return float64(r.taken+r.others) / period.Seconds() / limit.Rate
+	return max(float64(r.taken)+r.others, 0) / period.Seconds() / limit.Rate
 }
--- a/coord/quota/quota_test.go
+++ b/coord/quota/quota_test.go
@@ -5,10 +5,12 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/damaskcove/damaskcove/coord/accounts"
 )
 
 // newTestLimiter returns a Limiter that has known its peers for long enough to credit.
-func newTestLimiter(full bool, peers int, limits map[Account]Limit) (*Limiter, time.Time) {
+func newTestLimiter(full bool, peers int, limits map[accounts.ID]Limit) (*Limiter, time.Time) {
 	l := New(testConfig, epoch, full, rand.NewPCG(1, 2))
 	l.SetLimits(epoch, limits)
 	l.SetPeers(epoch, peers)
@@ -21,7 +23,7 @@
 }
 
 // takeAll takes requests until one is rejected.
-func takeAll(l *Limiter, now time.Time, a Account, urgency int) int {
+func takeAll(l *Limiter, now time.Time, a accounts.ID, urgency int) int {
 	for n := 0; ; n++ {
 		if ok, _ := l.Take(now, a, urgency); !ok {
 			return n
@@ -30,7 +32,7 @@
 }
 
 func TestTokens(t *testing.T) {
-	const a = Account(1)
+	const a = accounts.ID(1)
 	limit := Limit{Rate: 10, Burst: 20}
 	full := int((&Limiter{cfg: testConfig}).capacity(limit))
 	if full < 20 {
@@ -105,23 +107,23 @@
 			return now
 		}, full},
 		"lowered": {true, 0, func(l *Limiter, now time.Time) time.Time {
-			l.SetLimits(now, map[Account]Limit{a: {Rate: 1, Burst: 1}}) // And one of what is stored for late contributions.
+			l.SetLimits(now, map[accounts.ID]Limit{a: {Rate: 1, Burst: 1}}) // And one of what is stored for late contributions.
 			return now
 		}, 2},
 		"raised": {false, 0, func(l *Limiter, now time.Time) time.Time {
-			l.SetLimits(now, map[Account]Limit{a: {Rate: 40, Burst: 60}})
+			l.SetLimits(now, map[accounts.ID]Limit{a: {Rate: 40, Burst: 60}})
 			return now.Add(1010 * time.Millisecond)
 		}, 40},
 		"removed and added": {false, 0, func(l *Limiter, now time.Time) time.Time {
 			now = now.Add(testConfig.Window)
 			takeAll(l, now, a, 0)
 			l.SetLimits(now, nil)
-			l.SetLimits(now, map[Account]Limit{a: limit})
+			l.SetLimits(now, map[accounts.ID]Limit{a: limit})
 			return now
 		}, full},
 		"added at once after a start": {false, 0, func(l *Limiter, now time.Time) time.Time {
 			l.SetLimits(now, nil)
-			l.SetLimits(now, map[Account]Limit{a: limit})
+			l.SetLimits(now, map[accounts.ID]Limit{a: limit})
 			return now
 		}, 0},
 		"adopted": {false, 0, func(l *Limiter, now time.Time) time.Time {
@@ -133,13 +135,19 @@
 			l.Adopt(now, nil, true)
 			return now
 		}, full},
+		"adopted, with use that is included": {false, 1, func(l *Limiter, now time.Time) time.Time {
+			l.Adopt(now, []Level{{Account: a, Tokens: 8.5}}, true)
+			l.HandleReport(now, 0, []Use{{Account: a, Taken: 6, Recent: 6}})
+			l.HandleReport(now, 0, []Use{{Account: a, Taken: 9, Recent: 9}})
+			return now
+		}, 5},
 		"adopted in part": {false, 0, func(l *Limiter, now time.Time) time.Time {
 			l.Adopt(now, []Level{{Account: 2, Tokens: 4}}, false)
 			return now
 		}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, now := newTestLimiter(tc.full, tc.peers, map[Account]Limit{a: limit})
+			l, now := newTestLimiter(tc.full, tc.peers, map[accounts.ID]Limit{a: limit})
 			now = tc.do(l, now)
 			if got := takeAll(l, now, a, 0); got != tc.want {
 				t.Errorf("%d requests may run, want %d", got, tc.want)
@@ -149,8 +157,8 @@
 }
 
 func TestAccountsWithoutALimit(t *testing.T) {
-	l, now := newTestLimiter(false, 3, map[Account]Limit{1: {Rate: 0, Burst: 5}})
-	for _, a := range []Account{1, 2} {
+	l, now := newTestLimiter(false, 3, map[accounts.ID]Limit{1: {Rate: 0, Burst: 5}})
+	for _, a := range []accounts.ID{1, 2} {
 		for range 1000 {
 			if ok, _ := l.Take(now, a, 0); !ok {
 				t.Fatalf("a request of account %d was rejected", a)
@@ -164,7 +172,7 @@
 }
 
 func TestRetryAfterSaysWhenThereIsRoom(t *testing.T) {
-	l, now := newTestLimiter(true, 0, map[Account]Limit{1: {Rate: 2, Burst: 1}})
+	l, now := newTestLimiter(true, 0, map[accounts.ID]Limit{1: {Rate: 2, Burst: 1}})
 	takeAll(l, now, 1, 0)
 	_, wait := l.Take(now, 1, 0)
 	if ok, _ := l.Take(now.Add(wait-10*time.Millisecond), 1, 0); ok {
@@ -177,7 +185,7 @@
 
 // At the limit, more urgent requests are served first.
 func TestUrgentRequestsTakePrecedence(t *testing.T) {
-	l, now := newTestLimiter(false, 0, map[Account]Limit{1: {Rate: 20, Burst: 10}})
+	l, now := newTestLimiter(false, 0, map[accounts.ID]Limit{1: {Rate: 20, Burst: 10}})
 	served := [2]int{}
 	const seconds = 20
 	for step := range seconds * 100 {
@@ -199,15 +207,15 @@
 }
 
 func TestReportsAreBoundedAndRepeated(t *testing.T) {
-	limits := map[Account]Limit{}
-	for a := range Account(10) {
+	limits := map[accounts.ID]Limit{}
+	for a := range accounts.ID(10) {
 		limits[a] = Limit{Rate: 10, Burst: 10}
 	}
 	l, now := newTestLimiter(true, 1, limits)
-	for a := range Account(10) {
+	for a := range accounts.ID(10) {
 		l.Take(now, a, 0)
 	}
-	var got []Account
+	var got []accounts.ID
 	for l.HasChanges() {
 		uses := l.Report(now, 4)
 		if len(uses) > 4 {
@@ -237,7 +245,7 @@
 	ran := 0
 	for k := range instances {
 		l := New(testConfig, epoch, true, rand.NewPCG(uint64(k), 3))
-		l.SetLimits(epoch, map[Account]Limit{1: limit})
+		l.SetLimits(epoch, map[accounts.ID]Limit{1: limit})
 		l.SetPeers(epoch, instances-1)
 		l.SetSeparate(epoch, true)
 		for now := epoch; now.Sub(epoch) < seconds*time.Second; now = now.Add(20 * time.Millisecond) {
@@ -252,7 +260,7 @@
 }
 
 func TestLoad(t *testing.T) {
-	l, now := newTestLimiter(true, 1, map[Account]Limit{1: {Rate: 10, Burst: 100}})
+	l, now := newTestLimiter(true, 1, map[accounts.ID]Limit{1: {Rate: 10, Burst: 100}})
 	for range 240 { // Each instance uses half of the limit.
 		now = now.Add(100 * time.Millisecond)
 		l.Heard(now, 0)
@@ -266,15 +274,15 @@
 }
 
 func BenchmarkTake(b *testing.B) {
-	limits := make(map[Account]Limit)
-	for a := range Account(10_000) {
+	limits := make(map[accounts.ID]Limit)
+	for a := range accounts.ID(10_000) {
 		limits[a] = Limit{Rate: 10, Burst: 20}
 	}
 	l, now := newTestLimiter(true, 87, limits)
 	b.ReportAllocs()
 	for n := 0; b.Loop(); n++ {
 		now = now.Add(time.Millisecond)
-		a := Account(n * 7919 % 10_000)
+		a := accounts.ID(n * 7919 % 10_000)
 		l.Heard(now, uint64(n%87))
 		l.HandleReport(now, uint64(n%87), []Use{{Account: a, Taken: uint32(n), Recent: 1}})
 		l.Take(now, a, 0)
--- a/coord/result/codes.go
+++ b/coord/result/codes.go
@@ -27,6 +27,7 @@
 	CodeKeyMalformed       Code = 1024
 	CodeAccountKeyUnknown  Code = 1025
 	CodeConfigUnconfirmed  Code = 1026
+	CodeAccountLimit       Code = 1027
 	CodeTicketMalformed    Code = 1100
 	CodeTicketForged       Code = 1101
 	CodeTicketExpired      Code = 1102
@@ -93,6 +94,7 @@
 	{CodeKeyMalformed, "key-malformed", 401, NotRun, "The request's Authorization is repeated, has another scheme than Token, or holds no valid key."},
 	{CodeAccountKeyUnknown, "account-key-unknown", 401, NotRun, "No client account has the request's key."},
 	{CodeConfigUnconfirmed, "configuration-unconfirmed", 503, NotRun, "The configuration in force may be too old to decide on the request's key."},
+	{CodeAccountLimit, "account-limit", 429, NotRun, "The client account is at its limit over all instances."},
 	{CodeTicketMalformed, "ticket-malformed", 400, Unknown, "The Idempotency-Key does not hold a ticket; this attempt did not run."},
 	{CodeTicketForged, "ticket-forged", 403, Unknown, "The ticket's authentication code is wrong or of a retired key; this attempt did not run."},
 	{CodeTicketExpired, "ticket-expired", 409, Unknown, "The ticket has expired; an earlier attempt may have run."},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/coord/accounts"
 	"github.com/damaskcove/damaskcove/coord/dispatch"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/internal/body"
@@ -38,6 +39,8 @@
 	LimitNamed(g dispatch.Grant, sent time.Time, rate float64)
 	// LimitAbsent records that the answer of an endpoint that was granted as limited named no limit.
 	LimitAbsent(g dispatch.Grant, sent time.Time)
+	// ReturnQuota gives back to an account's limit a granted request that has not run at any endpoint.
+	ReturnQuota(a accounts.ID)
 }
 
 // Rejected is the error of a request that is granted no endpoint.
@@ -183,7 +186,8 @@
 	running   int        // Attempts in progress.
 	completed chan *attempt
 	report    Report
-	failure   *attempt // Last attempt that an endpoint answered with a server error.
+	failure   *attempt    // Last attempt that an endpoint answered with a server error.
+	charged   accounts.ID // Account whose limit it was taken from; 0 for none.
 
 	cancel    context.CancelFunc
 	streaming bool // The answer is streamed; ctx is cancelled when the stream ends.
@@ -200,6 +204,7 @@
 		}
 	}()
 	rejection := f.run(ctx, r, resp)
+	f.returnQuota(r)
 	if rejection != nil && rejection.atLimit {
 		f.metrics.atLimit.Add(1)
 	}
@@ -262,10 +267,12 @@
 	if r.running == 0 && r.MayStart != nil && !r.MayStart(time.Now()) {
 		return dispatch.Grant{}, errStopping
 	}
-	if _, unauthorized := r.identify(); unauthorized != nil {
+	identity, unauthorized := r.identify()
+	if unauthorized != nil {
 		return dispatch.Grant{}, unauthorized
 	}
-	return f.dispatcher.Acquire(dispatch.Request{
+	account := r.unchargedAccount(identity)
+	grant, err := f.dispatcher.Acquire(dispatch.Request{
 		Service:       r.Service,
 		SizeClass:     r.Route.Name,
 		LargeResponse: r.Route.LargeResponses,
@@ -278,7 +285,20 @@
 		Objective:     r.Arrived.Add(r.Route.Objective),
 		Deadline:      r.deadline,
 		Tried:         r.tried,
+		Account:       account,
 	})
+	if err == nil && account != 0 {
+		f.returnQuota(r) // Of the account that the key belonged to before.
+		r.charged = account
+	}
+	return grant, err
+}
+
+// returnQuota gives a request that has not run back to its account's limit.
+func (f *Forwarder) returnQuota(r *request) {
+	if r.charged != 0 && !r.mayHaveRun() {
+		f.dispatcher.ReturnQuota(r.charged)
+	}
 }
 
 // startAttempt starts an attempt at the granted endpoint and sends it to r.completed when it ends.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/coord/accounts"
 	"github.com/damaskcove/damaskcove/coord/dispatch"
 	"github.com/damaskcove/damaskcove/coord/result"
 	"github.com/damaskcove/damaskcove/internal/body"
@@ -99,6 +100,10 @@
 	heldOff []string // Names of the endpoints that hold off, and for how long.
 	limits  []string // Names of the endpoints and the limits that they named.
 	running int
+
+	accounts []accounts.ID // Of the requests, in order.
+	returned []accounts.ID // To the limits of accounts.
+	atLimit  bool          // Accounts are at their limits.
 }
 
 func newSequentialDispatcher(upstreams ...string) *sequentialDispatcher {
@@ -112,6 +117,10 @@
 func (d *sequentialDispatcher) Acquire(a dispatch.Request) (dispatch.Grant, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.accounts = append(d.accounts, a.Account)
+	if d.atLimit && a.Account != 0 {
+		return dispatch.Grant{}, &Rejected{dispatch.Rejection{Reason: dispatch.AccountLimit, RetryAfter: 700 * time.Millisecond, LimitRate: 2.5}}
+	}
 	for _, e := range d.list {
 		if !slices.Contains(a.Tried, e.ID) {
 			d.running++
@@ -162,6 +171,12 @@
 
 func (d *sequentialDispatcher) RecordResponseSize(string, int) {}
 
+func (d *sequentialDispatcher) ReturnQuota(a accounts.ID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.returned = append(d.returned, a)
+}
+
 // unusedAddress returns an address that refuses connections.
 func unusedAddress(t *testing.T) string {
 	t.Helper()
@@ -180,6 +195,7 @@
 	method      string
 	http10      bool
 	mayStart    func(now time.Time) bool
+	account     string // Name of the client account.
 }
 
 func (c call) serve(t *testing.T, f *Forwarder, id string) (*fasthttp.Response, Report) {
@@ -200,7 +216,7 @@
 	}
 	var resp fasthttp.Response
 	report := f.Serve(t.Context(), Request{
-		ID: id, Service: "s", HTTP: &req, Body: body.New([]byte("body")), Arrived: now, Deadline: now.Add(timeout), MayStart: c.mayStart,
+		ID: id, Service: "s", HTTP: &req, Body: body.New([]byte("body")), Arrived: now, Deadline: now.Add(timeout), MayStart: c.mayStart, Identify: func() (Identity, *Unauthorized) { return Identity{Accounts: c.account != "", Account: c.account}, nil },
 		Route: platform.Route{Idempotent: c.idempotent, MaxAttempts: c.maxAttempts, Objective: testTimeout},
 	}, &resp)
 	return &resp, report
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskcove/damaskcove/coord/accounts"
 	"github.com/damaskcove/damaskcove/coord/dispatch"
 	"github.com/damaskcove/damaskcove/coord/result"
 )
@@ -155,6 +157,11 @@
 		return &rejection{code: unauthorized.Code, detail: unauthorized.Detail, retryAfter: unauthorized.RetryAfter}
 	case errors.Is(cause, errStopping):
 		return &rejection{code: result.CodeStopping, detail: errStopping.Error(), retryAfter: StoppingRetryAfter}
+	case errors.As(cause, &rejected) && rejected.Reason == dispatch.AccountLimit:
+		identity, _ := r.identify()
+		r.report.Account = identity.Account
+		detail := fmt.Sprintf("account %s is at its limit of %g requests a second over all instances", identity.Account, rejected.LimitRate)
+		return &rejection{code: result.CodeAccountLimit, detail: detail, retryAfter: rejected.RetryAfter}
 	case errors.As(cause, &rejected) && rejected.Reason == dispatch.NoEndpoint:
 		return &rejection{code: result.CodeNoEndpoint, detail: noEndpointDetail(rejected), retryAfter: rejected.RetryAfter, atLimit: rejected.Limited > 0}
 	case errors.As(cause, &rejected) && rejected.Reason == dispatch.Overloaded:
@@ -167,6 +174,22 @@
 	}
 }
 
+// unchargedAccount returns the account whose limit the request has to be taken from before an attempt; 0 if there is none.
+func (r *request) unchargedAccount(i Identity) accounts.ID {
+	if i.Account == "" {
+		return 0
+	}
+	if a := accounts.IDOf(i.Account); a != r.charged {
+		return a
+	}
+	return 0
+}
+
+// mayHaveRun reports whether an endpoint may have run the request, or may still do so.
+func (r *request) mayHaveRun() bool {
+	return r.running > 0 || slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.outcome != outcomeNotSent && a.outcome != outcomeNotRun })
+}
+
 // noEndpointDetail tells which endpoints the service has that take no requests.
 func noEndpointDetail(r *Rejected) string {
 	var parts []string
--- a/internal/gateway/accounts_test.go
+++ b/internal/gateway/accounts_test.go
@@ -118,6 +118,8 @@
 type testAccount struct {
 	Keys     []string `json:"api_keys"`
 	Priority int      `json:"priority"`
+	Rate     float64  `json:"rate_per_s,omitempty"`
+	Burst    float64  `json:"burst,omitempty"`
 }
 
 // configureAccounts writes the next version of the configuration with client accounts, and waits until it is in force.
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -172,6 +172,7 @@
 	c.accountsEnabled.Store(next.HasAccounts)
 	c.confirmations.tracker.InForce(uint32(next.Version))
 	c.logNewWarnings(next.Warnings)
+	c.setAccountLimits(now)
 	behind := time.Duration(0)
 	if !c.firstBehind.IsZero() {
 		behind = now.Sub(c.firstBehind)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -15,6 +15,7 @@
 	"github.com/damaskcove/damaskcove/coord/following"
 	"github.com/damaskcove/damaskcove/coord/outlook"
 	"github.com/damaskcove/damaskcove/coord/pause"
+	"github.com/damaskcove/damaskcove/coord/quota"
 	"github.com/damaskcove/damaskcove/coord/retrybudget"
 	"github.com/damaskcove/damaskcove/internal/boottime"
 	"github.com/damaskcove/damaskcove/internal/callers"
@@ -93,6 +94,7 @@
 
 	// Owned by the loop.
 	machine         *dispatch.Machine
+	quota           *quota.Limiter // Nil until a configuration with accounts.
 	config          *platform.Config
 	configValue     []byte   // The configuration as the operator wrote it, with digests in place of keys.
 	refusedValue    []byte   // The last value that was refused as invalid.
@@ -238,7 +240,7 @@
 		return // Only the brokers need to know; they get a grantEnd for each request.
 	}
 	c.reports, c.urgent = append(c.reports, events...), c.urgent || urgent
-	if len(c.reports) > 0 && (len(c.commands) == 0 || len(c.reports) >= maxEvents) {
+	if c.hasReports() && (len(c.commands) == 0 || len(c.reports) >= maxEvents) {
 		c.sendReports()
 	}
 }
@@ -250,9 +252,13 @@
 		c.reports, c.urgent, c.lastSent = nil, false, time.Now()
 		return
 	}
-	for first := true; first || len(c.reports) > 0; first = false {
-		n := min(len(c.reports), maxEvents)
-		data, err := encodeMessage(c.message(time.Now(), c.reports[:n]))
+	for first := true; first || c.hasReports(); first = false {
+		now := time.Now()
+		uses := c.quotaReport(now)
+		n := min(len(c.reports), maxEvents-eventsPerUse*len(uses))
+		m := c.message(now, c.reports[:n])
+		m.Uses = uses
+		data, err := encodeMessage(m)
 		if err != nil {
 			c.log.Error("cannot encode the message to other instances; it is not sent", "error", err.Error())
 		} else {
@@ -391,6 +397,7 @@
 		peers[e.Zone]++
 	}
 	c.machine.SetPeers(peers)
+	c.updateQuotaPeers(now)
 	c.snapshot.Store(next)
 	c.publishConfirmation()
 }
@@ -414,6 +421,7 @@
 	if !c.brokered() || len(m.Events) > 0 {
 		c.machine.HandleReport(now, m.From, m.HasFullRetryWindow, m.Events)
 	}
+	c.handleUses(now, m)
 	if m.StoreFailing && !c.shouldFollow.Load() {
 		c.lastStoreError = now
 	}
@@ -434,17 +442,27 @@
 // Acquire implements forward.Dispatcher.
 func (c *control) Acquire(req dispatch.Request) (dispatch.Grant, error) {
 	reply := make(chan acquireResult, 1)
+	hasQuota := false
 	c.post(func() {
 		now := time.Now()
 		if c.pause.MayBeStale(now) {
 			reply <- acquireResult{rejection: &dispatch.Rejection{Reason: dispatch.NoEndpoint, RetryAfter: startingRetryAfter, TimeLeft: req.Deadline.Sub(now)}}
 			return
 		}
+		ok, retryAfter := c.takeQuota(now, req)
+		if !ok {
+			reply <- acquireResult{rejection: &dispatch.Rejection{Reason: dispatch.AccountLimit, RetryAfter: retryAfter, TimeLeft: req.Deadline.Sub(now), LimitRate: c.quota.Limit(req.Account).Rate}}
+			return
+		}
+		hasQuota = true
 		c.place(now, req, reply)
 	})
 	select {
 	case got := <-reply:
 		if got.rejection != nil {
+			if hasQuota && req.Account != 0 {
+				c.ReturnQuota(req.Account)
+			}
 			return dispatch.Grant{}, &forward.Rejected{Rejection: *got.rejection}
 		}
 		return got.grant, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -241,6 +241,8 @@
 		decodeAndPost(g, data, g.control.handleConfirmationRequest)
 	case datagramConfirmationReply:
 		decodeAndPost(g, data, g.control.handleConfirmationReply)
+	case datagramQuotaLevels:
+		decodeAndPost(g, data, g.control.handleQuotaLevels)
 	default:
 		g.handleMessages(data)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -33,6 +33,7 @@
 	instances []*instance
 	version   int
 
+	firstStart   bool             // instance.first_start of the instances.
 	memoryMB     int              // instance.memory_mb of the instances; 0 for none.
 	brokersFrom  int              // place.brokers_from of the instances; 0 for the default.
 	stopWithin   time.Duration    // promises.stop_within of the instances; 0 for 4 s.
@@ -131,6 +132,9 @@
 requests = "all"
 `, id, zone, freeAddr(fleet.t, "tcp"), freeAddr(fleet.t, "tcp"), freeAddr(fleet.t, "tcp"), freeAddr(fleet.t, "udp"), freeAddr(fleet.t, "tcp"), fleet.store.Addr(),
 		cmp.Or(fleet.stopWithin, 4*time.Second).String(), cmp.Or(fleet.discoveryTTL, 200*time.Millisecond).String(), cmp.Or(fleet.brokersFrom, DefaultSettings().Place.BrokersFrom))
+	if fleet.firstStart {
+		text = strings.Replace(text, "[listen]", "first_start = true\n[listen]", 1)
+	}
 	if fleet.memoryMB > 0 {
 		text = strings.Replace(text, "[listen]", fmt.Sprintf("memory_mb = %d\n[listen]", fleet.memoryMB), 1)
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -127,7 +127,7 @@
 // a server error, took more than one attempt or were answered later than their route's objective.
 func (h *handler) logRequest(ctx context.Context, r *forward.Request, s *Snapshot, report forward.Report) {
 	took := time.Since(r.Arrived)
-	if report.Account != "" {
+	if report.Account != "" && len(report.Attempts) > 0 {
 		h.metrics.withAccount.Add(1)
 	}
 	unremarkable := report.Code == result.CodeAnswered && report.Status < fasthttp.StatusInternalServerError && len(report.Attempts) == 1 && took <= r.Route.Objective
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -49,6 +49,7 @@
 
 // handleHandoverRequest sends an instance that has started what this one knows.
 func (c *control) handleHandoverRequest(now time.Time, m handoverRequest) {
+	c.sendQuotaLevels(now, m.PeerAddr)
 	for _, part := range c.machine.Handover(now) {
 		data, err := encodeKind(datagramHandover, part)
 		if err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/damaskcove/damaskcove/coord/broker"
 	"github.com/damaskcove/damaskcove/coord/dispatch"
+	"github.com/damaskcove/damaskcove/coord/quota"
 	"github.com/damaskcove/damaskcove/internal/accept"
 	"github.com/damaskcove/damaskcove/platform"
 )
@@ -28,6 +29,13 @@
 	StoreFailing       bool                   // The sender follows the store, and a call failed lately.
 	Config             platform.ConfigVersion // In force; 0 before the first.
 	Events             []dispatch.Event
+	Uses               []quota.Use `cbor:"-"` // Sent as a useReport after the message, if there are any.
+}
+
+// useReport is what the sender of the preceding message has used of the limits of accounts.
+type useReport struct {
+	_    struct{} `cbor:",toarray"`
+	Uses []quota.Use
 }
 
 // Kinds of datagram, by the first byte. Only datagramRelay and datagramRelayNow are forwarded.
@@ -47,6 +55,7 @@
 	datagramConfigRequest                   // A configRequest.
 	datagramConfirmationRequest             // A confirmationRequest.
 	datagramConfirmationReply               // A confirmationReply.
+	datagramQuotaLevels                     // A quotaLevels.
 )
 
 const (
@@ -54,6 +63,11 @@
 	maxDatagramBytes = 1400
 	// maxEvents keeps a message within maxDatagramBytes: an event takes at most 14 bytes.
 	maxEvents = 90
+	// maxUses bounds the uses in a message. Each takes at most 25 bytes, the place of eventsPerUse events.
+	maxUses      = 30
+	eventsPerUse = 2
+	// useReportHead is the first byte of a useReport, an array of one element. That of a message is another one.
+	useReportHead = 0x81
 )
 
 var errDatagram = errors.New("malformed datagram")
@@ -63,7 +77,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode a message of %d events: %w", len(m.Events), err)
 	}
-	return append([]byte{datagramMessages}, body...), nil
+	data := append([]byte{datagramMessages}, body...)
+	if len(m.Uses) == 0 {
+		return data, nil
+	}
+	uses, err := cbor.Marshal(useReport{Uses: m.Uses})
+	if err != nil {
+		return nil, fmt.Errorf("encode a message with the uses of %d accounts: %w", len(m.Uses), err)
+	}
+	return append(data, uses...), nil
 }
 
 // decodeMessages returns the messages of a datagram.
@@ -75,6 +97,14 @@
 	for rest := data[1:]; len(rest) > 0; {
 		var m message
 		var err error
+		if rest[0] == useReportHead && len(list) > 0 {
+			var u useReport
+			if rest, err = cbor.UnmarshalFirst(rest, &u); err != nil {
+				return nil, fmt.Errorf("%w of %d bytes: %w", errDatagram, len(data), err)
+			}
+			list[len(list)-1].Uses = u.Uses
+			continue
+		}
 		if rest, err = cbor.UnmarshalFirst(rest, &m); err != nil {
 			return nil, fmt.Errorf("%w of %d bytes: %w", errDatagram, len(data), err)
 		}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -18,6 +18,7 @@
 	Store    StoreSettings    `toml:"store"`
 	Promises PromiseSettings  `toml:"promises"`
 	Retry    RetrySettings    `toml:"retry"`
+	Quota    QuotaSettings    `toml:"quota"`
 	Place    PlaceSettings    `toml:"place"`
 	Log      LogSettings      `toml:"log"`
 }
@@ -69,6 +70,14 @@
 	Extra  float64       `toml:"extra"` // Additional retries per window; a fraction is allowed.
 }
 
+// QuotaSettings bound the requests of one client account that run in any window, on all instances together:
+// (rate x window + burst) x (1 + excess) + tolerance.
+type QuotaSettings struct {
+	Window    time.Duration `toml:"window"`
+	Excess    float64       `toml:"excess"`    // Share of the account's limit.
+	Tolerance float64       `toml:"tolerance"` // Requests; a fraction is allowed.
+}
+
 // PlaceSettings control how requests are placed on upstreams.
 type PlaceSettings struct {
 	FloorShare  float64 `toml:"floor_share"`  // Share of a service's healthy upstreams to keep in use while many requests go unserved.
@@ -91,6 +100,7 @@
 	return Settings{
 		Promises: PromiseSettings{ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second, StopWithin: 6 * time.Second, DiscoveryTTL: time.Second},
 		Retry:    RetrySettings{Window: 10 * time.Second, Ratio: 0.2, Extra: 50},
+		Quota:    QuotaSettings{Window: 5 * time.Second, Excess: 0.1, Tolerance: 20},
 		Place:    PlaceSettings{FloorShare: 0.7, BrokersFrom: 150},
 		Log:      LogSettings{Requests: LogUnserved},
 	}
@@ -152,6 +162,13 @@
 	if s.Retry.Extra < 0 {
 		c.Add("retry.extra", tomlfile.FormatValue(s.Retry.Extra), "must not be negative")
 	}
+	checkDuration(c, "quota.window", s.Quota.Window)
+	if !(s.Quota.Excess >= 0 && s.Quota.Excess <= maxQuotaExcess) {
+		c.Add("quota.excess", tomlfile.FormatValue(s.Quota.Excess), "must be from 0 to %d", maxQuotaExcess)
+	}
+	if !(s.Quota.Tolerance >= 0 && s.Quota.Tolerance <= maxQuotaTolerance) {
+		c.Add("quota.tolerance", tomlfile.FormatValue(s.Quota.Tolerance), "must be from 0 to %d", maxQuotaTolerance)
+	}
 	if s.Instance.LinkMbps < 0 {
 		c.Add("instance.link_mbps", tomlfile.FormatValue(s.Instance.LinkMbps), "must not be negative")
 	}
@@ -181,6 +198,11 @@
 // minFDs leaves descriptors for some callers beside the instance's own sockets.
 const minFDs = 64
 
+const (
+	maxQuotaExcess    = 10
+	maxQuotaTolerance = 1_000_000
+)
+
 const (
 	minDuration = 10 * time.Millisecond
 	maxDuration = time.Hour
@@ -200,6 +222,7 @@
 		"listen":   {s.Listen, next.Listen},
 		"store":    {s.Store, next.Store},
 		"retry":    {s.Retry, next.Retry},
+		"quota":    {s.Quota, next.Quota},
 		"place":    {s.Place, next.Place},
 	} {
 		if !reflect.DeepEqual(pair[0], pair[1]) {
--- a/internal/gateway/unit_test.go
+++ b/internal/gateway/unit_test.go
@@ -59,6 +59,10 @@
 callers = "localhost:80"
 [retry]
 ratio = 2.0
+[quota]
+window = "1ms"
+excess = -0.1
+tolerance = nan
 [place]
 floor_share = 1.5
 [promises]
@@ -71,7 +75,7 @@
 	if !errors.As(err, &faults) {
 		t.Fatalf("got %v", err)
 	}
-	for _, key := range []string{"instance.id", "instance.link_mbps", "instance.colour", "listen.callers", "listen.ready", "store.address", "retry.ratio", "place.floor_share", "promises.drain_within", "promises.revoke_within", "log.requests"} {
+	for _, key := range []string{"instance.id", "instance.link_mbps", "instance.colour", "listen.callers", "listen.ready", "store.address", "retry.ratio", "quota.window", "quota.excess", "quota.tolerance", "place.floor_share", "promises.drain_within", "promises.revoke_within", "log.requests"} {
 		if !slices.ContainsFunc(faults.Fields, func(f tomlfile.FieldError) bool { return f.Key == key }) {
 			t.Errorf("no error about %s in\n%v", key, err)
 		}
@@ -289,27 +293,30 @@
 		"region": `"r"`, "bootstrap": "true", "limits.link_mbps": "200.0", "bounds.config_apply": `"2000ms"`, "bounds.drain": `"2.5s"`, "bounds.grace": `"6s"`,
 		"bounds.strict_revocation": "true", "bounds.revoke": `"5s"`,
 		"bounds.retry_window": `"10s"`, "bounds.retry_budget_ratio": "0.25", "bounds.retry_extra": "62", "bounds.floor_share": "0.6",
+		"bounds.quota_window": `"4s"`, "bounds.quota_excess": "0.2", "bounds.quota_tolerance": "12",
 	}
 	maps.Copy(all, least)
 	fractions := maps.Clone(all)
+	fractions["bounds.quota_tolerance"], fractions["bounds.quota_excess"] = "10.5", "0"
 	fractions["bounds.retry_extra"], fractions["bounds.retry_budget_ratio"], fractions["bounds.floor_share"] = "20.476190476190474", "0", "1"
 	for name, tc := range map[string]struct {
 		values map[string]string
 		retry  RetrySettings
+		quota  QuotaSettings
 		drain  time.Duration
 		floor  float64
 		link   float64
 	}{
-		"all":       {all, RetrySettings{Window: 10 * time.Second, Ratio: 0.25, Extra: 62}, 2500 * time.Millisecond, 0.6, 200},
-		"fractions": {fractions, RetrySettings{Window: 10 * time.Second, Ratio: 0, Extra: 20.476190476190474}, 2500 * time.Millisecond, 1, 200},
-		"least":     {least, DefaultSettings().Retry, DefaultSettings().Promises.DrainWithin, DefaultSettings().Place.FloorShare, 0},
+		"all":       {all, RetrySettings{Window: 10 * time.Second, Ratio: 0.25, Extra: 62}, QuotaSettings{Window: 4 * time.Second, Excess: 0.2, Tolerance: 12}, 2500 * time.Millisecond, 0.6, 200},
+		"fractions": {fractions, RetrySettings{Window: 10 * time.Second, Ratio: 0, Extra: 20.476190476190474}, QuotaSettings{Window: 4 * time.Second, Excess: 0, Tolerance: 10.5}, 2500 * time.Millisecond, 1, 200},
+		"least":     {least, DefaultSettings().Retry, DefaultSettings().Quota, DefaultSettings().Promises.DrainWithin, DefaultSettings().Place.FloorShare, 0},
 	} {
 		s, err := ParseSettings("settings.toml", []byte(fillTemplate(string(text), tc.values)))
 		if err != nil {
 			t.Errorf("%s: %v", name, err)
 			continue
 		}
-		if s.Listen.Peers != "10.1.0.34:7540" || s.Retry != tc.retry || s.Promises.DrainWithin != tc.drain || s.Place.FloorShare != tc.floor || s.Instance.LinkMbps != tc.link || s.Instance.FirstStart != (name != "least") || (s.Promises.RevokeWithin == 5*time.Second) != (name != "least") {
+		if s.Listen.Peers != "10.1.0.34:7540" || s.Retry != tc.retry || s.Quota != tc.quota || s.Promises.DrainWithin != tc.drain || s.Place.FloorShare != tc.floor || s.Instance.LinkMbps != tc.link || s.Instance.FirstStart != (name != "least") || (s.Promises.RevokeWithin == 5*time.Second) != (name != "least") {
 			t.Errorf("%s: got %+v", name, s)
 		}
 	}
