Review of keys: confirmations in time, accounts switched off, trailers

It now asks at each tick of 250 ms.

A request that was read without accounts and had an attempt with them was sent with its headers as they were if they were off again by the next attempt. Accounts at any time since it was read count now.

Fields of trailers are dropped only with accounts, so that traffic to upstreams without them stays as it is. An empty configuration is logged and counted as refused like others.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -184,7 +184,7 @@
 
 // refuse logs and counts an invalid configuration, once however often it is read.
 func (c *control) refuse(value []byte, err error) {
-	if bytes.Equal(value, c.refusedValue) {
+	if c.refusedValue != nil && bytes.Equal(value, c.refusedValue) {
 		return
 	}
 	c.refusedValue = value
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -147,7 +147,8 @@
 	if c.isFollowing(now) {
 		askAfter = p.usualAge()
 	}
-	c.confirmations.tracker.SetConfig(confirmation.Config{AskAfter: askAfter, AskEvery: confirmationInterval, HoldFor: p.ApplyWithin})
+	// The ticker sets the pace; with its interval, an early tick would be passed over.
+	c.confirmations.tracker.SetConfig(confirmation.Config{AskAfter: askAfter, AskEvery: confirmationInterval / 2, HoldFor: p.ApplyWithin})
 }
 
 // tickConfirmation asks other instances for their confirmations if the own one is too old.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,7 @@
 	g.handler = &handler{control: g.control, forwarder: g.forwarder, metrics: g.metrics, log: g.log, logAll: func() bool { return g.current().Log.Requests == LogAll }, mayStart: g.mayStart,
 		bounds: func() accounts.Bounds { return g.current().Promises.bounds() }}
 	if g.server, err = callers.Listen(s.Listen.Callers, g.handler, callers.Options{
-		ObserveAccept: g.acceptFailures.Observe, Descriptors: descriptorLimit(s.Instance.MaxFDs), Use: g.otherConnections, Bodies: g.bodies, DropTrailer: platform.IsReadFromHead,
+		ObserveAccept: g.acceptFailures.Observe, Descriptors: descriptorLimit(s.Instance.MaxFDs), Use: g.otherConnections, Bodies: g.bodies, DropTrailer: g.dropsFromTrailers,
 	}); err != nil {
 		return err
 	}
@@ -95,6 +95,11 @@
 	return g.listenAuxServers(s)
 }
 
+// dropsFromTrailers reports whether a field is dropped from trailers: without accounts, none is.
+func (g *Gateway) dropsFromTrailers(name string) bool {
+	return g.control.snapshot.Load().accounts != nil && platform.IsReadFromHead(name)
+}
+
 func (g *Gateway) listenAuxServers(s *Settings) error {
 	handlers := []struct {
 		addr    string
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -105,9 +105,14 @@
 	if left, ok := platform.TimeLeft(&r.HTTP.Header); ok && left < route.Timeout {
 		in.Deadline = r.Arrived.Add(left)
 	}
+	var accountsEnabled atomic.Bool // At any time since the request was read: its headers are not sent as they are.
+	accountsEnabled.Store(identity.Accounts)
 	in.Identify = func() (forward.Identity, *forward.Unauthorized) {
 		now, unauthorized := identify()
-		now.Accounts = now.Accounts || identity.Accounts // The headers of a request that was read with accounts are never sent as they are.
+		if now.Accounts {
+			accountsEnabled.Store(true)
+		}
+		now.Accounts = accountsEnabled.Load()
 		return now, unauthorized
 	}
 	in.MayStart = func(now time.Time) bool { return h.mayStart(now, in.Deadline) }
