Keys are not passed on while accounts may be enabled; ready means confirmed

Callers saw 200 for an unknown key, and the upstream the key, at an instance that was cut off from the store while the operator switched accounts on: without accounts in force nothing looked at the age. With promises.revoke_within a request with a key is now answered with 1026 beyond that age, and instances confirm each other's configuration also without accounts.

After a restoration of the store, an instance that started was ready while it held its reads, and answered valid keys with 1026. It is now ready once its configuration is confirmed, or after apply_within.

TestKeysAreRejectedWhileAccountsMayBeEnabled (20 s without the first rejection) and TestReadyInstanceKnowsKeys (503) failed before and hold.

--- a/coord/accounts/accounts.go
+++ b/coord/accounts/accounts.go
@@ -129,6 +129,12 @@
 // maxAge is the age up to which a confirmation proves that a key was not revoked RevokeWithin ago.
 func (b Bounds) maxAge() time.Duration { return b.RevokeWithin - b.RevokeWithin/driftShare }
 
+// TooOld reports whether a configuration of an age decides on no key: another one may be in force since. One that was
+// never confirmed may be from the copy of a restored store, in which a key is another account's.
+func (b Bounds) TooOld(age Age) bool {
+	return !age.Known || b.RevokeWithin > 0 && age.Age > b.maxAge()
+}
+
 // Outcome is the result of authenticating a request.
 type Outcome uint8
 
@@ -163,9 +169,7 @@
 		return nil, KeyMissing
 	case c != Present:
 		return nil, KeyMalformed
-	case !age.Known: // A restored store may have given an older configuration, in which the key is another account's.
-		return nil, Unconfirmed
-	case b.RevokeWithin > 0 && age.Age > b.maxAge():
+	case b.TooOld(age):
 		return nil, Unconfirmed
 	}
 	if account := d.find(digest); account != nil {
--- a/internal/gateway/accounts_test.go
+++ b/internal/gateway/accounts_test.go
@@ -394,3 +394,40 @@
 		t.Errorf("the configuration that instances pass on holds a key:\n%s", got)
 	}
 }
+
+// Guards against keys at upstreams while an instance that is cut off from the store has not learned of accounts.
+func TestKeysAreRejectedWhileAccountsMayBeEnabled(t *testing.T) {
+	fleet := newTestFleet(t)
+	fleet.revokeWithin = time.Second
+	upstream := fleet.startRawUpstream("i-1", "orders")
+	in := fleet.startInstance("one", "a")
+	fleet.configureAccounts(nil)
+	request := func() int {
+		return in.exchange(t, head("GET", "/safe/x", "Authorization: Token "+amberKey), "GET")[0]
+	}
+	eventually(t, "served without accounts", func() bool { return request() == http.StatusOK })
+	fleet.store.SetSilent(true)
+	fleet.putAccounts(testAccounts)
+	eventually(t, "rejected", func() bool { return request() == http.StatusServiceUnavailable })
+	before := len(upstream.requests())
+	if status := in.exchange(t, head("GET", "/safe/x"), "GET")[0]; status != http.StatusOK {
+		t.Errorf("a request without a key: status %d", status)
+	}
+	if status := request(); status != http.StatusServiceUnavailable || len(upstream.requests()) != before+1 {
+		t.Errorf("a request with a key: status %d, %d requests at the upstream", status, len(upstream.requests())-before)
+	}
+}
+
+// Guards against an instance that is ready and rejects all keys, after the store was restored.
+func TestReadyInstanceKnowsKeys(t *testing.T) {
+	fleet := newTestFleet(t)
+	fleet.startRawUpstream("i-1", "orders")
+	fleet.startInstance("one", "a")
+	fleet.configureAccounts(testAccounts)
+	fleet.store.Restore(fleet.store.Save())
+	in := fleet.startInstance("two", "a")
+	eventually(t, "ready", func() bool { return in.ready(t) })
+	if status := in.exchange(t, head("GET", "/safe/x", "Authorization: Token "+amberKey), "GET")[0]; status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+}
--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -43,10 +43,15 @@
 		var age accounts.Age
 		age.Age, age.Known = h.control.configurationAge() // Before the snapshot: a later one may be confirmed at a later time.
 		s := h.control.snapshot.Load()
-		if s.accounts == nil {
+		bounds := h.bounds()
+		switch {
+		case s.accounts != nil:
+		case state != platform.CredentialAbsent && bounds.RevokeWithin > 0 && bounds.TooOld(age):
+			return forward.Identity{}, unauthorized(s.Version, digest, age, accounts.Unconfirmed) // Accounts may be enabled since.
+		default:
 			return forward.Identity{}, nil
 		}
-		account, outcome := s.accounts.Authenticate(route.Anonymous, credentialStates[state], digest, age, h.bounds())
+		account, outcome := s.accounts.Authenticate(route.Anonymous, credentialStates[state], digest, age, bounds)
 		if outcome != accounts.Accepted {
 			return forward.Identity{Accounts: true}, unauthorized(s.Version, digest, age, outcome)
 		}
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -63,9 +63,10 @@
 	return confirmations{tracker: confirmation.New(confirmation.Config{})}
 }
 
-// hasAccounts reports whether the configuration in force enables client accounts. Any goroutine may call it.
-func (c *control) hasAccounts() bool {
-	return c.accountsEnabled.Load()
+// needsConfirmation reports whether requests are decided on by the age of the configuration: it enables client accounts,
+// or a later one may do so and revocations are promised. Any goroutine may call it.
+func (c *control) needsConfirmation() bool {
+	return c.accountsEnabled.Load() || c.promises().RevokeWithin > 0
 }
 
 // configurationAge returns the age of the configuration in force: the store held it, or an earlier one, at some time
@@ -121,7 +122,7 @@
 	case at.Era() < c.revision.Era():
 		return
 	case c.confirmations.gap:
-		if c.hasAccounts() {
+		if c.needsConfirmation() {
 			c.requestResync(true)
 		}
 		return
@@ -159,7 +160,7 @@
 		c.confirmations.tracker.Settle(at, c.members.heardAllSince(now, c.confirmations.heldSince))
 	}
 	c.publishConfirmation()
-	if !c.hasAccounts() || !c.confirmations.tracker.Ask(at) {
+	if !c.needsConfirmation() || !c.confirmations.tracker.Ask(at) {
 		return
 	}
 	expired := at - c.promises().ageBound()
@@ -178,7 +179,7 @@
 // handleConfirmationRequest replies with the age of the configuration in force, if it is known.
 func (c *control) handleConfirmationRequest(_ time.Time, m confirmationRequest) {
 	age, known := c.confirmations.tracker.Age(c.clock())
-	if !known || !c.hasAccounts() {
+	if !known || !c.needsConfirmation() {
 		return
 	}
 	reply := confirmationReply{Nonce: m.Nonce, Version: c.configVersion(), AgeMillis: uint64((age + time.Millisecond - 1) / time.Millisecond)}
@@ -216,7 +217,7 @@
 	now, bound := c.clock(), c.promises().ageBound()
 	confirmed := known && now-at <= bound
 	switch s := &c.confirmations; {
-	case !c.hasAccounts():
+	case !c.needsConfirmation():
 	case confirmed && s.lostAt > 0:
 		c.log.Info("configuration is confirmed again", "version", c.configVersion().String(), "after_ms", (now - s.lostAt).Milliseconds())
 		s.lostAt = 0
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -203,7 +203,7 @@
 // collect in the store. A watch that outlasts the schedule's limit fails: its response was lost.
 func (f *follower) watchOnce(ctx context.Context, after platform.Revision) (platform.Revision, error) {
 	schedule, start, sentAt := f.control.schedule(), time.Now(), f.control.clock()
-	if f.control.hasAccounts() {
+	if f.control.needsConfirmation() {
 		schedule.Wait = f.control.promises().watchWait()
 	}
 	watchCtx, cancel := context.WithTimeout(ctx, schedule.WatchLimit())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,9 +140,15 @@
 	return g.settings.Load()
 }
 
-// ready reports whether callers may connect: a configuration is in force, and no planned stop has begun.
+// ready reports whether callers may connect: a configuration is in force, and no planned stop has begun. With accounts
+// it takes a confirmation of the configuration, which an instance that has just started gets within apply_within.
 func (g *Gateway) ready() bool {
-	return g.control.snapshot.Load().router != nil && !g.leaving.Load()
+	s := g.control.snapshot.Load()
+	if s.router == nil || g.leaving.Load() {
+		return false
+	}
+	_, confirmed := g.control.configurationAge()
+	return s.accounts == nil || confirmed || time.Since(g.started) > g.current().Promises.ApplyWithin
 }
 
 // SetNoStopBefore sets the source of a time until which no stop had been requested. It is called before Run;
