--- a/internal/soak/process_linux_test.go
+++ b/internal/soak/process_linux_test.go
@@ -5,6 +5,7 @@
 	"os/exec"
 	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -52,6 +53,9 @@
 	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, nil, &got); err != nil || got.Cur != limit {
 		t.Errorf("a limit of %d descriptors, %v", got.Cur, err)
 	}
+	for meter.peak.Load() < 100<<10 { // It is read every memoryInterval.
+		time.Sleep(memoryInterval / 10)
+	}
 	_ = input.Close()
 	if err := cmd.Wait(); err != nil {
 		t.Fatal(err)
