Review: show that a change comes late where the followers hear nothing

Cause: a follower of the store gives up a watch without a response after all of the time in which a change has to be in force. Only then does the next instance in line take over, after up to 0.2 s and a tick more.

Nothing outside the review is changed.

--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -31,6 +31,7 @@
 
 var cases = map[string]func(s *scene) (status int, err error){
 	"joined-and-left": joinedAndLeft,
+	"turned-away":     turnedAway,
 }
 
 func main() {
