A returning instance leads nobody past a removal that it lacks

What callers saw: as an instance that follows the store returns from a cut, endpoints that joined meanwhile and leave then get requests until they end, from instances of its zone that were never disrupted; up to 6.9 s after the removal.

Cause: a batch of changes said from which revision to which it leads, but not of what it is made. The difference that a returning instance reads lacks keys that were written and deleted while it was away. A receiver in between took it for a watch's, moved to its end, and dropped the deletion as known. Differences were also divided into datagrams that got revisions of their own, while all their deletions stand at the end.

The zone's other follower, never disrupted, has no "upstream removed" and was never behind; the instances of the other zones removed the endpoint at once.

Change: coord/replica decides what a batch covers, which batches an instance may apply, and how it fetches what it lacks. A difference says so, is sent whole, and a receiver in between removes the keys that it has from after the difference's beginning and that it lacks: the reader would have listed them. An empty response to a watch that names a later revision no longer moves it. Counters store_batches_gap and store_keys_gone.

Two tests of the gateway changed with what they call: the second read after a restoration is now also played at a later revision, and fragments are identified by the whole span.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/damaskcove/damaskcove/coord/replica"
 	"github.com/damaskcove/damaskcove/platform"
 )
 
@@ -19,71 +20,85 @@
 	sourceForwarded changeSource = "follower"            // A follower of the store.
 )
 
-// applyFullRead applies a read of all keys of the store at a revision.
-func (c *control) applyFullRead(now time.Time, items []platform.Item, at platform.Revision) {
-	if c.synced && at < c.revision {
-		return // Later changes were forwarded during the read.
-	}
-	first := !c.synced
-	restored := !first && at.Era() > c.revision.Era()
-	c.setQuiet(first)
-	present := make(map[string]bool, len(items))
+// applyFullRead applies a read of all keys of the store, of which the first page was at a revision and the last one at
+// end.
+func (c *control) applyFullRead(now time.Time, items []platform.Item, at, end platform.Revision) {
+	restored := c.replica.Read() && at.Era() > c.replica.Revision().Era()
+	keys := make([]replica.Item[platform.Revision], 0, len(items))
 	for _, item := range items {
-		present[item.Key] = true
+		keys = append(keys, replica.Item[platform.Revision]{Key: item.Key, Revision: item.Revision, Same: restored && c.knows(item)})
+	}
+	before := c.replica.Revision()
+	read := c.replica.ReadAll(at, end, keys)
+	if !read.Applied {
+		return // Later changes were forwarded during the read.
 	}
-	if !first && at > c.revision && c.shouldFollow.Load() {
-		c.forwardFullRead(now, items, present, at)
+	c.setQuiet(read.First)
+	if !read.First && at > before && c.shouldFollow.Load() {
+		c.forwardFullRead(now, read, items, at)
 	}
 	changed := false
 	for _, item := range items {
 		changed = c.put(now, item, sourceFullRead, restored) || changed
 	}
-	for _, key := range c.registry.keys() {
-		if !present[key] {
-			changed = c.handleMissing(now, key, restored) || changed
-		}
-	}
-	for key := range c.members.byKey {
-		if !present[key] {
-			c.members.remove(now, key)
-		}
+	for _, key := range read.Missing {
+		changed = c.handleMissing(now, key, restored) || changed
 	}
-	if restored || !first && !present[c.members.self] {
+	registered := slices.ContainsFunc(items, func(item platform.Item) bool { return item.Key == c.members.self })
+	if restored || !read.First && !registered {
 		notify(c.deregistered)
 	}
 	changed = c.registry.expire(now) || changed
-	c.synced = true
-	if first {
+	if read.First {
 		c.log.Info("first full read of the store done", "revision", at.Number(), "upstreams", len(c.registry.entries), "peers", len(c.members.byKey))
 	}
-	c.finishUpdate(now, at, changed)
-	if first {
+	c.finishUpdate(now, changed)
+	if read.First {
 		c.requestHandover(now)
 	}
 }
 
-// applyChanges applies changes of the store up to a revision. If they lead into a later era, they are the differences
-// between this instance's state and the copy from which the store was restored: a key that the copy lacks may
-// have been written after the copy was made.
-func (c *control) applyChanges(now time.Time, items []platform.Item, at platform.Revision, from changeSource) {
+// applyBatch applies a batch of changes of the store. If they lead into a later era, they are the differences between
+// this instance's state and the copy from which the store was restored: a key that the copy lacks may have been written
+// after the copy was made.
+func (c *control) applyBatch(now time.Time, b changeBatch, from changeSource) replica.Outcome {
+	restored := b.At.Era() > c.replica.Revision().Era()
+	result := c.replica.Receive(b.covered())
+	switch result.Outcome {
+	case replica.Applied:
+	case replica.Gap:
+		c.batchesAfterGap.Add(1)
+		return result.Outcome
+	default:
+		return result.Outcome
+	}
+	if n := len(result.Gone); n > 0 {
+		c.keysGone.Add(int64(n))
+		c.log.Info("removed keys that were written and deleted while the sender of the changes was away", "keys", n, "first", result.Gone[0], "after", b.After.Number(), "at", b.At.Number())
+	}
 	c.setQuiet(!c.shouldFollow.Load())
-	restored := at.Era() > c.revision.Era()
 	changed := false
-	for _, item := range items {
+	changes := b.changes()
+	for _, i := range result.Changes {
+		k := changes[i]
 		switch {
-		case item.Revision <= c.revision: // Applied before.
-		case item.Deleted && restored && strings.HasPrefix(item.Key, platform.UpstreamPrefix):
-			changed = c.handleMissing(now, item.Key, restored) || changed
-		case item.Deleted:
-			changed = c.handleDeleted(now, item.Key) || changed
+		case k.Deleted && restored:
+			changed = c.handleMissing(now, k.Key, restored) || changed
+		case k.Deleted:
+			changed = c.handleDeleted(now, k.Key) || changed
 		default:
+			item := platform.Item{Key: k.Key, Value: k.Value, Revision: k.Revision}
 			changed = c.put(now, item, from, restored) || changed
 		}
 	}
+	for _, key := range result.Gone {
+		changed = c.handleDeleted(now, key) || changed
+	}
 	if restored {
 		notify(c.deregistered)
 	}
-	c.finishUpdate(now, at, changed)
+	c.finishUpdate(now, changed)
+	return replica.Applied
 }
 
 // setQuiet sets whether changes of registrations go unlogged. The first full read logs none, and later
@@ -94,11 +109,10 @@
 }
 
 // finishUpdate records that the store's state up to a revision is applied, and publishes a snapshot.
-func (c *control) finishUpdate(now time.Time, at platform.Revision, changed bool) {
-	c.revision = max(c.revision, at)
-	c.knownRevision.Store(uint64(c.revision))
+func (c *control) finishUpdate(now time.Time, changed bool) {
+	c.knownRevision.Store(uint64(c.replica.Revision()))
 	c.upToDate.Store(true)
-	c.behindSince, c.firstBehind, c.resendRequested = time.Time{}, time.Time{}, false
+	c.lag.Caught()
 	if changed {
 		c.applyUpstreams(now)
 	}
@@ -121,17 +135,20 @@
 	return false
 }
 
-// handleMissing handles an upstream's registration that was missing in a full read, and reports
-// whether the endpoints changed. It removes the upstream, unless the store has failed lately or was restored: then the
+// handleMissing handles a key that was missing in a full read, and reports whether the endpoints changed. It removes an
+// upstream, unless the store has failed lately or was restored: then the
 // registration may have expired in the outage, or the copy may lack it. A later read does not shorten the grace
 // period. The end of the outage is taken as the time when another instance was first ahead of this one, or else as now.
 func (c *control) handleMissing(now time.Time, key string, restored bool) bool {
+	if !strings.HasPrefix(key, platform.UpstreamPrefix) {
+		return c.handleDeleted(now, key)
+	}
 	if !restored && !c.storeFailing(now) && !c.registry.awaits(key) {
 		return c.registry.remove(now, key)
 	}
 	availableSince := now
-	if !c.firstBehind.IsZero() {
-		availableSince = c.firstBehind
+	if since := c.lag.Since(); !since.IsZero() {
+		availableSince = since
 	}
 	return c.registry.markMissing(availableSince, key)
 }
@@ -174,8 +191,8 @@
 	c.logNewWarnings(next.Warnings)
 	c.setAccountLimits(now)
 	behind := time.Duration(0)
-	if !c.firstBehind.IsZero() {
-		behind = now.Sub(c.firstBehind)
+	if since := c.lag.Since(); !since.IsZero() {
+		behind = now.Sub(since)
 	}
 	c.log.Info("configuration in force", "version", next.Version.String(), "routes", len(next.Routes), "services", len(next.Services), "accounts", len(next.Accounts),
 		"source", string(from), "behind_ms", behind.Milliseconds())
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -139,6 +139,8 @@
 		"store_era":              int64(g.store.Era()),
 		"store_revision":         int64(platform.Revision(g.control.knownRevision.Load()).Number()),
 		"watches_unanswered":     g.control.unansweredWatches.Load(),
+		"store_batches_gap":      g.control.batchesAfterGap.Load(),
+		"store_keys_gone":        g.control.keysGone.Load(),
 	}
 	if at := g.control.respondedAt.Load(); at != nil {
 		gauges["store_response_age_ms"] = time.Since(*at).Milliseconds()
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -54,7 +54,7 @@
 			b.Fatal(err)
 		}
 		c := newControl(&s, slog.New(slog.NewJSONHandler(io.Discard, nil)), &peerSocket{})
-		c.applyFullRead(time.Now(), got.Items, 1)
+		c.applyFullRead(time.Now(), got.Items, 1, 1)
 		if c.snapshot.Load().router == nil {
 			b.Fatal("not ready")
 		}
--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -2,13 +2,13 @@
 
 import (
 	"cmp"
-	"maps"
 	"net/netip"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/dispatch"
+	"github.com/damaskcove/damaskcove/coord/replica"
 	"github.com/damaskcove/damaskcove/platform"
 )
 
@@ -20,14 +20,16 @@
 	receiverLagTimeout = 200 * time.Millisecond
 )
 
-// changeBatch holds consecutive changes of the store. A follower of the store sends it to the
-// instances of its zone that don't follow. It leads from revision After to revision At.
+// changeBatch holds changes of the store as a follower of the store sends them to the instances of its zone that don't
+// follow. The fields are those of a replica.Batch.
 type changeBatch struct {
-	_     struct{} `cbor:",toarray"`
-	From  dispatch.PeerID
-	After platform.Revision
-	At    platform.Revision
-	Items []keyChange
+	_         struct{} `cbor:",toarray"`
+	From      dispatch.PeerID
+	After, At platform.Revision
+	Items     []keyChange // Up to At.
+	Coverage  replica.Coverage
+	End       platform.Revision
+	Ahead     []keyChange // After At, of a read of all keys whose later pages had later revisions.
 }
 
 // keyChange is a write or a deletion of one key of the store.
@@ -43,14 +45,57 @@
 func newChangeBatch(from dispatch.PeerID, items []platform.Item, after, at platform.Revision) changeBatch {
 	b := changeBatch{From: from, After: after, At: max(at, after)}
 	for _, item := range items {
-		b.Items = append(b.Items, keyChange{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
+		b.Items = append(b.Items, newKeyChange(item))
 	}
 	slices.SortStableFunc(b.Items, func(a, b keyChange) int { return cmp.Compare(a.Revision, b.Revision) })
 	return b
 }
 
-// datagrams splits a batch into datagrams. A change that is too large even for fragments is left
-// out: receivers notice by the revisions of others that they are behind, and read the store.
+func newKeyChange(item platform.Item) keyChange {
+	return keyChange{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted}
+}
+
+// newDifference returns what a read of all keys showed to have changed, as a batch with the values of the read.
+func newDifference(from dispatch.PeerID, d *replica.Batch[platform.Revision], items []platform.Item) changeBatch {
+	values := make(map[string]platform.Item, len(items))
+	for _, item := range items {
+		values[item.Key] = item
+	}
+	b := changeBatch{From: from, After: d.After, At: d.At, Coverage: d.Coverage, End: d.End}
+	for _, change := range d.Changes {
+		k := keyChange{Key: change.Key, Value: values[change.Key].Value, Revision: change.Revision, Deleted: change.Deleted}
+		if k.Revision > b.At {
+			b.Ahead = append(b.Ahead, k)
+		} else {
+			b.Items = append(b.Items, k)
+		}
+	}
+	return b
+}
+
+// newStandalone returns a batch of items that are of use without earlier changes.
+func newStandalone(from dispatch.PeerID, items []platform.Item, at platform.Revision) changeBatch {
+	b := newChangeBatch(from, items, at, at)
+	b.Coverage = replica.Standalone
+	return b
+}
+
+// changes returns all changes of the batch.
+func (b changeBatch) changes() []keyChange {
+	return slices.Concat(b.Items, b.Ahead)
+}
+
+// covered returns the batch as the replica decides on it.
+func (b changeBatch) covered() replica.Batch[platform.Revision] {
+	covered := replica.Batch[platform.Revision]{Coverage: b.Coverage, After: b.After, At: b.At, End: b.End}
+	for _, k := range b.changes() {
+		covered.Changes = append(covered.Changes, replica.Change[platform.Revision]{Key: k.Key, Revision: k.Revision, Deleted: k.Deleted})
+	}
+	return covered
+}
+
+// datagrams splits a batch into datagrams. What is too large even for fragments is left out: receivers notice by the
+// revisions of others that they are behind, and read the store.
 func (b changeBatch) datagrams() ([][]byte, error) {
 	data, err := encodeKind(datagramChanges, b)
 	if err != nil {
@@ -60,7 +105,7 @@
 		return [][]byte{data}, nil
 	}
 	half := b.splitIndex()
-	if half == 0 {
+	if half == 0 || !b.covered().Divisible() {
 		return fragmentBatch(b, data)
 	}
 	first, second := b, b
@@ -88,40 +133,22 @@
 	return 0
 }
 
-// forwardChanges sends the changes of a watch to the other instances of this zone, and keeps them
-// to be resent.
-func (c *control) forwardChanges(items []platform.Item, after, at platform.Revision) {
-	b := newChangeBatch(c.peer, items, after, at)
+// forward sends a batch to the other instances of this zone, and keeps it to be resent.
+func (c *control) forward(b changeBatch) {
 	c.history.add(time.Now(), b)
 	c.sendChanges(b, c.snapshot.Load().alive...)
 }
 
-// forwardFullRead forwards what a read of all keys shows to have changed since this instance's revision.
-// Items that changed after the revision of the read are left to the watch, which repeats them: a batch must
-// not lead its receivers beyond its own revision. While missing keys may be due to a failure of the store,
-// only a configuration is forwarded, as a batch after a gap: the receivers have to read the store themselves.
-func (c *control) forwardFullRead(now time.Time, items []platform.Item, present map[string]bool, at platform.Revision) {
-	restored := at.Era() > c.revision.Era()
-	var changes []platform.Item
-	for _, item := range items {
-		if item.Revision > c.revision && item.Revision <= at && !(restored && c.knows(item)) {
-			changes = append(changes, item)
-		}
-	}
-	missing := slices.Collect(maps.Keys(c.members.byKey))
-	missing = slices.DeleteFunc(append(missing, c.registry.keys()...), func(key string) bool { return present[key] })
-	if len(missing) > 0 && c.storeFailing(now) && !restored {
-		changes = slices.DeleteFunc(changes, func(item platform.Item) bool { return item.Key != platform.ConfigKey })
-		c.forwardChanges(changes, at, at)
+// forwardFullRead forwards what a read of all keys shows to have changed. While missing keys may be due to a failure of
+// the store, or the difference cannot be told, only a configuration is forwarded: the receivers have to read the store
+// themselves.
+func (c *control) forwardFullRead(now time.Time, read replica.ReadResult[platform.Revision], items []platform.Item, at platform.Revision) {
+	if read.Difference != nil && (len(read.Missing) == 0 || read.Restored || !c.storeFailing(now)) {
+		c.forward(newDifference(c.peer, read.Difference, items))
 		return
 	}
-	for _, key := range missing {
-		if !restored && c.registry.awaits(key) {
-			continue
-		}
-		changes = append(changes, platform.Item{Key: key, Revision: at, Deleted: true})
-	}
-	c.forwardChanges(changes, c.revision, at)
+	items = slices.DeleteFunc(slices.Clone(items), func(item platform.Item) bool { return item.Key != platform.ConfigKey || c.knows(item) })
+	c.forward(newStandalone(c.peer, items, at))
 }
 
 // knows reports whether an item of the store is what this instance has applied.
@@ -157,25 +184,16 @@
 
 // handleChanges applies a batch from a follower of the store.
 func (c *control) handleChanges(now time.Time, b changeBatch) {
-	switch {
-	case !c.synced:
-		return
-	case b.At <= c.revision:
-		if b.After == b.At {
+	switch c.applyBatch(now, b, sourceForwarded) {
+	case replica.Applied:
+		c.history.add(now, b)
+	case replica.Stale:
+		if b.Coverage == replica.Standalone {
 			c.applyConfigOf(now, b) // Another instance has sent it, as the store may not have it.
 		}
-		return
-	}
-	if b.After > c.revision {
+	case replica.Gap:
 		c.handleChangesAfterGap(now, b)
-		return
-	}
-	items := make([]platform.Item, 0, len(b.Items))
-	for _, item := range b.Items {
-		items = append(items, platform.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
 	}
-	c.history.add(now, b)
-	c.applyChanges(now, items, b.At, sourceForwarded)
 }
 
 // handleChangesAfterGap applies what it can of a batch that follows missed changes. A configuration
@@ -183,15 +201,14 @@
 // the missed changes, which are requested after receiverLagTimeout.
 func (c *control) handleChangesAfterGap(now time.Time, b changeBatch) {
 	c.applyConfigOf(now, b)
-	if c.behindSince.IsZero() {
-		c.behindSince = now
+	if c.lag.Notice(now) {
 		time.AfterFunc(receiverLagTimeout, func() { c.post(func() { c.catchUp(time.Now()) }) })
 	}
 }
 
 // applyConfigOf applies the configuration in a batch, if there is one.
 func (c *control) applyConfigOf(now time.Time, b changeBatch) {
-	for _, item := range b.Items {
+	for _, item := range b.changes() {
 		if item.Key == platform.ConfigKey && !item.Deleted && c.applyConfig(now, item.Value, sourceForwarded) {
 			c.applyUpstreams(now)
 			c.publish(now)
@@ -224,11 +241,10 @@
 	c.sendReports()
 }
 
-// isBehind reports whether other instances have had a later revision of the store for too long.
-func (c *control) isBehind(now time.Time) bool {
-	bound := followerLagTimeout
-	if !c.shouldFollow.Load() {
-		bound = receiverLagTimeout
+// lagTimeout returns how long other instances may have had a later revision before this one fetches what it lacks.
+func (c *control) lagTimeout() time.Duration {
+	if c.shouldFollow.Load() {
+		return followerLagTimeout
 	}
-	return !c.behindSince.IsZero() && now.Sub(c.behindSince) >= bound
+	return receiverLagTimeout
 }
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -15,6 +15,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/damaskcove/damaskcove/coord/replica"
 	"github.com/damaskcove/damaskcove/platform"
 	"github.com/damaskcove/damaskcove/platform/standin"
 )
@@ -229,9 +230,14 @@
 func (in *instance) dropChanges(fleet *testFleet, key string, dropRequest bool) {
 	inControl(in, func(c *control) bool {
 		c.registry.remove(time.Now(), key)
-		c.revision = platform.NewRevision(fleet.store.Era(), fleet.store.RevisionOf(key)) - 1
+		items := slices.DeleteFunc(c.replica.Items(), func(item replica.Item[platform.Revision]) bool { return item.Key == key })
+		before := platform.NewRevision(fleet.store.Era(), fleet.store.RevisionOf(key)) - 1
+		c.replica = replica.NewCopy[platform.Revision]()
+		c.replica.ReadAll(before, before, items)
 		if dropRequest {
-			c.resendRequested, c.behindSince = true, time.Now()
+			c.lag = replica.Lag{}
+			c.lag.Notice(time.Now().Add(-receiverLagTimeout))
+			c.lag.Next(time.Now(), receiverLagTimeout, func() bool { return true })
 		}
 		c.applyUpstreams(time.Now())
 		return true
@@ -330,9 +336,9 @@
 	fleet.configure("h.example", "orders")
 	eventually(t, "ready", func() bool { return in.ready(t) })
 	complete := inControl(in, func(c *control) bool {
-		before := c.revision
+		before := c.replica.Revision()
 		c.handleChanges(time.Now(), changeBatch{After: before, At: before + 1, Items: []keyChange{{Key: "servers/i-1", Revision: before + 1, Deleted: true}}})
-		c.forwardChanges(nil, before+1, before+2)
+		c.forward(newChangeBatch(c.peer, nil, before+1, before+2))
 		got := c.history.after(before)
 		return len(got) == 2 && got[0].At == before+1 && got[1].At == before+2
 	})
@@ -475,8 +481,8 @@
 		}
 		for range 3 * len(all) {
 			p := rapid.SampledFrom(all).Draw(t, "fragment")
-			if got := j.add(p); got != nil && string(got) != want[p.At] {
-				t.Fatalf("%d bytes of batch %d, %d sent", len(got), p.At, len(want[p.At]))
+			if got := j.add(p); got != nil && string(got) != want[p.ID.At] {
+				t.Fatalf("%d bytes of batch %d, %d sent", len(got), p.ID.At, len(want[p.ID.At]))
 			}
 		}
 	})
@@ -539,12 +545,12 @@
 	settings := DefaultSettings()
 	c := newControl(&settings, slog.New(slog.DiscardHandler), nil)
 	now := time.Unix(1000, 0)
-	c.applyFullRead(now, nil, 5)
+	c.applyFullRead(now, nil, 5, 5)
 	var items []platform.Item
 	for revision := platform.Revision(6); revision < 30; revision++ {
 		items = append(items, platform.Item{Key: fmt.Sprint("servers/i-", revision), Value: make([]byte, maxDatagramBytes/2), Revision: revision})
 	}
-	c.applyFullRead(now, items, 9)
+	c.applyFullRead(now, items, 9, 29)
 	after := platform.Revision(5)
 	for _, b := range c.history.after(after) {
 		if b.After != after || b.At > 9 || slices.ContainsFunc(b.Items, func(item keyChange) bool { return item.Revision > b.At }) {
@@ -572,7 +578,7 @@
 	revision := fleet.revision()
 	fleet.store.SetFault(standin.NoFault)
 	eventually(t, "the configuration is in force", func() bool { return last.gateway.control.snapshot.Load().Version == 2 })
-	if inControl(last, func(c *control) bool { return c.revision >= revision }) {
+	if inControl(last, func(c *control) bool { return c.replica.Revision() >= revision }) {
 		t.Error("the instance has a revision without its deletions")
 	}
 	if !last.hasEndpoint("i-1") {
@@ -597,13 +603,13 @@
 		behind   bool
 	}
 	for _, config := range [][]byte{next, older} {
-		before := inControl(in, func(c *control) platform.Revision { return c.revision })
+		before := inControl(in, func(c *control) platform.Revision { return c.replica.Revision() })
 		got := inControl(in, func(c *control) state {
-			at := c.revision + 9
+			at := c.replica.Revision() + 9
 			c.handleChanges(time.Now(), changeBatch{After: at - 1, At: at, Items: []keyChange{
 				{Key: platform.ConfigKey, Value: config, Revision: at}, {Key: "servers/i-1", Revision: at, Deleted: true},
 			}})
-			return state{c.config.Version, c.revision, !c.behindSince.IsZero()}
+			return state{c.config.Version, c.replica.Revision(), !c.lag.Since().IsZero()}
 		})
 		if want := (state{9, before, true}); got != want {
 			t.Errorf("got %+v, want %+v", got, want)
@@ -625,11 +631,11 @@
 	entry := fmt.Appendf(nil, `{"service":"orders","address":%q,"zone":"a","version":"v1","capacity":4,"state":"ready","warmup_left":"0ms","sequence":4}`, u.addr)
 	c.post(func() {
 		now := time.Now()
-		later := c.revision + 10
-		c.handleChanges(now, changeBatch{After: c.revision, At: later, Items: []keyChange{{Key: "servers/i-1", Revision: later, Deleted: true}}})
-		c.applyChanges(now, []platform.Item{{Key: "servers/i-1", Value: entry, Revision: later - 1}}, later-1, sourceWatch)
-		c.applyFullRead(now, []platform.Item{{Key: "servers/i-1", Value: entry, Revision: later - 1}}, later-1)
-		done <- c.revision - later
+		later := c.replica.Revision() + 10
+		c.handleChanges(now, changeBatch{After: c.replica.Revision(), At: later, Items: []keyChange{{Key: "servers/i-1", Revision: later, Deleted: true}}})
+		c.applyBatch(now, newChangeBatch(c.peer, []platform.Item{{Key: "servers/i-1", Value: entry, Revision: later - 1}}, later-2, later-1), sourceWatch)
+		c.applyFullRead(now, []platform.Item{{Key: "servers/i-1", Value: entry, Revision: later - 1}}, later-1, later-1)
+		done <- c.replica.Revision() - later
 	})
 	if back := <-done; back != 0 || in.hasEndpoint("i-1") {
 		t.Errorf("revision differs by %d; the deleted upstream is in use: %t", back, in.hasEndpoint("i-1"))
--- a/internal/gateway/configrequest.go
+++ b/internal/gateway/configrequest.go
@@ -24,7 +24,7 @@
 // noticeConfig requests the configuration of another instance that has had a later version for too long.
 func (c *control) noticeConfig(now time.Time, m *message) {
 	switch {
-	case !c.synced || m.Config <= c.configVersion():
+	case !c.replica.Read() || m.Config <= c.configVersion():
 		return
 	case c.olderConfigAt.IsZero():
 		c.olderConfigAt = now
@@ -42,7 +42,8 @@
 	if e == nil || c.config == nil {
 		return
 	}
-	b := newChangeBatch(c.peer, []platform.Item{{Key: platform.ConfigKey, Value: c.configValue, Revision: c.revision}}, c.revision, c.revision)
+	at := c.replica.Revision()
+	b := newStandalone(c.peer, []platform.Item{{Key: platform.ConfigKey, Value: c.configValue, Revision: at}}, at)
 	datagrams, err := b.datagrams()
 	if err != nil {
 		c.log.Error("cannot encode the configuration; not sending it to an instance that requested it", "version", c.config.Version.String(), "error", err.Error())
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -107,7 +107,7 @@
 // noticeGap records that changes after a revision are about to be applied. If those up to it are not applied, a watch
 // has passed over some without returning them.
 func (c *control) noticeGap(after platform.Revision) {
-	if after > c.revision {
+	if after > c.replica.Revision() {
 		c.confirmations.gap = true
 	}
 }
@@ -115,11 +115,11 @@
 // confirmRead records that the changes of the store up to a revision are applied, as a read has returned that was sent
 // at a time. After a gap, reads confirm nothing until a full one is applied, which it requests.
 func (c *control) confirmRead(now time.Time, sentAt time.Duration, at platform.Revision, full bool) {
-	if full && at >= c.revision {
+	if full && at >= c.replica.Revision() {
 		c.confirmations.gap = false
 	}
 	switch {
-	case at.Era() < c.revision.Era():
+	case at.Era() < c.replica.Revision().Era():
 		return
 	case c.confirmations.gap:
 		if c.needsConfirmation() {
--- a/internal/gateway/confirmation_test.go
+++ b/internal/gateway/confirmation_test.go
@@ -225,9 +225,9 @@
 func TestChangesAfterAGapConfirmNothing(t *testing.T) {
 	s := DefaultSettings()
 	c := newControl(&s, slog.New(slog.DiscardHandler), nil)
-	c.revision = 4
+	c.applyFullRead(time.Now(), nil, 4, 4)
 	c.noticeGap(5)
-	c.revision = 6
+	c.applyFullRead(time.Now(), nil, 6, 6)
 	for i, step := range []struct {
 		at   platform.Revision
 		full bool
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -16,6 +16,7 @@
 	"github.com/damaskcove/damaskcove/coord/outlook"
 	"github.com/damaskcove/damaskcove/coord/pause"
 	"github.com/damaskcove/damaskcove/coord/quota"
+	"github.com/damaskcove/damaskcove/coord/replica"
 	"github.com/damaskcove/damaskcove/coord/retrybudget"
 	"github.com/damaskcove/damaskcove/internal/boottime"
 	"github.com/damaskcove/damaskcove/internal/callers"
@@ -89,32 +90,32 @@
 	respondedAt       atomic.Pointer[time.Time] // When the store last answered a watch or read; nil if never.
 	unansweredWatches atomic.Int64              // Watches that ended without a response of the store.
 
+	batchesAfterGap atomic.Int64 // Batches of changes that could not be applied, as earlier ones were missing.
+	keysGone        atomic.Int64 // Keys that were removed as a batch showed that they were deleted before its end.
+
 	refusedConfigs atomic.Int64 // Configurations that were refused as invalid.
 	brokerTimeouts atomic.Int64 // Placement requests that a broker did not answer in time.
 
 	// Owned by the loop.
-	machine         *dispatch.Machine
-	quota           *quota.Limiter // Nil until a configuration with accounts.
-	config          *platform.Config
-	configValue     []byte   // The configuration as the operator wrote it, with digests in place of keys.
-	refusedValue    []byte   // The last value that was refused as invalid.
-	warnings        []string // About the configuration in force; they are logged already.
-	registry        *registry
-	members         *members
-	synced          bool // All keys of the store were read at least once.
-	revision        platform.Revision
-	lastStoreError  time.Time // Time of the last failed call of the store.
-	behindSince     time.Time // When a later revision was reported, forwarded or last requested from a follower; zero while up to date, and after a read of the store was requested.
-	olderConfigAt   time.Time // When another instance first reported a later version than the one in force, or was asked for it; zero if none did.
-	resendRequested bool      // A follower was sent a resendRequest for the missing changes.
-	history         history   // Store changes that this instance forwarded or received lately.
-	handoverUntil   time.Time // Until then a Handover is requested; zero once one was received.
-	firstBehind     time.Time // When another instance first reported a later revision; zero while up to date.
-	followPolicy    *following.Machine
-	following       bool // This instance follows the store, and its last call succeeded; isFollowing tells what is reported to others.
-	placement       placementClient
-	confirmations   confirmations
-	broker          *brokerState // Nil until the first placement request.
+	machine        *dispatch.Machine
+	quota          *quota.Limiter // Nil until a configuration with accounts.
+	config         *platform.Config
+	configValue    []byte   // The configuration as the operator wrote it, with digests in place of keys.
+	refusedValue   []byte   // The last value that was refused as invalid.
+	warnings       []string // About the configuration in force; they are logged already.
+	registry       *registry
+	members        *members
+	replica        *replica.Copy[platform.Revision]
+	lag            replica.Lag // Of the replica behind the other instances.
+	lastStoreError time.Time   // Time of the last failed call of the store.
+	olderConfigAt  time.Time   // When another instance first reported a later version than the one in force, or was asked for it; zero if none did.
+	history        history     // Store changes that this instance forwarded or received lately.
+	handoverUntil  time.Time   // Until then a Handover is requested; zero once one was received.
+	followPolicy   *following.Machine
+	following      bool // This instance follows the store, and its last call succeeded; isFollowing tells what is reported to others.
+	placement      placementClient
+	confirmations  confirmations
+	broker         *brokerState // Nil until the first placement request.
 
 	coordinators       []broker.Instance            // Of this zone; empty in a small fleet.
 	remoteCoordinators map[string][]broker.Instance // By other zone.
@@ -149,6 +150,7 @@
 		promises:      func() PromiseSettings { return s.Promises },
 		clock:         boottime.Now,
 		confirmations: newConfirmations(),
+		replica:       replica.NewCopy[platform.Revision](),
 		followChanged: make(chan struct{}, 1),
 		deregistered:  make(chan struct{}, 1),
 		placement:     newPlacementClient(),
@@ -278,7 +280,7 @@
 // message returns this instance's state and some events, as a message to the others.
 func (c *control) message(now time.Time, events []dispatch.Event) message {
 	return message{
-		From: c.peer, Revision: c.revision, Leaving: c.leaving, HasFullRetryWindow: c.machine.HasFullRetryWindow(now),
+		From: c.peer, Revision: c.replica.Revision(), Leaving: c.leaving, HasFullRetryWindow: c.machine.HasFullRetryWindow(now),
 		Following: c.isFollowing(now), StoreFailing: c.following && c.storeFailing(now), Config: c.configVersion(), Events: events,
 	}
 }
@@ -337,16 +339,18 @@
 // catchUp fetches the missed changes when other instances have been ahead for too long: from a
 // follower, or from the store.
 func (c *control) catchUp(now time.Time) {
-	if !c.isBehind(now) {
-		return
+	var followers []dispatch.PeerID
+	canAsk := func() bool {
+		followers = c.resendTargets()
+		return !c.shouldFollow.Load() && len(followers) > 0
 	}
-	if !c.shouldFollow.Load() && !c.resendRequested && c.requestResend() {
-		c.resendRequested, c.behindSince = true, now
-		return
+	switch c.lag.Next(now, c.lagTimeout(), canAsk) {
+	case replica.FetchFromFollower:
+		c.requestResend(followers)
+	case replica.FetchFromStore:
+		c.log.Info("behind the other instances; reading the store", "revision", c.replica.Revision().Number(), "follows_itself", c.following)
+		c.requestResync(c.storeFailing(now))
 	}
-	c.resendRequested, c.behindSince = false, time.Time{} // Alternates between the store and a follower: either may be unreachable.
-	c.log.Info("behind the other instances; reading the store", "revision", c.revision.Number(), "follows_itself", c.following)
-	c.requestResync(c.storeFailing(now))
 }
 
 // requestResync requests a read of the store: of all keys if full, else of the missed changes. A full
@@ -383,7 +387,7 @@
 	c.electCoordinators(now, alive)
 	c.machine.SetBrokered(c.brokered())
 	next := &Snapshot{pause: c.pause, limits: limitsOf(platform.DefaultLimits), leaving: c.machine.LeavingCounts(), limited: c.machine.LimitedEndpoints(), alive: alive, peerRoutes: newPeerRoutes(alive, c.self)}
-	if c.config != nil && c.synced {
+	if c.config != nil && c.replica.Read() {
 		next.Version = c.config.Version
 		next.limits = limitsOf(c.config.Limits)
 		if old := c.snapshot.Load(); old.router != nil && old.Version == next.Version {
@@ -426,16 +430,11 @@
 		c.lastStoreError = now
 	}
 	c.noticeConfig(now, m)
-	if m.Revision <= c.revision {
+	if m.Revision <= c.replica.Revision() {
 		return
 	}
 	c.upToDate.Store(false)
-	if c.behindSince.IsZero() {
-		c.behindSince = now
-	}
-	if c.firstBehind.IsZero() {
-		c.firstBehind = now
-	}
+	c.lag.Notice(now)
 	c.catchUp(now)
 }
 
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -95,7 +95,7 @@
 // livenessReport returns this coordinator's report of silent instances and of followers.
 func (c *control) livenessReport(now time.Time) livenessReport {
 	r := livenessReport{
-		From: c.peer, Revision: c.revision, Following: c.isFollowing(now), StoreFailing: c.following && c.storeFailing(now), Leaving: c.leaving, Config: c.configVersion(),
+		From: c.peer, Revision: c.replica.Revision(), Following: c.isFollowing(now), StoreFailing: c.following && c.storeFailing(now), Leaving: c.leaving, Config: c.configVersion(),
 	}
 	for _, e := range c.members.byKey {
 		if e.following && e.Zone == c.members.zone && len(r.Followers) < maxReportedFollowers {
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/damaskcove/damaskcove/coord/replica"
 	"github.com/damaskcove/damaskcove/platform"
 )
 
@@ -144,14 +145,14 @@
 // readAll reads all keys and posts them to the control loop.
 func (f *follower) readAll(ctx context.Context) (platform.Revision, error) {
 	requestedAt, sentAt := time.Now(), f.control.clock()
-	items, at, err := f.store.Range(ctx, allKeys, readTimeout)
+	items, at, end, err := f.store.Range(ctx, allKeys, readTimeout)
 	if err != nil {
 		return 0, err
 	}
 	f.control.recordStoreResponse()
 	f.control.post(func() {
 		f.control.pause.Refreshed(requestedAt)
-		f.control.applyFullRead(time.Now(), items, at)
+		f.control.applyFullRead(time.Now(), items, at, end)
 		f.control.confirmRead(time.Now(), sentAt, at, true)
 	})
 	return at, nil
@@ -217,11 +218,13 @@
 	if len(items) > 0 {
 		f.deliver(items, after, at, sourceWatch, sentAt)
 		sleep(ctx, schedule.Batch)
-	} else if at <= after { // Else it lacks changes.
+	} else if at <= after {
 		f.control.post(func() {
 			f.control.noticeGap(after)
 			f.control.confirmRead(time.Now(), sentAt, after, false)
 		})
+	} else {
+		at = after // The response lacks changes, which the next watch returns.
 	}
 	return max(after, at), nil
 }
@@ -240,11 +243,14 @@
 // to follow the store. The call that returned them was sent at sentAt.
 func (f *follower) deliver(items []platform.Item, after, at platform.Revision, from changeSource, sentAt time.Duration) {
 	f.control.post(func() {
+		b := newChangeBatch(f.control.peer, items, after, at)
 		if f.control.shouldFollow.Load() {
-			f.control.forwardChanges(items, after, at)
+			f.control.forward(b)
 		}
 		f.control.noticeGap(after)
-		f.control.applyChanges(time.Now(), items, at, from)
+		if f.control.applyBatch(time.Now(), b, from) == replica.Gap {
+			f.control.requestResync(true)
+		}
 		if len(items) > 0 || at <= after {
 			f.control.confirmRead(time.Now(), sentAt, at, false)
 		}
--- a/internal/gateway/fragment.go
+++ b/internal/gateway/fragment.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/damaskcove/damaskcove/coord/dispatch"
+	"github.com/damaskcove/damaskcove/coord/replica"
 	"github.com/damaskcove/damaskcove/platform"
 )
 
@@ -14,18 +15,25 @@
 	maxFragments = 24
 )
 
-// fragment is a part of a batch that doesn't fit a datagram: a single change of the store, mostly a
-// configuration. Without fragments each instance would read it from the store, whose calls would
+// fragment is a part of a batch that doesn't fit a datagram and cannot be divided: a single change of the store, mostly a
+// configuration, or what a read of all keys showed to have changed. Without fragments each instance would read it from the store, whose calls would
 // grow with the number of instances times the number of configurations.
 type fragment struct {
 	_     struct{} `cbor:",toarray"`
 	From  dispatch.PeerID
-	At    platform.Revision // At of the batch; with From it identifies the batch.
+	ID    fragmentID
 	Index int
 	Count int
 	Data  []byte
 }
 
+// fragmentID identifies a batch of a sender. At is that of the batch, and orders the sender's batches.
+type fragmentID struct {
+	_         struct{} `cbor:",toarray"`
+	After, At platform.Revision
+	Coverage  replica.Coverage
+}
+
 // fragmentBatch splits an encoded batch into datagrams. It returns none if the batch is too large.
 func fragmentBatch(b changeBatch, data []byte) ([][]byte, error) {
 	count := (len(data) + fragmentBytes - 1) / fragmentBytes
@@ -35,7 +43,7 @@
 	var datagrams [][]byte
 	for k := range count {
 		part := data[k*fragmentBytes : min((k+1)*fragmentBytes, len(data))]
-		datagram, err := encodeKind(datagramFragment, fragment{From: b.From, At: b.At, Index: k, Count: count, Data: part})
+		datagram, err := encodeKind(datagramFragment, fragment{From: b.From, ID: fragmentID{After: b.After, At: b.At, Coverage: b.Coverage}, Index: k, Count: count, Data: part})
 		if err != nil {
 			return nil, err
 		}
@@ -55,7 +63,7 @@
 }
 
 type partialBatch struct {
-	at      platform.Revision
+	id      fragmentID
 	parts   [][]byte
 	missing int
 }
@@ -73,11 +81,11 @@
 		r.partial = make(map[dispatch.PeerID]*partialBatch)
 	}
 	batch := r.partial[frag.From]
-	if batch == nil || frag.At > batch.at {
-		batch = &partialBatch{at: frag.At, parts: make([][]byte, frag.Count), missing: frag.Count}
+	if batch == nil || frag.ID != batch.id && frag.ID.At >= batch.id.At {
+		batch = &partialBatch{id: frag.ID, parts: make([][]byte, frag.Count), missing: frag.Count}
 		r.partial[frag.From] = batch
 	}
-	if frag.At < batch.at || frag.Count != len(batch.parts) || batch.parts[frag.Index] != nil {
+	if frag.ID != batch.id || frag.Count != len(batch.parts) || batch.parts[frag.Index] != nil {
 		return nil
 	}
 	batch.parts[frag.Index] = frag.Data
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/damaskcove/damaskcove/coord/dispatch"
+	"github.com/damaskcove/damaskcove/coord/replica"
 	"github.com/damaskcove/damaskcove/platform"
 )
 
@@ -34,18 +35,9 @@
 	h.batches, h.times = h.batches[old:], h.times[old:]
 }
 
-// after returns the batches that continue from a revision, or none if the first of them starts
-// after a gap.
+// after returns the batches to be resent to an instance at a revision.
 func (h *history) after(revision platform.Revision) []changeBatch {
-	for k, b := range h.batches {
-		if b.At > revision {
-			if b.After > revision {
-				return nil
-			}
-			return h.batches[k:]
-		}
-	}
-	return nil
+	return replica.Resend(h.batches, revision, changeBatch.covered)
 }
 
 // resendRequest requests from a follower of the store the batches after a revision.
@@ -55,20 +47,20 @@
 	After platform.Revision
 }
 
-// requestResend requests the batches after this instance's revision from a random follower of this
-// zone. It returns false if there is no follower.
-func (c *control) requestResend() bool {
+// resendTargets returns the followers of this zone, which can send batches again.
+func (c *control) resendTargets() []dispatch.PeerID {
 	var followers []dispatch.PeerID
 	for _, e := range c.members.byKey {
 		if e.Zone == c.members.zone && e.following && !e.leaving {
 			followers = append(followers, e.Peer)
 		}
 	}
-	if len(followers) == 0 {
-		return false
-	}
-	c.sendTo(followers[rand.IntN(len(followers))], datagramResendRequest, resendRequest{From: c.peer, After: c.revision})
-	return true
+	return followers
+}
+
+// requestResend requests the batches after this instance's revision from one of the given instances.
+func (c *control) requestResend(followers []dispatch.PeerID) {
+	c.sendTo(followers[rand.IntN(len(followers))], datagramResendRequest, resendRequest{From: c.peer, After: c.replica.Revision()})
 }
 
 // handleResendRequest sends an instance the batches that it missed.
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -47,7 +47,7 @@
 // updateQuotaPeers sets the number of instances among which the limits of accounts are shared: also of those that are
 // silent, as they may be serving requests on the other side of a partition.
 func (c *control) updateQuotaPeers(now time.Time) {
-	if c.quota == nil || !c.synced {
+	if c.quota == nil || !c.replica.Read() {
 		return
 	}
 	peers := 0
--- a/internal/gateway/restored_test.go
+++ b/internal/gateway/restored_test.go
@@ -205,9 +205,9 @@
 	fleet.store.Restore(saved)
 	eventually(t, "the restoration is noticed", func() bool { return in.gateway.control.knownRevision.Load() >= uint64(fleet.revision()) })
 	inControl(in, func(c *control) bool {
-		now := time.Now()
-		c.forwardFullRead(now, nil, nil, c.revision)
-		c.applyFullRead(now, nil, c.revision)
+		now, at := time.Now(), c.replica.Revision()
+		c.applyFullRead(now, nil, at, at)
+		c.applyFullRead(now, nil, at+1, at+1)
 		return true
 	})
 	if !in.hasEndpoint(added.id) {
--- a/internal/gateway/unit_test.go
+++ b/internal/gateway/unit_test.go
@@ -179,13 +179,13 @@
 			settings.Instance = InstanceSettings{ID: "one", Zone: "a"}
 			c := newControl(&settings, slog.New(slog.DiscardHandler), nil)
 			now := time.Unix(1000, 0)
-			c.applyFullRead(now, []platform.Item{{Key: "servers/i-1", Value: entry, Revision: 5}}, 5)
+			c.applyFullRead(now, []platform.Item{{Key: "servers/i-1", Value: entry, Revision: 5}}, 5, 5)
 			if tc.othersAhead {
 				c.handleMessage(now.Add(time.Second), &message{From: c.peer + 1, Revision: 9})
 			}
 			back := now.Add(12 * time.Second)
 			c.lastStoreError = back
-			c.applyFullRead(back, nil, 9)
+			c.applyFullRead(back, nil, 9, 9)
 			if kept := len(c.registry.keys()) == 1; kept != tc.kept {
 				t.Errorf("kept %v", kept)
 			}
