A change is in force in time wherever the store's silence begins

What callers saw: the store falls silent for the instances that follow it and serves the others.

Cause: a follower gave up its watch after all of the bound, and only then told the others, who waited for their turn and a tick. The schedule covered the first of four waits.

Change: each instance tracks the age of its knowledge of the store, by its own reads and by reports that followers send to their zone with each response (replica.Freshness). Past three fifths of the bound the instances read the store by turns that double in size, without waiting for a report (following.Machine.DueAt). Responses of the store come every half of the bound, after changes and from a slow store too.

--- a/coord/following/following.go
+++ b/coord/following/following.go
@@ -9,11 +9,16 @@
 // In each availability zone the instances with the lowest keys follow the store and forward its
 // changes to the others. A follower that fails, is partitioned off or is refused by the store
 // reports that or stops sending, and the next instance by key takes over. An instance that
-// receives messages of no follower follows the store itself. A Schedule tells how long a follower waits
-// for the store, and for how long a response confirms what it knows.
+// receives messages of no follower follows the store itself.
+//
+// Instances also tell each other how old their knowledge of the store is. Once it is too old, they read the store by
+// turns without waiting for a report of the followers. A Schedule has the times of both.
 package following
 
-import "time"
+import (
+	"math/bits"
+	"time"
+)
 
 // FollowersPerZone is the number of instances of a zone that follow the store: two, so that
 // changes reach the others while the failure of one is not yet detected.
@@ -46,19 +51,30 @@
 	m.self = self
 }
 
-// ShouldFollow reports whether the instance is to follow the store itself.
-func (m *Machine) ShouldFollow(now time.Time, peers []Peer) bool {
+// View is what an instance knows of its zone and of the store.
+type View struct {
+	Peers    []Peer    // Of its zone; it may be among them.
+	KnownAt  time.Time // The instance holds what the store held then, by its own reads or by what others report; zero before the first read.
+	Schedule Schedule
+}
+
+// ShouldFollow reports whether the instance is to follow the store itself: if the zone has too few followers, or if its
+// knowledge of the store is no longer fresh and its turn has come.
+func (m *Machine) ShouldFollow(now time.Time, v View) bool {
 	followers, passivePeers := 0, 0
-	for _, p := range peers {
+	for _, p := range v.Peers {
 		switch {
-		case p.Key > m.self:
+		case p.Key >= m.self:
 		case p.Following:
 			followers++
 		default:
 			passivePeers++
 		}
 	}
+	due := m.DueAt(v)
 	switch {
+	case !due.IsZero() && !now.Before(due):
+		m.passive = false
 	case followers >= FollowersPerZone:
 		m.passive, m.tooFewSince = true, time.Time{}
 	case !m.passive:
@@ -70,6 +86,24 @@
 	return !m.passive
 }
 
+// DueAt returns when the instance is to read the store unless its knowledge is renewed before; zero for never.
+//
+// The turns are short, and the instances in each are twice those in the one before: followers that the store turns away
+// cost little time, and of a store that serves others one is read by a few.
+func (m *Machine) DueAt(v View) time.Time {
+	lower := 0
+	for _, p := range v.Peers {
+		if p.Key < m.self {
+			lower++
+		}
+	}
+	turn := bits.Len(uint(lower+1)) - 1
+	if v.KnownAt.IsZero() || turn > maxTurn {
+		return time.Time{}
+	}
+	return v.KnownAt.Add(v.Schedule.Fresh + time.Duration(turn)*v.Schedule.Step)
+}
+
 // IsPreferredFollower reports whether the instance is to follow the store when the store refuses
 // no instance. While it refuses all instances, preferred followers retry often and the others seldom.
 func (m *Machine) IsPreferredFollower(peers []Peer) bool {
--- a/coord/following/following_test.go
+++ b/coord/following/following_test.go
@@ -35,7 +35,7 @@
 	for range 2*len(z.keys) + 2 {
 		z.now = z.now.Add(takeoverDelay / 2)
 		for _, k := range z.keys {
-			follows := !z.silent[k] && z.machines[k].ShouldFollow(z.now, z.peersOf(k)) && !z.refused[k]
+			follows := !z.silent[k] && z.machines[k].ShouldFollow(z.now, View{Peers: z.peersOf(k), KnownAt: z.now, Schedule: NewSchedule(2 * time.Second)}) && !z.refused[k]
 			if follows && !z.following[k] {
 				z.takeovers++
 			}
@@ -90,7 +90,7 @@
 
 func TestInstanceWithoutPeersFollows(t *testing.T) {
 	m := New("z")
-	if !m.ShouldFollow(time.Unix(1000, 0), nil) || !m.IsPreferredFollower(nil) {
+	if !m.ShouldFollow(time.Unix(1000, 0), View{}) || !m.IsPreferredFollower(nil) {
 		t.Error("an instance without peers does not follow the store")
 	}
 }
--- a/coord/following/schedule.go
+++ b/coord/following/schedule.go
@@ -2,31 +2,39 @@
 
 import "time"
 
-// Schedule holds the times by which a follower keeps its knowledge of the store confirmed. A store
-// that doesn't respond and one without changes look the same to a watch that waits. So watches are
-// short, and a follower's knowledge counts as confirmed only for a bounded time after a response.
+// Schedule holds the times by which the instances of a zone keep their knowledge of the store fresh. A store that doesn't
+// respond and one without changes look the same to a watch that waits. So watches are short, and knowledge is fresh only
+// for a bounded time after a response.
+//
+// A change that is made as the store falls silent for all followers of a zone is in force at the others after, at most,
+// a response's way from the store, Fresh, the turns of the instances that the store turns away too, and a read. These add up to
+// less than the bound for a store that takes a twentieth of it to respond and turns a third of the instances away.
 type Schedule struct {
-	Batch  time.Duration // Delay after changes, before the next watch.
-	Wait   time.Duration // How long a watch waits for a change.
-	Answer time.Duration // How much longer than Wait the response to a watch may take.
+	Batch    time.Duration // Delay after changes, before the next watch.
+	Interval time.Duration // From one response of the store to the next.
+	Answer   time.Duration // How much later a response may come before the watch is given up.
+	Fresh    time.Duration // Age up to which knowledge of the store is fresh.
+	Step     time.Duration // Between the turns in which others read the store once knowledge is not fresh.
 }
 
-// maxWait is less than the 30 s that the store lets a watch wait.
-const maxWait = 25 * time.Second
+const (
+	// maxInterval is less than the 30 s that the store lets a watch wait.
+	maxInterval = 25 * time.Second
+	// maxTurn is the last turn. Turns double: the instances before it are more than a third of a zone of 95.
+	maxTurn = 5
+)
 
-// NewSchedule returns the schedule for a bound on the time from a change to its effect. The times add
-// up to the bound, so that a store that stops responding at any moment is noticed within it.
+// NewSchedule returns the schedule for a bound on the time from a change to its effect.
 func NewSchedule(bound time.Duration) Schedule {
-	return Schedule{Batch: bound / 4, Wait: min(bound/2, maxWait), Answer: bound / 4}
+	bound = min(bound, 2*maxInterval)
+	return Schedule{Batch: bound / 4, Interval: bound / 2, Answer: bound / 4, Fresh: bound * 3 / 5, Step: bound / 20}
 }
 
-// WatchLimit returns how long after its start a watch without a response is given up.
-func (s Schedule) WatchLimit() time.Duration {
-	return s.Wait + s.Answer
+// Wait returns how long a watch waits for a change, if the store's last response came some time ago and it takes some
+// time to respond.
+func (s Schedule) Wait(sinceResponse, latency time.Duration) time.Duration {
+	return max(s.Interval-sinceResponse-latency, s.Interval/10)
 }
 
-// Confirmed reports whether the knowledge of a follower is confirmed: the store's last response
-// came no longer ago than a batch and a watch may take.
-func (s Schedule) Confirmed(now, lastResponse time.Time) bool {
-	return now.Sub(lastResponse) <= s.Batch+s.WatchLimit()
-}
+// IsFresh reports whether knowledge of an age is fresh.
+func (s Schedule) IsFresh(age time.Duration) bool { return age <= s.Fresh }
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -113,6 +113,7 @@
 	c.knownRevision.Store(uint64(c.replica.Revision()))
 	c.upToDate.Store(true)
 	c.lag.Caught()
+	c.freshness.Moved(c.replica.Revision())
 	if changed {
 		c.applyUpstreams(now)
 	}
--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -145,6 +145,9 @@
 	if at := g.control.respondedAt.Load(); at != nil {
 		gauges["store_response_age_ms"] = time.Since(*at).Milliseconds()
 	}
+	if at := g.control.snapshot.Load().freshAt; !at.IsZero() {
+		gauges["store_age_ms"] = time.Since(at).Milliseconds()
+	}
 	if age, known := g.control.configurationAge(); known {
 		gauges["configuration_age_ms"] = age.Milliseconds()
 	}
--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -216,20 +216,6 @@
 	}
 }
 
-// updateFollowing decides whether this instance has to follow the store itself.
-func (c *control) updateFollowing(now time.Time) {
-	peers := c.members.zonePeers(now)
-	c.preferredFollower.Store(c.followPolicy.IsPreferredFollower(peers))
-	if on := c.followPolicy.ShouldFollow(now, peers); on != c.shouldFollow.Load() {
-		c.shouldFollow.Store(on)
-		c.log.Info("role as a follower of the store changed", "itself", on, "peers_in_zone", len(peers))
-		if !on {
-			c.setFollowing(false)
-		}
-		notify(c.followChanged)
-	}
-}
-
 // setFollowing records whether this instance follows the store, and reports a change to the others
 // at once.
 func (c *control) setFollowing(on bool) {
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -92,7 +92,7 @@
 // watchWait returns how long a watch may wait with accounts enabled. A follower's confirmation is up to two waits old,
 // and that of an instance that asks it one interval older.
 func (p PromiseSettings) watchWait() time.Duration {
-	wait := min(p.schedule().Wait, p.ApplyWithin*2/5)
+	wait := min(p.schedule().Interval, p.ApplyWithin*2/5)
 	if p.RevokeWithin > 0 {
 		wait = min(wait, p.RevokeWithin/5)
 	}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -54,6 +54,7 @@
 	limited    int       // Upstreams with a limit of their requests a second.
 	alive      []*member // Only the embedded memberRecord may be read; the control loop changes the rest.
 	peerRoutes *peerRoutes
+	freshAt    time.Time // As of the last publication; zero before the first read.
 }
 
 // mayBeStale reports whether the snapshot may be out of date: the process has been paused since
@@ -107,6 +108,8 @@
 	members        *members
 	replica        *replica.Copy[platform.Revision]
 	lag            replica.Lag // Of the replica behind the other instances.
+	freshness      replica.Freshness[platform.Revision]
+	followTimer    *time.Timer // Fires when this instance may have to read the store before the next tick.
 	lastStoreError time.Time   // Time of the last failed call of the store.
 	olderConfigAt  time.Time   // When another instance first reported a later version than the one in force, or was asked for it; zero if none did.
 	history        history     // Store changes that this instance forwarded or received lately.
@@ -154,6 +157,7 @@
 		followChanged: make(chan struct{}, 1),
 		deregistered:  make(chan struct{}, 1),
 		placement:     newPlacementClient(),
+		followTimer:   time.NewTimer(tickInterval),
 		registry:      newRegistry(log),
 		members:       newMembers(s.Instance.ID, s.Instance.Zone, log),
 	}
@@ -205,6 +209,8 @@
 			c.tick(time.Now())
 		case <-ask.C:
 			c.tickConfirmation(time.Now())
+		case <-c.followTimer.C:
+			c.updateFollowing(time.Now())
 		}
 		c.logNotices()
 		c.collectReports()
@@ -374,11 +380,11 @@
 	c.respondedAt.Store(&now)
 }
 
-// isFollowing reports whether this instance follows the store and its knowledge is confirmed by a
-// response of the store.
+// isFollowing reports whether this instance follows the store, and the store's last response to it is
+// recent.
 func (c *control) isFollowing(now time.Time) bool {
 	at := c.respondedAt.Load()
-	return c.following && at != nil && c.schedule().Confirmed(now, *at)
+	return c.following && at != nil && c.schedule().IsFresh(now.Sub(*at))
 }
 
 // publish stores a new snapshot.
@@ -386,7 +392,7 @@
 	alive := c.members.alive(now)
 	c.electCoordinators(now, alive)
 	c.machine.SetBrokered(c.brokered())
-	next := &Snapshot{pause: c.pause, limits: limitsOf(platform.DefaultLimits), leaving: c.machine.LeavingCounts(), limited: c.machine.LimitedEndpoints(), alive: alive, peerRoutes: newPeerRoutes(alive, c.self)}
+	next := &Snapshot{pause: c.pause, limits: limitsOf(platform.DefaultLimits), leaving: c.machine.LeavingCounts(), limited: c.machine.LimitedEndpoints(), alive: alive, peerRoutes: newPeerRoutes(alive, c.self), freshAt: c.freshness.At()}
 	if c.config != nil && c.replica.Read() {
 		next.Version = c.config.Version
 		next.limits = limitsOf(c.config.Limits)
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/damaskcove/damaskcove/coord/following"
 	"github.com/damaskcove/damaskcove/coord/replica"
 	"github.com/damaskcove/damaskcove/platform"
 )
@@ -48,6 +49,7 @@
 	health  *storeHealth
 	wait    time.Duration // Delay before the first read.
 	era     uint64        // Of the store, as last logged.
+	latency time.Duration // Of the store's last response to a watch without changes.
 }
 
 // storeHealth tracks whether the store answers the calls of the follower and the registrar.
@@ -119,6 +121,9 @@
 			sleep(ctx, delay)
 			continue
 		}
+		if !f.control.preferredFollower.Load() {
+			delayAfterError = max(delayAfterError, maxRetryDelay)
+		}
 		sleep(ctx, delayAfterError)
 		delayAfterError = min(2*delayAfterError, f.retryDelayLimit())
 	}
@@ -154,6 +159,7 @@
 		f.control.pause.Refreshed(requestedAt)
 		f.control.applyFullRead(time.Now(), items, at, end)
 		f.control.confirmRead(time.Now(), sentAt, at, true)
+		f.control.confirmFresh(time.Now(), requestedAt, at)
 	})
 	return at, nil
 }
@@ -204,29 +210,44 @@
 // collect in the store. A watch that outlasts the schedule's limit fails: its response was lost.
 func (f *follower) watchOnce(ctx context.Context, after platform.Revision) (platform.Revision, error) {
 	schedule, start, sentAt := f.control.schedule(), time.Now(), f.control.clock()
-	if f.control.needsConfirmation() {
-		schedule.Wait = f.control.promises().watchWait()
-	}
-	watchCtx, cancel := context.WithTimeout(ctx, schedule.WatchLimit())
+	wait := f.watchWait(schedule, start)
+	watchCtx, cancel := context.WithTimeout(ctx, wait+schedule.Answer)
 	defer cancel()
-	items, at, err := f.store.Watch(watchCtx, allKeys, after, schedule.Wait)
+	items, at, err := f.store.Watch(watchCtx, allKeys, after, wait)
 	if err != nil {
 		f.recordUnanswered(ctx, err, after, time.Since(start))
 		return after, err
 	}
 	f.control.recordStoreResponse()
+	respondedAt := time.Now()
 	if len(items) > 0 {
-		f.deliver(items, after, at, sourceWatch, sentAt)
+		f.deliver(items, after, at, sourceWatch, sentAt, respondedAt)
 		sleep(ctx, schedule.Batch)
-	} else if at <= after {
-		f.control.post(func() {
-			f.control.noticeGap(after)
-			f.control.confirmRead(time.Now(), sentAt, after, false)
-		})
-	} else {
-		at = after // The response lacks changes, which the next watch returns.
+		return max(after, at), nil
 	}
-	return max(after, at), nil
+	f.latency = max(respondedAt.Sub(start)-wait, 0)
+	if at > after {
+		return after, nil // The response lacks changes, which the next watch returns.
+	}
+	f.control.post(func() {
+		f.control.noticeGap(after)
+		f.control.confirmRead(time.Now(), sentAt, after, false)
+		f.control.confirmFresh(time.Now(), respondedAt, after)
+	})
+	return after, nil
+}
+
+// watchWait returns how long a watch that begins now waits for a change.
+func (f *follower) watchWait(schedule following.Schedule, now time.Time) time.Duration {
+	sinceResponse := time.Duration(0)
+	if at := f.control.respondedAt.Load(); at != nil {
+		sinceResponse = now.Sub(*at)
+	}
+	wait := schedule.Wait(sinceResponse, f.latency)
+	if f.control.needsConfirmation() {
+		wait = min(wait, f.control.promises().watchWait())
+	}
+	return wait
 }
 
 // recordUnanswered counts and logs a watch that ended with an error and without a response of the store.
@@ -240,8 +261,8 @@
 }
 
 // deliver posts changes to the control loop, which forwards them to the zone if this instance is
-// to follow the store. The call that returned them was sent at sentAt.
-func (f *follower) deliver(items []platform.Item, after, at platform.Revision, from changeSource, sentAt time.Duration) {
+// to follow the store. The call that returned them was sent at sentAt, and the store had no later change at freshAt.
+func (f *follower) deliver(items []platform.Item, after, at platform.Revision, from changeSource, sentAt time.Duration, freshAt time.Time) {
 	f.control.post(func() {
 		b := newChangeBatch(f.control.peer, items, after, at)
 		if f.control.shouldFollow.Load() {
@@ -253,6 +274,7 @@
 		}
 		if len(items) > 0 || at <= after {
 			f.control.confirmRead(time.Now(), sentAt, at, false)
+			f.control.confirmFresh(time.Now(), freshAt, at)
 		}
 	})
 }
@@ -277,13 +299,16 @@
 func (f *follower) readMissed(ctx context.Context, after platform.Revision) (platform.Revision, error) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	sentAt := f.control.clock()
+	start, sentAt := time.Now(), f.control.clock()
 	items, at, err := f.store.Watch(readCtx, allKeys, after, missedWatchWait)
 	if err != nil {
 		return after, err
 	}
 	f.control.recordStoreResponse()
-	f.deliver(items, after, at, sourceMissed, sentAt)
+	if len(items) == 0 {
+		at = after // A later revision without changes covers nothing.
+	}
+	f.deliver(items, after, at, sourceMissed, sentAt, start)
 	return max(after, at), nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -254,6 +254,8 @@
 		decodeAndPost(g, data, g.control.handleConfirmationReply)
 	case datagramQuotaLevels:
 		decodeAndPost(g, data, g.control.handleQuotaLevels)
+	case datagramFreshness:
+		decodeAndPost(g, data, g.control.handleFreshnessReport)
 	default:
 		g.handleMessages(data)
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -56,6 +56,7 @@
 	datagramConfirmationRequest             // A confirmationRequest.
 	datagramConfirmationReply               // A confirmationReply.
 	datagramQuotaLevels                     // A quotaLevels.
+	datagramFreshness                       // A freshnessReport.
 )
 
 const (
