--- a/internal/gateway/auxserver.go
+++ b/internal/gateway/auxserver.go
@@ -90,7 +90,7 @@
 func (g *Gateway) addresses(zone string) []string {
 	alive := g.control.snapshot.Load().alive
 	if g.ready() {
-		alive = append(alive[:len(alive):len(alive)], &member{memberRecord: g.record})
+		alive = append(alive[:len(alive):len(alive)], &g.record)
 	}
 	return addresses(alive, zone)
 }
--- a/internal/gateway/broker_test.go
+++ b/internal/gateway/broker_test.go
@@ -170,7 +170,7 @@
 	t.Cleanup(func() { close(release) })
 	stopped.gateway.control.post(func() { <-release })
 	eventually(t, "the silent instance is not alive", func() bool {
-		return !slices.ContainsFunc(last.gateway.control.snapshot.Load().alive, func(e *member) bool { return strings.HasSuffix(e.key, "edge-a-3") })
+		return !slices.ContainsFunc(last.gateway.control.snapshot.Load().alive, func(e *memberRecord) bool { return e.Peer == stopped.gateway.control.peer })
 	})
 	if got := len(last.gateway.control.snapshot.Load().alive); got != len(all)-2 {
 		t.Errorf("%d instances are alive", got)
--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -165,7 +165,7 @@
 }
 
 // sendChanges sends a batch to those of the given instances that are in this zone.
-func (c *control) sendChanges(b changeBatch, to ...*member) {
+func (c *control) sendChanges(b changeBatch, to ...*memberRecord) {
 	datagrams, err := b.datagrams()
 	if err != nil {
 		c.log.Error("cannot encode changes of the store; not forwarding them to the zone", "after", b.After.Number(), "at", b.At.Number(), "error", err.Error())
--- a/internal/gateway/confirmation_test.go
+++ b/internal/gateway/confirmation_test.go
@@ -191,7 +191,7 @@
 	now := time.Now()
 	m := newMembers("self", "a", slog.New(slog.DiscardHandler))
 	add := func(name, zone string, following, leaving bool) {
-		m.byKey[name] = &member{memberRecord: memberRecord{CallerAddr: name, Zone: zone}, key: name, lastSeen: now, following: following, leaving: leaving}
+		m.byKey[name] = &member{memberRecord: &memberRecord{CallerAddr: name, Zone: zone}, key: name, lastSeen: now, following: following, leaving: leaving}
 	}
 	add("far 1", "b", true, false)
 	add("far 2", "c", true, false)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -51,8 +51,8 @@
 	limits     callers.Limits
 	pause      pause.Detector
 	leaving    dispatch.LeavingCounts
-	limited    int       // Upstreams with a limit of their requests a second.
-	alive      []*member // Only the embedded memberRecord may be read; the control loop changes the rest.
+	limited    int // Upstreams with a limit of their requests a second.
+	alive      []*memberRecord
 	peerRoutes *peerRoutes
 	freshAt    time.Time // As of the last publication; zero before the first read.
 }
@@ -391,8 +391,9 @@
 func (c *control) publish(now time.Time) {
 	alive := c.members.alive(now)
 	c.electCoordinators(now, alive)
+	registered := records(alive)
 	c.machine.SetBrokered(c.brokered())
-	next := &Snapshot{pause: c.pause, limits: limitsOf(platform.DefaultLimits), leaving: c.machine.LeavingCounts(), limited: c.machine.LimitedEndpoints(), alive: alive, peerRoutes: newPeerRoutes(alive, c.self), freshAt: c.freshness.At()}
+	next := &Snapshot{pause: c.pause, limits: limitsOf(platform.DefaultLimits), leaving: c.machine.LeavingCounts(), limited: c.machine.LimitedEndpoints(), alive: registered, peerRoutes: newPeerRoutes(registered, c.self), freshAt: c.freshness.At()}
 	if c.config != nil && c.replica.Read() {
 		next.Version = c.config.Version
 		next.limits = limitsOf(c.config.Limits)
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -70,6 +70,6 @@
 		return
 	}
 	for _, b := range c.history.after(m.After) {
-		c.sendChanges(b, e)
+		c.sendChanges(b, e.memberRecord)
 	}
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -20,7 +20,7 @@
 // memberPrefix is the prefix of the instances' registrations in the platform's store.
 const memberPrefix = "instances/"
 
-// memberRecord is an instance's registration.
+// memberRecord is an instance's registration. It is immutable: snapshots share it.
 type memberRecord struct {
 	Peer       dispatch.PeerID `cbor:"1,keyasint"` // Incarnation: random, new at each start.
 	Zone       string          `cbor:"2,keyasint"`
@@ -31,7 +31,7 @@
 
 // member is another instance and what is known about it.
 type member struct {
-	memberRecord
+	*memberRecord
 	key          string
 	joined       time.Time
 	lastSeen     time.Time // Time of its last message, or of a coordinator's report that it is alive; zero before the first.
@@ -73,11 +73,11 @@
 		return
 	}
 	if old := m.byKey[key]; old != nil && old.Peer == r.Peer {
-		old.memberRecord, old.deregistered = r, false
+		old.memberRecord, old.deregistered = &r, false
 		return
 	}
 	m.drop(key)
-	m.byKey[key] = &member{memberRecord: r, key: key, joined: now}
+	m.byKey[key] = &member{memberRecord: &r, key: key, joined: now}
 	m.byPeer[r.Peer] = m.byKey[key]
 	if m.quiet {
 		return
@@ -102,7 +102,7 @@
 func (m *members) knows(key string, value []byte) bool {
 	var r memberRecord
 	e := m.byKey[key]
-	return cbor.Unmarshal(value, &r) == nil && (key == m.self || e != nil && e.memberRecord == r)
+	return cbor.Unmarshal(value, &r) == nil && (key == m.self || e != nil && *e.memberRecord == r)
 }
 
 // remove handles the removal of an instance's registration. The instance is kept while it sends
@@ -239,9 +239,18 @@
 	return out
 }
 
+// records returns the registrations of instances.
+func records(list []*member) []*memberRecord {
+	out := make([]*memberRecord, 0, len(list))
+	for _, e := range list {
+		out = append(out, e.memberRecord)
+	}
+	return out
+}
+
 // addresses returns the addresses for callers of a zone, in random order: of the zone's instances,
 // or of all if the zone has fewer than minLocalAddresses.
-func addresses(alive []*member, zone string) []string {
+func addresses(alive []*memberRecord, zone string) []string {
 	var local, all []string
 	for _, e := range alive {
 		all = append(all, e.CallerAddr)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -189,7 +189,7 @@
 
 // relaysOf returns the relays of a zone, which forward the messages of the whole fleet to each
 // instance of their zone. They are chosen like coordinators, by the fastest links.
-func relaysOf(zone []*member) []netip.AddrPort {
+func relaysOf(zone []*memberRecord) []netip.AddrPort {
 	list := make([]broker.Instance, 0, len(zone))
 	at := make(map[string]netip.AddrPort, len(zone))
 	for _, e := range zone {
@@ -212,8 +212,8 @@
 	remoteRelays map[string][]netip.AddrPort // Relays by other zone; none is empty.
 }
 
-func newPeerRoutes(alive []*member, self memberRecord) *peerRoutes {
-	zones := make(map[string][]*member)
+func newPeerRoutes(alive []*memberRecord, self memberRecord) *peerRoutes {
+	zones := make(map[string][]*memberRecord)
 	for _, e := range alive {
 		zones[e.Zone] = append(zones[e.Zone], e)
 	}
@@ -230,7 +230,7 @@
 	if len(own) < maxDirectPeers {
 		return r
 	}
-	r.relays = relaysOf(append(own, &member{memberRecord: self}))
+	r.relays = relaysOf(append(own, &self))
 	r.isRelay = slices.Contains(r.relays, self.PeerAddr)
 	return r
 }
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -20,19 +20,19 @@
 	sent       map[netip.AddrPort]int                     // Datagrams.
 }
 
-func newTestNetwork(t *testing.T, sizes map[string]int) (*testNetwork, []*member) {
+func newTestNetwork(t *testing.T, sizes map[string]int) (*testNetwork, []*memberRecord) {
 	t.Helper()
 	network := &testNetwork{t: t, peerRoutes: map[netip.AddrPort]*peerRoutes{}, relays: map[netip.AddrPort]*relay{}, received: map[netip.AddrPort]map[dispatch.PeerID]int{}, sent: map[netip.AddrPort]int{}}
-	var all []*member
+	var all []*memberRecord
 	for zone, n := range sizes {
 		for i := range n {
 			at := netip.MustParseAddrPort(fmt.Sprintf("10.%d.0.%d:7540", zone[0], i+1))
-			all = append(all, &member{memberRecord: memberRecord{Peer: dispatch.PeerID(len(all) + 1), Zone: zone, PeerAddr: at}})
+			all = append(all, &memberRecord{Peer: dispatch.PeerID(len(all) + 1), Zone: zone, PeerAddr: at})
 		}
 	}
 	for k, e := range all {
-		others := append(append([]*member{}, all[:k]...), all[k+1:]...)
-		network.peerRoutes[e.PeerAddr] = newPeerRoutes(others, e.memberRecord)
+		others := append(append([]*memberRecord{}, all[:k]...), all[k+1:]...)
+		network.peerRoutes[e.PeerAddr] = newPeerRoutes(others, *e)
 		network.received[e.PeerAddr] = map[dispatch.PeerID]int{}
 		network.relays[e.PeerAddr] = &relay{
 			send:      func(data []byte, to []netip.AddrPort) { network.send(e.PeerAddr, data, to) },
@@ -63,7 +63,7 @@
 }
 
 // broadcastAll has every instance send a number of messages, and flushes the relays.
-func (network *testNetwork) broadcastAll(all []*member, messages int) {
+func (network *testNetwork) broadcastAll(all []*memberRecord, messages int) {
 	for range messages {
 		for _, e := range all {
 			data, err := encodeMessage(message{From: e.Peer, Events: []dispatch.Event{{Endpoint: 1, Kind: dispatch.Started}}})
@@ -95,9 +95,9 @@
 // Guards against a relay with a slow link. Of forty instances of a zone two have links of 200 Mbit/s,
 // the others of 10 Mbit/s, which a relay saturates: the retries in dropped reports are not counted.
 func TestRelaysHaveFastestLinks(t *testing.T) {
-	var zone []*member
+	var zone []*memberRecord
 	for i := range 40 {
-		e := &member{memberRecord: memberRecord{Zone: "a", LinkMbps: 10, PeerAddr: netip.MustParseAddrPort(fmt.Sprintf("10.1.0.%d:7540", i+1))}}
+		e := &memberRecord{Zone: "a", LinkMbps: 10, PeerAddr: netip.MustParseAddrPort(fmt.Sprintf("10.1.0.%d:7540", i+1))}
 		if i%20 == 7 {
 			e.LinkMbps = 200
 		}
--- a/internal/gateway/unit_test.go
+++ b/internal/gateway/unit_test.go
@@ -130,11 +130,37 @@
 	})
 }
 
+// Guards against a data race: an instance registers again, and discovery read its record in a snapshot meanwhile.
+func TestSnapshotKeepsItsRegistrations(t *testing.T) {
+	settings := DefaultSettings()
+	c := newControl(&settings, slog.New(slog.DiscardHandler), nil)
+	put := func(callers string) {
+		value, err := cbor.Marshal(memberRecord{Peer: 7, Zone: "a", CallerAddr: callers, PeerAddr: netip.MustParseAddrPort("192.0.2.1:1")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.members.put(time.Now(), memberPrefix+"other", value)
+	}
+	put("192.0.2.1:80")
+	c.publish(time.Now())
+	snapshot := c.snapshot.Load()
+	done := make(chan []string)
+	go func() { done <- addresses(snapshot.alive, "a") }()
+	put("192.0.2.1:81")
+	if got := <-done; !slices.Equal(got, []string{"192.0.2.1:80"}) {
+		t.Errorf("addresses of the snapshot: %v", got)
+	}
+	c.publish(time.Now())
+	if got := addresses(c.snapshot.Load().alive, "a"); !slices.Equal(got, []string{"192.0.2.1:81"}) {
+		t.Errorf("addresses of the next snapshot: %v", got)
+	}
+}
+
 func TestDiscoveryOmitsSilentAndLeavingInstances(t *testing.T) {
 	now := time.Unix(1000, 0)
 	m := newMembers("self", "a", slog.New(slog.DiscardHandler))
 	put := func(id, zone string) *member {
-		e := &member{memberRecord: memberRecord{Zone: zone, CallerAddr: id, PeerAddr: netip.MustParseAddrPort("192.0.2.1:1")}, joined: now, lastSeen: now}
+		e := &member{memberRecord: &memberRecord{Zone: zone, CallerAddr: id, PeerAddr: netip.MustParseAddrPort("192.0.2.1:1")}, joined: now, lastSeen: now}
 		m.byKey[memberPrefix+id] = e
 		return e
 	}
@@ -149,12 +175,12 @@
 		e.lastSeen = later
 	}
 	silent.lastSeen = now
-	got := addresses(m.alive(later), "a")
+	got := addresses(records(m.alive(later)), "a")
 	slices.Sort(got)
 	if !slices.Equal(got, []string{"1", "2", "3", "4"}) {
 		t.Errorf("callers of zone a get %v", got)
 	}
-	if got := addresses(m.alive(later), "b"); len(got) != 5 {
+	if got := addresses(records(m.alive(later)), "b"); len(got) != 5 {
 		t.Errorf("callers of a zone with one instance get %v", got)
 	}
 	// An instance that gets no messages at all can't tell which others are gone.
