A removal is not taken for an outage that only others have

What callers saw: the store turns the followers of a zone away and serves the others; an endpoint that leaves then gets requests up to 2.3 s after its removal, where 2 s are promised.

Cause: a follower reports that a call failed, and the others of its zone took each registration that is missing in the next 3 s for one that may have expired in an outage. They kept it for a grace period of 1.6 s.

Change: failures that only others report do not count while the instance's own knowledge of the store is fresh: registrations take several heartbeat intervals to expire. Its own failures and longer outages count as before. Such an instance also reads the missed changes, not all keys.

TestRemovalIsNotTakenForAnOutageThatOthersHave fails before in its first case. The tests of outages pass unchanged.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -137,14 +137,14 @@
 }
 
 // handleMissing handles a key that was missing in a full read, and reports whether the endpoints changed. It removes an
-// upstream, unless the store has failed lately or was restored: then the
+// upstream, unless the store was away lately or was restored: then the
 // registration may have expired in the outage, or the copy may lack it. A later read does not shorten the grace
 // period. The end of the outage is taken as the time when another instance was first ahead of this one, or else as now.
 func (c *control) handleMissing(now time.Time, key string, restored bool) bool {
 	if !strings.HasPrefix(key, platform.UpstreamPrefix) {
 		return c.handleDeleted(now, key)
 	}
-	if !restored && !c.storeFailing(now) && !c.registry.awaits(key) {
+	if !restored && !c.mayHaveExpired(now) && !c.registry.awaits(key) {
 		return c.registry.remove(now, key)
 	}
 	availableSince := now
@@ -232,5 +232,16 @@
 // storeFailing reports whether a call of the store has failed within storeErrorWindow. For an
 // instance that doesn't follow the store, failures that followers report count too.
 func (c *control) storeFailing(now time.Time) bool {
-	return now.Sub(c.lastStoreError) < storeErrorWindow
+	return now.Sub(c.lastStoreError) < storeErrorWindow || now.Sub(c.lastReportedError) < storeErrorWindow
+}
+
+// mayHaveExpired reports whether registrations that are missing may have expired in an outage of the store. That takes
+// several heartbeat intervals. So failures that only others report are theirs alone, and there was no outage, as long as
+// this instance's knowledge of the store is fresh.
+func (c *control) mayHaveExpired(now time.Time) bool {
+	if now.Sub(c.lastStoreError) < storeErrorWindow {
+		return true
+	}
+	at := c.freshness.At()
+	return c.storeFailing(now) && (at.IsZero() || !c.schedule().IsFresh(now.Sub(at)))
 }
--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -139,11 +139,11 @@
 	c.sendChanges(b, c.snapshot.Load().alive...)
 }
 
-// forwardFullRead forwards what a read of all keys shows to have changed. While missing keys may be due to a failure of
+// forwardFullRead forwards what a read of all keys shows to have changed. While missing keys may have expired in an outage of
 // the store, or the difference cannot be told, only a configuration is forwarded: the receivers have to read the store
 // themselves.
 func (c *control) forwardFullRead(now time.Time, read replica.ReadResult[platform.Revision], items []platform.Item, at platform.Revision) {
-	if read.Difference != nil && (len(read.Missing) == 0 || read.Restored || !c.storeFailing(now)) {
+	if read.Difference != nil && (len(read.Missing) == 0 || read.Restored || !c.mayHaveExpired(now)) {
 		c.forward(newDifference(c.peer, read.Difference, items))
 		return
 	}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -98,27 +98,28 @@
 	brokerTimeouts atomic.Int64 // Placement requests that a broker did not answer in time.
 
 	// Owned by the loop.
-	machine        *dispatch.Machine
-	quota          *quota.Limiter // Nil until a configuration with accounts.
-	config         *platform.Config
-	configValue    []byte   // The configuration as the operator wrote it, with digests in place of keys.
-	refusedValue   []byte   // The last value that was refused as invalid.
-	warnings       []string // About the configuration in force; they are logged already.
-	registry       *registry
-	members        *members
-	replica        *replica.Copy[platform.Revision]
-	lag            replica.Lag // Of the replica behind the other instances.
-	freshness      replica.Freshness[platform.Revision]
-	followTimer    *time.Timer // Fires when this instance may have to read the store before the next tick.
-	lastStoreError time.Time   // Time of the last failed call of the store.
-	olderConfigAt  time.Time   // When another instance first reported a later version than the one in force, or was asked for it; zero if none did.
-	history        history     // Store changes that this instance forwarded or received lately.
-	handoverUntil  time.Time   // Until then a Handover is requested; zero once one was received.
-	followPolicy   *following.Machine
-	following      bool // This instance follows the store, and its last call succeeded; isFollowing tells what is reported to others.
-	placement      placementClient
-	confirmations  confirmations
-	broker         *brokerState // Nil until the first placement request.
+	machine           *dispatch.Machine
+	quota             *quota.Limiter // Nil until a configuration with accounts.
+	config            *platform.Config
+	configValue       []byte   // The configuration as the operator wrote it, with digests in place of keys.
+	refusedValue      []byte   // The last value that was refused as invalid.
+	warnings          []string // About the configuration in force; they are logged already.
+	registry          *registry
+	members           *members
+	replica           *replica.Copy[platform.Revision]
+	lag               replica.Lag // Of the replica behind the other instances.
+	freshness         replica.Freshness[platform.Revision]
+	followTimer       *time.Timer // Fires when this instance may have to read the store before the next tick.
+	lastStoreError    time.Time   // Time of the last failed call of the store.
+	lastReportedError time.Time   // When a follower last reported one of its own.
+	olderConfigAt     time.Time   // When another instance first reported a later version than the one in force, or was asked for it; zero if none did.
+	history           history     // Store changes that this instance forwarded or received lately.
+	handoverUntil     time.Time   // Until then a Handover is requested; zero once one was received.
+	followPolicy      *following.Machine
+	following         bool // This instance follows the store, and its last call succeeded; isFollowing tells what is reported to others.
+	placement         placementClient
+	confirmations     confirmations
+	broker            *brokerState // Nil until the first placement request.
 
 	coordinators       []broker.Instance            // Of this zone; empty in a small fleet.
 	remoteCoordinators map[string][]broker.Instance // By other zone.
@@ -355,7 +356,7 @@
 		c.requestResend(followers)
 	case replica.FetchFromStore:
 		c.log.Info("behind the other instances; reading the store", "revision", c.replica.Revision().Number(), "follows_itself", c.following)
-		c.requestResync(c.storeFailing(now))
+		c.requestResync(c.mayHaveExpired(now))
 	}
 }
 
@@ -434,7 +435,7 @@
 	}
 	c.handleUses(now, m)
 	if m.StoreFailing && !c.shouldFollow.Load() {
-		c.lastStoreError = now
+		c.lastReportedError = now
 	}
 	c.noticeConfig(now, m)
 	if m.Revision <= c.replica.Revision() {
--- a/internal/gateway/returned_test.go
+++ b/internal/gateway/returned_test.go
@@ -100,3 +100,33 @@
 		}
 	}
 }
+
+// Guards against requests to an endpoint that has left while the store turned other instances away: it was kept for the grace
+// period of an outage, by an instance that knew that there was none.
+func TestRemovalIsNotTakenForAnOutageThatOthersHave(t *testing.T) {
+	entry := []byte(`{"service":"orders","address":"192.0.2.1:80","zone":"a","version":"v1","capacity":4,"state":"ready","warmup_left":"0ms","sequence":4}`)
+	settings := DefaultSettings()
+	for name, tc := range map[string]struct {
+		age  time.Duration // Of the instance's knowledge of the store.
+		own  bool          // Its own call has failed.
+		kept bool
+	}{
+		"others are turned away":   {settings.Promises.ApplyWithin / 2, false, false},
+		"this instance is as well": {settings.Promises.ApplyWithin / 2, true, true},
+		"outage of the store":      {4 * time.Second, false, true},
+	} {
+		now := time.Now()
+		c := newControl(&settings, slog.New(slog.DiscardHandler), nil)
+		c.applyFullRead(now, []platform.Item{{Key: "servers/i-left", Value: entry, Revision: 3}}, 5, 5)
+		c.shouldFollow.Store(false)
+		c.confirmFresh(now, now.Add(-tc.age), 5)
+		c.handleMessage(now, &message{From: c.peer + 1, Revision: 5, Following: true, StoreFailing: true})
+		if tc.own {
+			c.lastStoreError = now
+		}
+		c.applyFullRead(now, nil, 8, 8)
+		if kept := c.registry.entries["servers/i-left"] != nil; kept != tc.kept {
+			t.Errorf("%s: the endpoint is kept: %t", name, kept)
+		}
+	}
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/damaskcove/damaskcove/coord/following"
 	"github.com/damaskcove/damaskcove/platform/standin"
 )
 
@@ -69,6 +70,8 @@
 	{"leave-unheard", leaveUnheard},
 	{"leave-cut-off", leaveCutOff},
 	{"leave-and-return", leaveAndReturn},
+	{"join-and-leave", joinAndLeave},
+	{"store-followers", storeFollowers},
 	{"scale-out", scaleOut},
 	{"reuse", reuse},
 	{"srv-crash", srvCrash},
@@ -365,14 +368,18 @@
 func nodeCut(r *run, random *rand.Rand) error {
 	r.storeBusy.Lock()
 	defer r.storeBusy.Unlock()
-	machines := r.share(random, 0.17)
+	r.cut(r.share(random, 0.17), 5500*time.Millisecond)
+	return nil
+}
+
+// cut cuts machines off; the caller holds storeBusy.
+func (r *run) cut(machines []*machine, lasts time.Duration) {
 	cut := names(machines)
 	r.setDoors(machines, standin.State{Fault: standin.Silent})
-	r.linkWindow("node-cut", machines, 5500*time.Millisecond, func(from, to string) (linkFault, bool) {
+	r.linkWindow("node-cut", machines, lasts, func(from, to string) (linkFault, bool) {
 		return linkFault{loss: 1}, cut[from] || cut[to]
 	})
 	r.setDoors(machines, standin.State{})
-	return nil
 }
 
 // lossy makes the links of a zone lose and delay datagrams.
@@ -499,22 +506,25 @@
 	lasts := time.Duration(500+random.IntN(5000)) * time.Millisecond
 	var wg sync.WaitGroup
 	for _, m := range r.pick(random, 1+random.IntN(4)) {
-		wg.Go(func() {
-			m.operating.Lock()
-			defer m.operating.Unlock()
-			if r.over() {
-				return
-			}
-			defer r.recorder.window(Window{What: "SIGSTOP", Machine: m.name, Frozen: true, Kind: WindowMachine})()
-			m.signal(syscall.SIGSTOP, false)
-			time.Sleep(lasts)
-			m.signal(syscall.SIGCONT, false)
-		})
+		wg.Go(func() { r.pause(m, lasts) })
 	}
 	wg.Wait()
 	return nil
 }
 
+// pause stops a machine's process and lets it go on.
+func (r *run) pause(m *machine, lasts time.Duration) {
+	m.operating.Lock()
+	defer m.operating.Unlock()
+	if r.over() {
+		return
+	}
+	defer r.recorder.window(Window{What: "SIGSTOP", Machine: m.name, Frozen: true, Kind: WindowMachine})()
+	m.signal(syscall.SIGSTOP, false)
+	time.Sleep(lasts)
+	m.signal(syscall.SIGCONT, false)
+}
+
 // reload sends SIGHUP to machines in turn.
 func reload(r *run, random *rand.Rand) error {
 	for _, m := range r.share(random, 0.5) {
@@ -748,6 +758,102 @@
 	return nil
 }
 
+// followersOf returns the machines of each zone that follow the store while it serves all: the first two by key.
+func (r *run) followersOf() [len(zoneNames)][]*machine {
+	var zones [len(zoneNames)][]*machine
+	for _, m := range r.fleet.all() {
+		zones[m.zoneIndex] = append(zones[m.zoneIndex], m)
+	}
+	for z, list := range zones {
+		slices.SortFunc(list, func(a, b *machine) int { return strings.Compare(a.name, b.name) })
+		zones[z] = list[:min(len(list), following.FollowersPerZone)]
+	}
+	return zones
+}
+
+// joinAndLeave cuts an instance that follows the store off, or pauses it. Upstreams join meanwhile, and leave without a report
+// around its return.
+func joinAndLeave(r *run, random *rand.Rand) error {
+	r.storeBusy.Lock()
+	defer r.storeBusy.Unlock()
+	list := r.followersOf()[random.IntN(len(zoneNames))]
+	if len(list) == 0 {
+		return nil
+	}
+	away, paused := list[random.IntN(len(list))], random.IntN(3) == 0
+	returned := make(chan struct{})
+	lasts := 5500 * time.Millisecond
+	go func() {
+		defer close(returned)
+		if paused {
+			r.pause(away, lasts)
+			return
+		}
+		r.cut([]*machine{away}, lasts)
+	}()
+	time.Sleep(time.Second)
+	var joined []*upstream
+	for k := range 6 {
+		u, err := r.addUpstream(serviceNames[k%len(serviceNames)], zoneNames[random.IntN(len(zoneNames))])
+		if err != nil {
+			return err
+		}
+		joined = append(joined, u)
+		time.Sleep(10 * time.Millisecond)
+	}
+	early := time.Duration(random.IntN(400)) * time.Millisecond
+	time.Sleep(lasts - time.Second - 60*time.Millisecond - early)
+	var wg sync.WaitGroup
+	for _, u := range joined {
+		wg.Go(func() { u.leaveUnlisted(3 * r.terms.DrainWithin) })
+		time.Sleep(150 * time.Millisecond)
+	}
+	wg.Wait()
+	<-returned
+	return nil
+}
+
+// storeFollowers lets the store turn the machines that follow it away, of each zone or of one, while it serves all others. The
+// configuration changes, or upstreams leave, as that begins.
+func storeFollowers(r *run, random *rand.Rand) error {
+	r.storeBusy.Lock()
+	defer r.storeBusy.Unlock()
+	var machines []*machine
+	zones := r.followersOf()
+	for _, list := range zones {
+		machines = append(machines, list...)
+	}
+	if random.IntN(4) == 0 {
+		machines = zones[random.IntN(len(zones))]
+	}
+	state := standin.State{Fault: []standin.Fault{standin.Silent, standin.Silent, standin.Unresponsive, standin.Reset}[random.IntN(4)]}
+	for range 2 {
+		var ends []func()
+		for _, m := range machines {
+			ends = append(ends, r.recorder.window(Window{What: fmt.Sprintf("store-followers %d", state.Fault), Machine: m.name, Kind: WindowMachine}))
+		}
+		r.setDoors(machines, state)
+		for range 2 {
+			if err := r.operator.change("a route is moved", r.operator.moveRoute); err != nil {
+				return err
+			}
+			if random.IntN(2) == 0 {
+				for _, u := range r.pickUpstreams(random, 0.1) {
+					go u.leaveUnlisted(3 * r.terms.DrainWithin)
+				}
+			}
+			time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+		}
+		time.Sleep(4 * time.Second)
+		r.setDoors(machines, standin.State{})
+		for _, f := range ends {
+			f()
+		}
+		time.Sleep(r.terms.StableWindow + 1500*time.Millisecond)
+	}
+	return nil
+}
+
 func scaleOut(r *run, random *rand.Rand) error {
 	for range 5 {
 		if _, err := r.addUpstream(serviceNames[random.IntN(len(serviceNames))], zoneNames[random.IntN(len(zoneNames))]); err != nil {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -57,6 +57,7 @@
 	earlyShare   float64  // Share of the long requests that are answered before they are read.
 	endlessShare float64  // Share of the requests that get an answer without end.
 	leaving      bool
+	unlisted     bool // It leaves, and nothing but the removal of its registration says so.
 	gone         bool
 }
 
@@ -128,6 +129,14 @@
 	u.leaving = true
 }
 
+// leaveUnlisted stops the upstream without a report: its registration is removed, it serves for a time and exits.
+func (u *upstream) leaveUnlisted(serve time.Duration) {
+	u.change(func(u *upstream) { u.unlisted = true })
+	u.deregister()
+	time.Sleep(serve)
+	u.end()
+}
+
 // leaveCutOff stops an upstream that cannot reach the store: its registration stays as it was until it expires.
 func (u *upstream) leaveCutOff(expires, serve time.Duration) {
 	u.announce()
@@ -149,7 +158,7 @@
 func (u *upstream) isGone() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.gone || u.leaving
+	return u.gone || u.leaving || u.unlisted
 }
 
 // change sets faults under the lock.
