Followers watch the store at the end of a grace period

What callers saw: after the store was restored twice within a second, an upstream that had registered again in time was given up; its service had no endpoint, 503 with 1010.

Cause: a follower waits half a second after changes before its next watch. A read that ended just before the upstream's registration put the next one 66 ms before the end of the grace period; with little processor time that was too late.

Change: the delay ends a quarter of a second before the first registration is given up, and is short from then on (following.Schedule.BatchDelay).

TestNextWatchBeginsBeforeTheGracePeriodEnds covers the delay.

--- a/coord/following/schedule.go
+++ b/coord/following/schedule.go
@@ -36,5 +36,15 @@
 	return max(s.Interval-sinceResponse-latency, s.Interval/10)
 }
 
+// BatchDelay returns how long to wait after changes, before the next watch. graceEnd is when the first of the
+// registrations that are missing since an outage is given up; zero if none is missing. Those that are back by then have to
+// be seen: the delay ends well before, and later ones are short.
+func (s Schedule) BatchDelay(now, graceEnd time.Time) time.Duration {
+	if !now.Before(graceEnd) {
+		return s.Batch
+	}
+	return min(max(graceEnd.Sub(now)-s.Batch/2, s.Step/2), s.Batch)
+}
+
 // IsFresh reports whether knowledge of an age is fresh.
 func (s Schedule) IsFresh(age time.Duration) bool { return age <= s.Fresh }
--- a/coord/following/schedule_test.go
+++ b/coord/following/schedule_test.go
@@ -34,6 +34,24 @@
 	})
 }
 
+// Guards against an upstream that is given up although it has registered again: the follower slept through the end of the
+// grace period.
+func TestNextWatchBeginsBeforeTheGracePeriodEnds(t *testing.T) {
+	s := NewSchedule(2 * time.Second)
+	end := time.Unix(1000, 0)
+	for before, want := range map[time.Duration]time.Duration{
+		1600 * time.Millisecond: s.Batch, 750 * time.Millisecond: s.Batch, 600 * time.Millisecond: 350 * time.Millisecond,
+		200 * time.Millisecond: s.Step / 2, time.Millisecond: s.Step / 2, 0: s.Batch, -time.Second: s.Batch,
+	} {
+		if got := s.BatchDelay(end.Add(-before), end); got != want {
+			t.Errorf("%s before the end: a delay of %s, want %s", before, got, want)
+		}
+	}
+	if got := s.BatchDelay(end, time.Time{}); got != s.Batch {
+		t.Errorf("nothing is missing: a delay of %s", got)
+	}
+}
+
 // storeModel is a store, the zones of a fleet and the knowledge of their instances, in steps of a message's way.
 type storeModel struct {
 	bound, latency time.Duration
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -55,6 +55,7 @@
 	alive      []*memberRecord
 	peerRoutes *peerRoutes
 	freshAt    time.Time // As of the last publication; zero before the first read.
+	graceEnd   time.Time // When the first of the upstreams that are missing is removed; zero if none is.
 }
 
 // mayBeStale reports whether the snapshot may be out of date: the process has been paused since
@@ -381,6 +382,11 @@
 	c.respondedAt.Store(&now)
 }
 
+// batchDelay returns how long a follower waits after changes before its next watch.
+func (c *control) batchDelay() time.Duration {
+	return c.schedule().BatchDelay(time.Now(), c.snapshot.Load().graceEnd)
+}
+
 // isFollowing reports whether this instance follows the store, and the store's last response to it is
 // recent.
 func (c *control) isFollowing(now time.Time) bool {
@@ -394,7 +400,7 @@
 	c.electCoordinators(now, alive)
 	registered := records(alive)
 	c.machine.SetBrokered(c.brokered())
-	next := &Snapshot{pause: c.pause, limits: limitsOf(platform.DefaultLimits), leaving: c.machine.LeavingCounts(), limited: c.machine.LimitedEndpoints(), alive: registered, peerRoutes: newPeerRoutes(registered, c.self), freshAt: c.freshness.At()}
+	next := &Snapshot{pause: c.pause, limits: limitsOf(platform.DefaultLimits), leaving: c.machine.LeavingCounts(), limited: c.machine.LimitedEndpoints(), alive: registered, peerRoutes: newPeerRoutes(registered, c.self), freshAt: c.freshness.At(), graceEnd: c.registry.graceEnd()}
 	if c.config != nil && c.replica.Read() {
 		next.Version = c.config.Version
 		next.limits = limitsOf(c.config.Limits)
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -87,11 +87,10 @@
 	for ctx.Err() == nil {
 		at = max(at, platform.Revision(f.control.knownRevision.Load()))
 		var err error
-		delay := time.Duration(0)
+		fullRead := !synced && (f.control.shouldFollow.Load() || !f.control.upToDate.Load())
 		switch {
-		case !synced && (f.control.shouldFollow.Load() || !f.control.upToDate.Load()):
+		case fullRead:
 			at, err = f.readAll(ctx)
-			delay = f.control.schedule().Batch
 		case f.control.shouldFollow.Load() && !answered:
 			at, err = f.readMissed(ctx, at)
 		case f.control.shouldFollow.Load():
@@ -118,7 +117,9 @@
 		f.health.record(err)
 		if err == nil {
 			delayAfterError = initialRetryDelay
-			sleep(ctx, delay)
+			if fullRead {
+				f.pauseAfterChanges(ctx)
+			}
 			continue
 		}
 		if !f.control.preferredFollower.Load() {
@@ -222,7 +223,7 @@
 	respondedAt := time.Now()
 	if len(items) > 0 {
 		f.deliver(items, after, at, sourceWatch, sentAt, respondedAt)
-		sleep(ctx, schedule.Batch)
+		f.pauseAfterChanges(ctx)
 		return max(after, at), nil
 	}
 	f.latency = max(respondedAt.Sub(start)-wait, 0)
@@ -237,6 +238,20 @@
 	return after, nil
 }
 
+// pauseAfterChanges waits while further changes collect in the store. The control loop has posted changes applied then, as
+// these tell how long to wait.
+func (f *follower) pauseAfterChanges(ctx context.Context) {
+	applied := make(chan struct{})
+	if !f.control.post(func() { close(applied) }) {
+		return
+	}
+	select {
+	case <-applied:
+		sleep(ctx, f.control.batchDelay())
+	case <-f.control.done:
+	}
+}
+
 // watchWait returns how long a watch that begins now waits for a change.
 func (f *follower) watchWait(schedule following.Schedule, now time.Time) time.Duration {
 	sinceResponse := time.Duration(0)
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -203,6 +203,17 @@
 	return e != nil && !e.missingSince.IsZero()
 }
 
+// graceEnd returns when the first of the upstreams that are missing is removed; zero if none is missing.
+func (r *registry) graceEnd() time.Time {
+	var first time.Time
+	for _, e := range r.entries {
+		if end := e.missingSince.Add(reregisterGrace); !e.missingSince.IsZero() && (first.IsZero() || end.Before(first)) {
+			first = end
+		}
+	}
+	return first
+}
+
 // expire removes the upstreams that have not registered again in time, and uses those whose registrations were taken
 // for stale and are still there. It reports whether the endpoints changed.
 func (r *registry) expire(now time.Time) bool {
