--- a/coord/replica/replica_test.go
+++ b/coord/replica/replica_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -422,3 +423,28 @@
 		}
 	}
 }
+
+// Guards against a copy that looks old while the store changes all the time: each report names a revision that arrives a little later.
+func TestFreshnessCountsEachConfirmationThatIsReached(t *testing.T) {
+	start := time.Unix(1000, 0)
+	second := func(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
+	var f Freshness[revision]
+	f.Confirm(second(0), 10, 10)
+	for n := 1; n < 20; n++ {
+		f.Confirm(second(n), revision(10+2*n), revision(10+2*n-2))
+		f.Confirm(second(n).Add(time.Millisecond), revision(11+2*n), revision(10+2*n-2))
+		f.Moved(revision(10 + 2*n))
+		if got := f.At(); !got.Equal(second(n)) {
+			t.Fatalf("at revision %d: %s, want %s", 10+2*n, got, second(n))
+		}
+	}
+	for n := 20; n < 40; n++ {
+		f.Confirm(second(n), revision(100+n), 100)
+	}
+	if f.Moved(119); !f.At().Equal(second(19).Add(time.Millisecond)) {
+		t.Errorf("%s before any of the waiting revisions", f.At())
+	}
+	if f.Moved(200); !f.At().Equal(second(39)) {
+		t.Errorf("%s, want the last of those that waited", f.At())
+	}
+}
