--- a/coord/replica/batch.go
+++ b/coord/replica/batch.go
@@ -33,8 +33,8 @@
 type Batch[R Revision] struct {
 	Coverage  Coverage
 	After, At R
-	// End is the revision of the last page of the read that a Difference was made from. Its changes up to End are in
-	// part in the batch.
+	// End is the revision of the last page of the read that a Difference was made from. The batch has some of the
+	// changes between At and End.
 	End     R
 	Changes []Change[R]
 }
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -238,8 +238,8 @@
 	return after, nil
 }
 
-// pauseAfterChanges waits while further changes collect in the store. The control loop has posted changes applied then, as
-// these tell how long to wait.
+// pauseAfterChanges waits while further changes collect in the store. The control loop first applies the changes that were
+// posted to it, since the length of the wait depends on them.
 func (f *follower) pauseAfterChanges(ctx context.Context) {
 	applied := make(chan struct{})
 	if !f.control.post(func() { close(applied) }) {
